--- /dev/null
+++ b/crates/kelpdoor-benchlink/src/decode.rs
@@ -0,0 +1,201 @@
+//! From the wire's events to what the director's round holds.
+
+use std::collections::BTreeMap;
+
+use anyhow::{Context, Result, bail, ensure};
+use kelpdoor::Round;
+use kelpdoor::Terms;
+use kelpdoor::ids::{GroupId, NodeId, SessId, TitleId};
+use kelpdoor::round::{Ended, Ending, ListChange, Listed, LoadReport, NewSession, Phase, Playing, Reading};
+
+use crate::frame::{Bytes, EVENT, Head};
+use crate::settings;
+
+const ENTRY: usize = 22;
+
+/// The process's numbered lists.
+#[derive(Default)]
+pub struct Sheets(BTreeMap<u32, Vec<Listed>>);
+
+/// The names of the values in an instance's load reports, in their order.
+#[derive(Default)]
+pub struct ReportFields(pub Vec<String>);
+
+impl ReportFields {
+    fn report(&self, values: &[f64]) -> LoadReport {
+        let named = |name: &str| self.0.iter().position(|f| f == name).and_then(|i| values.get(i).copied());
+        LoadReport { streams: named("inflight"), link: named("x0"), uplink: named("x1") }
+    }
+}
+
+pub enum Indication<'a> {
+    Start { seed: u64, terms: Box<Terms>, report: ReportFields },
+    PowerOff,
+    Came(Box<dyn FnOnce(&mut Round, &ReportFields) + 'a>),
+}
+
+/// Walks a batch in order and hands each event on with its instance.
+pub fn batch(
+    head: &Head, body: &[u8], sheets: &mut Sheets, mut hand: impl FnMut(u32, Indication) -> Result<()>,
+) -> Result<()> {
+    let (records, tail) = body.split_at(head.records * EVENT);
+    let mut instance = None;
+    for (n, record) in records.chunks_exact(EVENT).enumerate() {
+        let r = Bytes(record);
+        let code = r.u16(0)?;
+        let at = || format!("record {n}, code {code}");
+        match code {
+            261 => instance = Some(r.u32(2)?),
+            259 => {
+                let list = sheet(&r, tail).with_context(at)?;
+                sheets.0.insert(r.u32(2)?, list);
+            }
+            _ => {
+                let instance =
+                    instance.context("an event comes before any instance is named").with_context(at)?;
+                let what = event(code, &r, tail, sheets).with_context(at)?;
+                if let Some(what) = what {
+                    hand(instance, what).with_context(at)?;
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+fn tail_part<'a>(r: &Bytes, field: usize, unit: usize, tail: &'a [u8]) -> Result<&'a [u8]> {
+    let (start, count) = (r.u32(field)? as usize, r.u32(field + 4)? as usize);
+    let len = count.checked_mul(unit).context("a length is too large")?;
+    Bytes(tail).slice(start, len).context("a field points outside the tail")
+}
+
+fn sheet(r: &Bytes, tail: &[u8]) -> Result<Vec<Listed>> {
+    let entries = tail_part(r, 6, ENTRY, tail)?;
+    entries.chunks_exact(ENTRY).map(|e| listed(&Bytes(e))).collect()
+}
+
+fn listed(e: &Bytes) -> Result<Listed> {
+    Ok(Listed {
+        node: NodeId(e.u32(0)?),
+        zone: e.u16(4)?,
+        kind: e.u8(6)?,
+        cell: e.u16(7)?,
+        phase: match e.u8(9)? {
+            0 => Phase::Gone,
+            1 => Phase::Ready,
+            2 => Phase::Draining,
+            other => bail!("a list entry has the unknown phase {other}"),
+        },
+        size: e.f32(10)?,
+        up_since: e.f64(14)? / 1000.0,
+    })
+}
+
+fn came<'a>(put: impl FnOnce(&mut Round) + 'a) -> Option<Indication<'a>> {
+    Some(Indication::Came(Box::new(|round, _| put(round))))
+}
+
+fn event<'a>(code: u16, r: &Bytes, tail: &[u8], sheets: &'a Sheets) -> Result<Option<Indication<'a>>> {
+    Ok(match code {
+        256 => {
+            let (sess, node) = (new_session(r)?, NodeId(r.u32(60)?));
+            came(move |round| round.handed_over.push((sess, node)))
+        }
+        257 => {
+            let text = tail_part(r, 10, 1, tail)?;
+            let (terms, report) = settings::terms(text).context("the settings")?;
+            Some(Indication::Start { seed: r.u64(2)?, terms: Box::new(terms), report })
+        }
+        258 => {
+            let p = Playing { sess: SessId(r.u64(2)?), node: NodeId(r.u32(11)?), took: r.f64(15)? / 1000.0 };
+            came(move |round| round.playing.push(p))
+        }
+        260 | 262 | 267 => came(|_| ()),
+        263 => {
+            let (ended, load) = ended(r)?;
+            Some(Indication::Came(Box::new(move |round, report| {
+                round.ended.push(Ended { load: report.report(&load), ..ended });
+            })))
+        }
+        264 => {
+            let sess = SessId(r.u64(2)?);
+            came(move |round| round.departures.push(sess))
+        }
+        265 => Some(Indication::PowerOff),
+        266 => {
+            let form = r.u8(2)?;
+            let entries = if form == 3 {
+                Vec::new()
+            } else {
+                let number = r.u32(11)?;
+                sheets.0.get(&number).cloned().with_context(|| format!("list {number} was never given"))?
+            };
+            let change = match form {
+                0 => ListChange::Changed(entries),
+                1 => ListChange::Whole(entries),
+                2 => ListChange::Cached(entries),
+                3 => ListChange::Unanswered,
+                other => bail!("a list of the unknown form {other}"),
+            };
+            came(move |round| round.list_changes.push(change))
+        }
+        268 => {
+            let sess = new_session(r)?;
+            came(move |round| round.new_sessions.push(sess))
+        }
+        269 => match reading(r)? {
+            Some(reading) => came(move |round| round.readings.push(reading)),
+            None => came(|_| ()),
+        },
+        other => bail!("the event code {other} is unknown"),
+    })
+}
+
+fn new_session(r: &Bytes) -> Result<NewSession> {
+    Ok(NewSession {
+        sess: SessId(r.u64(2)?),
+        group: GroupId(r.u8(10)?),
+        title: TitleId(r.u64(23)?),
+        setup_timeout: r.f64(31)? / 1000.0,
+        first_cell: r.f32(47)? as u16,
+        cells: r.f32(51)? as u16,
+        best_rung: r.f32(55)? as u8,
+    })
+}
+
+fn reading(r: &Bytes) -> Result<Option<Reading>> {
+    let (sess, value, node) = (SessId(r.u64(2)?), r.f32(10)?, NodeId(r.u32(14)?));
+    Ok(match r.u8(19)? {
+        1 => Some(Reading::Delivered { node, share: value }),
+        2 => Some(Reading::Rung { sess, rung: value as u8 }),
+        3 => Some(Reading::Link { sess, node, asked: value }),
+        4 => Some(Reading::Uplink { sess, node, asked: value }),
+        _ => None,
+    })
+}
+
+fn ended(r: &Bytes) -> Result<(Ended, Vec<f64>)> {
+    let how = match r.u8(22)? {
+        0 => Ending::Served,
+        5 => Ending::Erred,
+        11 => Ending::BusyReplied,
+        104 => Ending::Broken,
+        110 => Ending::TimedOut,
+        111 => Ending::Unreachable,
+        114 => Ending::Moot,
+        125 => Ending::Withdrawn,
+        other => bail!("the outcome {other} is unknown"),
+    };
+    let values = r.u8(25)? as usize;
+    ensure!(values <= 4, "a load report of {values} values");
+    let load = (0..values).map(|i| r.f32(26 + 4 * i)).collect::<Result<Vec<_>>>()?;
+    let ended = Ended {
+        sess: SessId(r.u64(2)?),
+        node: NodeId(r.u32(10)?),
+        setup: r.u8(23)?,
+        how,
+        closed: r.u8(24)? != 0,
+        load: LoadReport::default(),
+    };
+    Ok((ended, load))
+}
--- /dev/null
+++ b/crates/kelpdoor-benchlink/src/encode.rs
@@ -0,0 +1,85 @@
+//! From the director's orders to the wire's actions.
+
+use kelpdoor::Orders;
+use kelpdoor::ids::{NodeId, SessId};
+
+const RECORD: usize = 24;
+const HEADER: usize = 12;
+/// The reference that all wake-ups carry: the director tells them apart by the clock.
+const WAKE: u32 = 1;
+
+/// A reply in the making.
+pub struct Reply {
+    bytes: Vec<u8>,
+    records: u32,
+}
+
+impl Reply {
+    pub fn new(number: u32) -> Self {
+        let mut bytes = Vec::with_capacity(HEADER + 16 * RECORD);
+        bytes.extend_from_slice(&number.to_le_bytes());
+        bytes.resize(HEADER, 0);
+        Reply { bytes, records: 0 }
+    }
+
+    /// What follows is for that instance.
+    pub fn open(&mut self, instance: u32) {
+        self.record(270, &[&instance.to_le_bytes()]);
+    }
+
+    pub fn finish(mut self) -> Vec<u8> {
+        let len = self.bytes.len() as u32;
+        self.bytes[4..8].copy_from_slice(&len.to_le_bytes());
+        self.bytes[8..12].copy_from_slice(&self.records.to_le_bytes());
+        self.bytes
+    }
+
+    fn record(&mut self, code: u16, fields: &[&[u8]]) {
+        let start = self.bytes.len();
+        self.bytes.extend_from_slice(&code.to_le_bytes());
+        for field in fields {
+            self.bytes.extend_from_slice(field);
+        }
+        self.bytes.resize(start + RECORD, 0);
+        self.records += 1;
+    }
+}
+
+fn ms(seconds: f64) -> [u8; 8] {
+    (seconds * 1000.0).to_le_bytes()
+}
+
+impl Orders for Reply {
+    fn rung(&mut self, sess: SessId, rung: u8) {
+        self.record(268, &[&sess.0.to_le_bytes(), &[rung]]);
+    }
+
+    fn setup(&mut self, sess: SessId, node: NodeId, wait: Option<f64>) {
+        let wait = ms(wait.unwrap_or(0.0));
+        self.record(256, &[&sess.0.to_le_bytes(), &node.0.to_le_bytes(), &wait]);
+    }
+
+    fn withdraw(&mut self, sess: SessId, setup: u8) {
+        self.record(259, &[&sess.0.to_le_bytes(), &[setup]]);
+    }
+
+    fn busy(&mut self, sess: SessId, come_back: Option<f64>) {
+        self.record(257, &[&sess.0.to_le_bytes(), &ms(come_back.unwrap_or(0.0))]);
+    }
+
+    fn fail(&mut self, sess: SessId) {
+        self.record(258, &[&sess.0.to_le_bytes()]);
+    }
+
+    fn shift(&mut self, sess: SessId) {
+        self.record(269, &[&sess.0.to_le_bytes()]);
+    }
+
+    fn subscribe(&mut self) {
+        self.record(266, &[&[1]]);
+    }
+
+    fn wake(&mut self, after: f64) {
+        self.record(260, &[&ms(after), &WAKE.to_le_bytes()]);
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor/src/decide.rs
@@ -0,0 +1,1355 @@
+//! The decisions: which media node a session is set up on, at what rung, and when it steps down or up.
+//!
+//! Called once a round by `Director::round(now, &Round, &mut impl Orders)`. What comes in is in `round.rs`, where
+//! decisions go in `orders.rs`, what a director is given at its start in `terms.rs`. The design is LTS
+//! (Zhang et al.) as docs/design.md trims it. Beside it stand these mechanisms:
+//!   1. health: a node is barred while its silence is unusual, and after failures for a growing while
+//!   2. cold pace: slots for SETUPs to a node that may have started lately, shared out over all directors
+//!   3. squeeze: a new session may take room from steps that earn less for each kB
+//!   4. further SETUPs: time-outs that leave time for another, within cap, budget and time left
+//!   5. own zone first, where crossing zones has a price
+
+use std::collections::{BTreeMap, VecDeque};
+
+use fastrand::Rng;
+
+use crate::ids::{NodeId, SessId, TitleId};
+use crate::orders::Orders;
+use crate::round::{Ended, Ending, ListChange, Listed, NewSession, Phase, Playing, Reading, Round};
+use crate::terms::{FurtherBudget, Reach, Repeat, Terms};
+
+/// s; rounds at least this often: a tenth of the shortest wait that any decision uses.
+const BEAT: f64 = 0.1;
+/// s; a step of the shares, the design's own start value.
+const STEP: f64 = 2.0;
+/// steps; past loads and quality figures kept for each node, the paper's k.
+const PAST: usize = 20;
+/// thousandths for three nodes; the paper's three raises, scaled by 3/m.
+const RAISES: [f64; 3] = [1.0, 5.0, 10.0];
+/// of a node's link-size share; small, so that a node is never forgotten.
+const SHARE_FLOOR: f64 = 0.2;
+/// of a node's link-size share; the design's bound.
+const SHARE_CAP: f64 = 2.0;
+/// the actor's step; a payoff one above the mean moves a weight by a twentieth.
+const LEARN_RATE: f64 = 0.05;
+/// part of the running mean that a new payoff replaces; about ten steps of memory.
+const PAYOFF_MEMORY: f64 = 0.1;
+/// payoff; with the mean surprise under this after PAST steps the actor counts as settled.
+const SETTLED: f64 = 0.5;
+/// of a link; what set-ups fill at most. Leaves room for what other directors send unseen.
+const FILL: f64 = 0.92;
+/// of a link; rises stop here, well under FILL, so that arrivals find room without stepping others down.
+const RISE_FILL: f64 = 0.86;
+/// of a link; asked for more than this, sessions step down: delivery is about to fall short.
+const OVERFULL: f64 = 1.0;
+/// of a link; step-downs aim here, between OVERFULL and FILL.
+const RELIEVED: f64 = 0.94;
+/// of a rate; true rates lie off the ladder by title, so a single session counts as this much more.
+const RATE_SPREAD: f64 = 0.1;
+/// of a link a second; how fast an old reading loses value, and the most that it can lose.
+const STALE_EACH_S: f64 = 0.01;
+const STALE_MOST: f64 = 0.12;
+/// weight of a new reading beside the account; reports carry noise, readings at set-up and later little.
+const TRUST_REPORT: f64 = 0.4;
+const TRUST_READING: f64 = 0.8;
+/// weight of a new view of a link's size; one view errs by a third.
+const TRUST_SIZE: f64 = 0.1;
+/// of the listed size; a link may be thought this much smaller or larger.
+const SIZE_RANGE: (f64, f64) = (0.2, 1.6);
+/// a second; an uplink thought sagging grows back so fast until it falls short again.
+const UPLINK_REGROW: f64 = 0.03;
+/// s; how old a load report is on arrival, by typical refresh and way.
+const REPORT_AGE: f64 = 0.4;
+/// s; a reading this soon after a session began is of now, later ones are delayed.
+const FRESH_READING: f64 = 0.15;
+/// s; after step-downs, notes of this much longer still show the old, smoothed shortage.
+const SETTLE: f64 = 0.8;
+/// s; the random quiet wait before a rise, and how long one session keeps its rung at least.
+const RISE_WAIT: (f64, f64) = (1.0, 3.0);
+const RISE_GAP: f64 = 6.0;
+/// s; no rise on a reading older than this.
+const RISE_READING: f64 = 6.0;
+/// s; first guess of a session's remaining length, then learned.
+const LIFE: f64 = 20.0;
+/// a step must earn so many times more for each kB than the steps it displaces, for errors of the account.
+const SQUEEZE_GAIN: f64 = 1.3;
+/// s; own load changes are remembered this long, past the latest readings.
+const LOG: f64 = 8.0;
+/// deviations of a node's note gaps; over this its silence is unusual.
+const UNUSUAL: f64 = 4.0;
+/// s; the least deviation of note gaps that is believed, for rounds and ways.
+const GAP_SPREAD: f64 = 0.15;
+/// s; notes of one beat come in within this of each other.
+const BEAT_SPREAD: f64 = 1.0;
+/// s; first bar after a failure; doubled at each further one up to the longest.
+const BAR: f64 = 1.0;
+const BAR_MOST: f64 = 8.0;
+/// s; bar after a busy reply: a session ends there about as often.
+const BAR_FULL: f64 = 0.7;
+/// s; a director's first guess of set-up time, and the shortest time-out it uses.
+const SETUP_TIME: f64 = 0.3;
+const SETUP_WAIT_LEAST: f64 = 0.3;
+/// deviations; a SETUP that took this much longer than usual is lost.
+const SETUP_LATE: f64 = 6.0;
+/// of the start target; a first SETUP waits no longer, so that another can still start in time.
+const SETUP_WAIT_PART: f64 = 0.45;
+/// s; with less time left no further SETUP can succeed.
+const SETUP_TIME_LEFT: f64 = 0.1;
+/// of the cold budget that all directors together use; SETUPs differ in weight.
+const COLD_USE: f64 = 0.6;
+/// s; for so long after its start a director takes every node for just started: lists lag by that.
+const COLD_FRESH: f64 = 5.0;
+
+struct Group {
+    start_target: f64,
+    floor: u8,
+    top: u8,
+    seats: u32,
+    repeat: Repeat,
+    repeat_window: f64,
+    /// kB a second of each rung.
+    kb: Vec<f64>,
+    /// Utility a second of each rung.
+    earns: Vec<f64>,
+    switch: f64,
+}
+
+impl Group {
+    /// Utility lost for each kB by going from rung `from` to the lower `to`; `switch` counts a change's cost.
+    fn density(&self, from: u8, to: u8, switch: f64) -> f64 {
+        let (f, t) = (from as usize, to as usize);
+        (self.earns[f] - self.earns[t] + switch) / (self.kb[f] - self.kb[t]).max(1e-9)
+    }
+}
+
+/// The figures that decisions use, derived once from the terms.
+struct Figures {
+    me: u64,
+    directors: f64,
+    zone: u16,
+    groups: Vec<Group>,
+    places: Vec<f64>,
+    cells: u16,
+    racks: usize,
+    link_unit: f64,
+    rack_uplink: f64,
+    seen_after: f64,
+    told_every: f64,
+    near_first: bool,
+    max_setups: u32,
+    may_withdraw: bool,
+    come_back: Option<f64>,
+    cold_from: f64,
+    warm_within: f64,
+    cold_budget: f64,
+    fall_window: f64,
+    further: Option<FurtherBudget>,
+    ask_list: bool,
+    uplinks_told: bool,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// A SETUP is out.
+    Out,
+    Playing {
+        since: f64,
+    },
+    /// Nothing is out and an answer is owed.
+    Owed,
+}
+
+struct Sess {
+    ask: NewSession,
+    deadline: f64,
+    target: f64,
+    rung: u8,
+    stage: Stage,
+    /// Its node, while a SETUP is out or it plays.
+    node: usize,
+    setups: u32,
+    tried: Vec<NodeId>,
+    /// Where and when a SETUP that may have run was sent first.
+    maybe_ran: Option<(u16, u16, f64)>,
+    changed_at: f64,
+    left: bool,
+}
+
+/// Links and uplinks in parallel arrays: racks first, then nodes.
+#[derive(Default)]
+struct Ledger {
+    size: Vec<f64>,
+    listed: Vec<f64>,
+    own: Vec<f64>,
+    others: Vec<f64>,
+    read_at: Vec<f64>,
+    eased_at: Vec<f64>,
+    log: Vec<VecDeque<(f64, f64)>>,
+}
+
+impl Ledger {
+    fn grow(&mut self, listed: f64) {
+        self.size.push(listed);
+        self.listed.push(listed);
+        self.own.push(0.0);
+        self.others.push(0.0);
+        self.read_at.push(f64::NEG_INFINITY);
+        self.eased_at.push(f64::NEG_INFINITY);
+        self.log.push(VecDeque::new());
+    }
+
+    fn add(&mut self, now: f64, l: usize, kb: f64) {
+        self.log[l].push_back((now, self.own[l]));
+        self.own[l] = (self.own[l] + kb).max(0.0);
+        while self.log[l].front().is_some_and(|&(t, _)| t < now - LOG) {
+            self.log[l].pop_front();
+        }
+    }
+
+    /// Own load at an earlier time: entries hold what was there before each change.
+    fn own_at(&self, l: usize, then: f64) -> f64 {
+        self.log[l].iter().find(|&&(t, _)| t >= then).map_or(self.own[l], |&(_, before)| before)
+    }
+
+    /// A view of fullness at `then`: what is not our own is the others'.
+    fn read(&mut self, l: usize, full: f64, then: f64, trust: f64) {
+        if then < self.read_at[l] {
+            return;
+        }
+        let others = full * self.size[l] - self.own_at(l, then);
+        let trust = if self.read_at[l] == f64::NEG_INFINITY { 1.0 } else { trust };
+        self.others[l] += trust * (others - self.others[l]);
+        self.read_at[l] = then;
+    }
+
+    /// Believed size of a link, kept in reason.
+    fn resize(&mut self, l: usize, size: f64) {
+        let (least, most) = SIZE_RANGE;
+        self.size[l] = size.clamp(least * self.listed[l], most * self.listed[l]);
+    }
+}
+
+/// What is known of media nodes, in parallel arrays under a dense index; indices of gone nodes are used again.
+#[derive(Default)]
+struct Nodes {
+    index: BTreeMap<NodeId, usize>,
+    id: Vec<NodeId>,
+    zone: Vec<u16>,
+    cell: Vec<u16>,
+    phase: Vec<Phase>,
+    size: Vec<f64>,
+    places: Vec<f64>,
+    up_since: Vec<f64>,
+    cold_since: Vec<f64>,
+    cold_until: Vec<f64>,
+    cold_slot: Vec<u64>,
+    barred_until: Vec<f64>,
+    strikes: Vec<i32>,
+    noted_at: Vec<f64>,
+    gap_mean: Vec<f64>,
+    gap_dev: Vec<f64>,
+    streams: Vec<f64>,
+    other_streams: Vec<f64>,
+    rise_at: Vec<f64>,
+    share: Vec<f64>,
+    /// This step's start-up times (sum, count), short delivery (sum), shortages begun, and whether short now.
+    starts: Vec<(f64, f64)>,
+    missing: Vec<f64>,
+    shortages: Vec<f64>,
+    short: Vec<bool>,
+    past_load: Vec<VecDeque<f64>>,
+    past_pain: Vec<VecDeque<f64>>,
+}
+
+const FEATURES: usize = 4;
+
+/// The learned actor: a softmax over keep and raises, few weights for each feature, nudged by payoff.
+struct Actor {
+    weights: [f64; FEATURES],
+    nudge: [f64; FEATURES],
+    payoff_mean: f64,
+    surprise: f64,
+    steps: usize,
+}
+
+pub struct Director {
+    figures: Figures,
+    rng: Rng,
+    nodes: Nodes,
+    ledger: Ledger,
+    sess: BTreeMap<SessId, Sess>,
+    actor: Actor,
+    next_step: f64,
+    next_beat: f64,
+    woken_for: f64,
+    started: f64,
+    fleet_noted: f64,
+    setup_mean: f64,
+    setup_dev: f64,
+    life: f64,
+    taken: VecDeque<f64>,
+    further: VecDeque<f64>,
+    seats: BTreeMap<(TitleId, u8), u32>,
+    ask_at: f64,
+}
+
+fn blend(old: &mut f64, new: f64, part: f64) {
+    *old += part * (new - *old);
+}
+
+impl Director {
+    pub fn new(terms: &Terms, seed: u64, now: f64) -> Self {
+        let group = |g: &crate::terms::GroupTerms| {
+            let top = g.top.min(terms.ladder.len() as u8 - 1);
+            Group {
+                start_target: g.start_target,
+                floor: g.floor.min(top),
+                top,
+                seats: g.seats,
+                repeat: g.repeat,
+                repeat_window: g.repeat_window,
+                kb: terms.ladder.iter().map(|kb| kb * g.scale).collect(),
+                earns: terms.rung_utility.iter().map(|u| u * g.utility).collect(),
+                switch: terms.switch_cost * g.utility,
+            }
+        };
+        let figures = Figures {
+            me: terms.me.into(),
+            directors: terms.directors.max(terms.me + 1).into(),
+            zone: terms.zone,
+            groups: terms.groups.iter().map(group).collect(),
+            places: terms.places_by_kind.clone(),
+            cells: terms.cells.max(1),
+            racks: terms.racks.max(1).into(),
+            link_unit: terms.link_unit.max(1.0),
+            rack_uplink: terms.rack_uplink,
+            seen_after: terms.seen_after,
+            told_every: terms.told_every,
+            near_first: terms.cross_zone_price > 0.0,
+            max_setups: terms.max_setups.max(1),
+            may_withdraw: terms.may_withdraw,
+            come_back: terms.come_back,
+            cold_from: terms.cold_from,
+            warm_within: terms.warm_within,
+            cold_budget: terms.tip_multiple * terms.fall_window / terms.warm_within.max(1e-3) * COLD_USE,
+            fall_window: terms.fall_window,
+            further: terms.further,
+            ask_list: terms.ask_list,
+            uplinks_told: terms.uplinks_told,
+        };
+        let mut ledger = Ledger::default();
+        for _ in 0..figures.racks {
+            ledger.grow(if figures.rack_uplink > 0.0 { figures.rack_uplink } else { f64::MAX / 4.0 });
+        }
+        let actor = Actor {
+            weights: [0.0; FEATURES],
+            nudge: [0.0; FEATURES],
+            payoff_mean: 0.0,
+            surprise: 1.0,
+            steps: 0,
+        };
+        Director {
+            figures,
+            rng: Rng::with_seed(seed),
+            nodes: Nodes::default(),
+            ledger,
+            sess: BTreeMap::new(),
+            actor,
+            next_step: now + STEP,
+            next_beat: now,
+            woken_for: f64::NEG_INFINITY,
+            started: now,
+            fleet_noted: f64::NEG_INFINITY,
+            setup_mean: SETUP_TIME,
+            setup_dev: SETUP_TIME / 4.0,
+            life: LIFE,
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            seats: BTreeMap::new(),
+            ask_at: now,
+        }
+    }
+
+    pub fn round(&mut self, now: f64, round: &Round, orders: &mut impl Orders) {
+        for change in &round.list_changes {
+            self.list(now, change);
+        }
+        for (ask, node) in &round.handed_over {
+            self.adopt(now, ask, *node);
+        }
+        for playing in &round.playing {
+            self.plays(now, playing);
+        }
+        for reading in &round.readings {
+            self.reading(now, reading);
+        }
+        let mut owed = Vec::new();
+        for ended in &round.ended {
+            owed.extend(self.ended(now, ended, orders));
+        }
+        for &sess in &round.departures {
+            self.departs(sess, orders);
+        }
+        for sess in owed {
+            self.place(now, sess, orders);
+        }
+        for ask in round.new_sessions.iter().filter(|ask| !round.departures.contains(&ask.sess)) {
+            self.take(now, ask, orders);
+        }
+        if now >= self.next_beat {
+            self.next_beat = now + BEAT;
+            self.beat(now, orders);
+        }
+        if now >= self.woken_for {
+            self.woken_for = now + BEAT;
+            orders.wake(BEAT);
+        }
+    }
+
+    // ---- the list of nodes ----
+
+    fn list(&mut self, now: f64, change: &ListChange) {
+        let (lines, whole, cached) = match change {
+            ListChange::Changed(lines) => (lines, false, false),
+            ListChange::Whole(lines) => (lines, true, false),
+            ListChange::Cached(lines) => (lines, true, true),
+            ListChange::Unanswered => {
+                self.ask_at = now + self.rng.f64() + BEAT;
+                return;
+            }
+        };
+        if whole {
+            for i in 0..self.nodes.id.len() {
+                if !lines.iter().any(|l| l.node == self.nodes.id[i]) {
+                    self.nodes.phase[i] = Phase::Gone;
+                }
+            }
+        }
+        for line in lines {
+            self.line(now, line, cached);
+        }
+        self.reshare();
+    }
+
+    fn line(&mut self, now: f64, line: &Listed, cached: bool) {
+        let f = &self.figures;
+        let known = self.nodes.index.get(&line.node).copied();
+        if known.is_none() && line.phase == Phase::Gone {
+            return;
+        }
+        let places = f.places.get(line.kind as usize).copied().unwrap_or(f64::MAX);
+        let i = known.unwrap_or_else(|| self.new_node(line.node));
+        let (n, f) = (&mut self.nodes, &self.figures);
+        n.zone[i] = line.zone;
+        n.cell[i] = line.cell;
+        n.size[i] = line.size.max(1e-3);
+        n.places[i] = places;
+        let back = n.phase[i] == Phase::Gone && line.phase == Phase::Ready;
+        n.phase[i] = line.phase;
+        if line.up_since > n.up_since[i] || (known.is_none() && !cached) || back {
+            // A start we are told of: cold from then on, whatever we held against it before.
+            n.up_since[i] = line.up_since.max(n.up_since[i]);
+            let since = if line.up_since > 0.0 || known.is_none() { line.up_since } else { now };
+            n.cold_since[i] = since;
+            n.cold_until[i] = since + f.warm_within;
+            n.barred_until[i] = f64::NEG_INFINITY;
+            n.strikes[i] = 0;
+            n.noted_at[i] = f64::INFINITY;
+            n.other_streams[i] = 0.0;
+            let l = f.racks + i;
+            self.ledger.others[l] = 0.0;
+            self.ledger.read_at[l] = now;
+        }
+        if cached && self.started + COLD_FRESH > n.cold_until[i] {
+            // A cached list may miss a restart; take the node for just started until lists have caught up.
+            n.cold_since[i] = f64::INFINITY;
+            n.cold_until[i] = self.started + COLD_FRESH;
+        }
+        let l = f.racks + i;
+        if known.is_none() {
+            self.ledger.size[l] = f.link_unit * n.size[i];
+        }
+        self.ledger.listed[l] = f.link_unit * n.size[i];
+    }
+
+    fn new_node(&mut self, id: NodeId) -> usize {
+        let n = &mut self.nodes;
+        let free = (0..n.id.len()).find(|&i| !n.index.values().any(|&used| used == i));
+        let i = free.unwrap_or_else(|| {
+            n.id.push(id);
+            n.zone.push(0);
+            n.cell.push(0);
+            n.phase.push(Phase::Gone);
+            for figures in [&mut n.size, &mut n.places, &mut n.up_since, &mut n.cold_since, &mut n.cold_until]
+            {
+                figures.push(0.0);
+            }
+            for figures in [&mut n.barred_until, &mut n.noted_at, &mut n.gap_mean, &mut n.gap_dev] {
+                figures.push(0.0);
+            }
+            for figures in [&mut n.streams, &mut n.other_streams, &mut n.rise_at, &mut n.share] {
+                figures.push(0.0);
+            }
+            n.missing.push(0.0);
+            n.shortages.push(0.0);
+            n.cold_slot.push(0);
+            n.strikes.push(0);
+            n.starts.push((0.0, 0.0));
+            n.short.push(false);
+            n.past_load.push(VecDeque::new());
+            n.past_pain.push(VecDeque::new());
+            self.ledger.grow(0.0);
+            n.id.len() - 1
+        });
+        let l = self.figures.racks + i;
+        n.index.insert(id, i);
+        n.id[i] = id;
+        n.up_since[i] = 0.0;
+        n.cold_since[i] = f64::NEG_INFINITY;
+        n.cold_until[i] = f64::NEG_INFINITY;
+        n.cold_slot[i] = 0;
+        n.barred_until[i] = f64::NEG_INFINITY;
+        n.strikes[i] = 0;
+        n.noted_at[i] = f64::INFINITY;
+        n.gap_mean[i] = self.figures.told_every;
+        n.gap_dev[i] = GAP_SPREAD;
+        n.streams[i] = 0.0;
+        n.other_streams[i] = 0.0;
+        n.rise_at[i] = 0.0;
+        n.share[i] = 0.0;
+        n.short[i] = false;
+        n.past_load[i].clear();
+        n.past_pain[i].clear();
+        self.ledger.own[l] = 0.0;
+        self.ledger.others[l] = 0.0;
+        self.ledger.read_at[l] = f64::NEG_INFINITY;
+        self.ledger.log[l].clear();
+        i
+    }
+
+    fn listed(&self) -> Vec<usize> {
+        self.nodes.index.values().copied().filter(|&i| self.nodes.phase[i] != Phase::Gone).collect()
+    }
+
+    /// Link-size share of a node, in thousandths.
+    fn base_share(&self, listed: &[usize], i: usize) -> f64 {
+        1000.0 * self.nodes.size[i] / listed.iter().map(|&j| self.nodes.size[j]).sum::<f64>()
+    }
+
+    /// Brings the shares back to 1000 within floor and cap, after nodes came or went.
+    fn reshare(&mut self) {
+        let listed = self.listed();
+        for i in 0..self.nodes.id.len() {
+            if !listed.contains(&i) {
+                self.nodes.share[i] = 0.0;
+            } else if self.nodes.share[i] == 0.0 {
+                self.nodes.share[i] = self.base_share(&listed, i);
+            }
+        }
+        for _ in 0..PAST {
+            let sum: f64 = listed.iter().map(|&i| self.nodes.share[i]).sum();
+            for &i in &listed {
+                let base = self.base_share(&listed, i);
+                let share = self.nodes.share[i] * 1000.0 / sum;
+                self.nodes.share[i] = share.clamp(SHARE_FLOOR * base, SHARE_CAP * base);
+            }
+        }
+    }
+
+    // ---- the account of links ----
+
+    fn rack(&self, i: usize) -> usize {
+        self.nodes.cell[i] as usize % self.figures.racks
+    }
+
+    fn link(&self, i: usize) -> usize {
+        self.figures.racks + i
+    }
+
+    /// How warm a node is thought to be, as a part of its capacity.
+    fn warmth(&self, now: f64, i: usize) -> f64 {
+        if now >= self.nodes.cold_until[i] {
+            return 1.0;
+        }
+        let f = &self.figures;
+        let part = ((now - self.nodes.cold_since[i]) / f.warm_within.max(1e-3)).clamp(0.0, 1.0);
+        (f.cold_from + (1.0 - f.cold_from) * part).clamp(0.05, 1.0)
+    }
+
+    /// What is asked of a link or uplink by our account.
+    fn asked(&self, l: usize) -> f64 {
+        let f = &self.figures;
+        if l < f.racks && !f.uplinks_told {
+            // No figure of its own: the sum of its nodes.
+            let in_rack = self.listed().into_iter().filter(|&i| self.rack(i) == l);
+            return in_rack.map(|i| self.asked(self.link(i))).sum();
+        }
+        if self.ledger.read_at[l] == f64::NEG_INFINITY {
+            return self.ledger.own[l] * f.directors;
+        }
+        (self.ledger.own[l] + self.ledger.others[l]).max(0.0)
+    }
+
+    /// kB a second left under `fill` of a link, less for an old reading.
+    fn left_under(&self, now: f64, l: usize, fill: f64, warmth: f64) -> f64 {
+        let f = &self.figures;
+        let unseen = (f.directors - 1.0) / f.directors;
+        let age = now - self.ledger.read_at[l];
+        let stale =
+            if l < f.racks && !f.uplinks_told { 0.0 } else { (age * STALE_EACH_S).min(STALE_MOST) * unseen };
+        (fill - stale) * self.ledger.size[l] * warmth - self.asked(l)
+    }
+
+    fn room(&self, now: f64, i: usize, fill: f64) -> (f64, f64) {
+        let link = self.left_under(now, self.link(i), fill, self.warmth(now, i));
+        (link, self.left_under(now, self.rack(i), fill, 1.0))
+    }
+
+    /// Counts a session's rate in or out at its node.
+    fn count(&mut self, now: f64, i: usize, kb: f64) {
+        let (l, r) = (self.link(i), self.rack(i));
+        self.ledger.add(now, l, kb);
+        self.ledger.add(now, r, kb);
+    }
+
+    fn load_read(&mut self, now: f64, i: usize, e: &Ended) {
+        let (l, r, then) = (self.link(i), self.rack(i), now - REPORT_AGE);
+        if let Some(streams) = e.load.streams {
+            let others = (streams - self.nodes.streams[i]).max(0.0);
+            blend(&mut self.nodes.other_streams[i], others, TRUST_REPORT);
+            // Streams over fullness tell the link's size: others' sessions ask what ours ask on average.
+            let (mine, count) = (self.ledger.own[l], self.nodes.streams[i]);
+            if let Some(full) = e.load.link.filter(|&x| x > 0.2 && count >= 2.0) {
+                let size = mine / count * (count + others) / full;
+                let (old, before) = (self.ledger.size[l], self.asked(l));
+                self.ledger.resize(l, old + TRUST_SIZE * (size - old));
+                if self.ledger.read_at[l] > f64::NEG_INFINITY {
+                    // Fullness was read, not size: keep it as it was.
+                    self.ledger.others[l] = before * self.ledger.size[l] / old - mine;
+                }
+            }
+        }
+        if let Some(full) = e.load.link {
+            self.ledger.read(l, full, then, TRUST_REPORT);
+        }
+        if let Some(full) = e.load.uplink {
+            self.ledger.read(r, full, then, TRUST_REPORT);
+        }
+    }
+
+    fn reading(&mut self, now: f64, reading: &Reading) {
+        match *reading {
+            Reading::Rung { sess, rung } => {
+                if let Some(s) = self.sess.get_mut(&sess) {
+                    let kb = &self.figures.groups[s.ask.group.0 as usize].kb;
+                    let rung = rung.min(kb.len() as u8 - 1);
+                    let (i, more) = (s.node, kb[rung as usize] - kb[s.rung as usize]);
+                    s.rung = rung;
+                    self.count(now, i, more);
+                }
+            }
+            Reading::Link { sess, node, asked } | Reading::Uplink { sess, node, asked } => {
+                let Some(&i) = self.nodes.index.get(&node) else {
+                    return;
+                };
+                let since = match self.sess.get(&sess).map(|s| s.stage) {
+                    Some(Stage::Playing { since }) => since,
+                    _ => f64::NEG_INFINITY,
+                };
+                let fresh = now - since < FRESH_READING;
+                let then = if fresh { now } else { now - self.figures.seen_after };
+                if matches!(reading, Reading::Uplink { .. }) {
+                    self.ledger.read(self.rack(i), asked, then, TRUST_READING);
+                } else {
+                    self.ledger.read(self.link(i), asked, then, TRUST_READING);
+                    if !fresh {
+                        self.noted(now, i);
+                    }
+                }
+            }
+            Reading::Delivered { node, share } => self.delivered(now, node, share),
+        }
+    }
+
+    /// Short delivery: of the link where the link's own figure explains it, else of the rack's uplink.
+    fn delivered(&mut self, now: f64, node: NodeId, share: f64) {
+        let Some(&i) = self.nodes.index.get(&node) else {
+            return;
+        };
+        let (l, r, then) = (self.link(i), self.rack(i), now - self.figures.seen_after);
+        let short = share < 0.98;
+        if short && !self.nodes.short[i] {
+            self.nodes.shortages[i] += 1.0;
+        }
+        self.nodes.short[i] = short;
+        self.nodes.missing[i] += (1.0 - share).max(0.0);
+        if !short {
+            return;
+        }
+        let wait = self.rise_wait();
+        self.nodes.rise_at[i] = now + wait;
+        let full = self.asked(l) / self.ledger.size[l];
+        if then < self.ledger.eased_at[l].max(self.ledger.eased_at[r]) + SETTLE {
+            return;
+        }
+        if self.figures.uplinks_told {
+            let uplink = self.asked(r) / self.ledger.size[r];
+            let worst = if uplink > full { r } else { l };
+            if full.max(uplink) * share < 1.0 {
+                self.ledger.read(worst, 1.0 / share, then, TRUST_REPORT);
+            }
+        } else if full * share >= 0.9 || self.figures.told_every == 0.0 {
+            self.ledger.read(l, 1.0 / share, then, TRUST_REPORT);
+        } else {
+            // The link is not full, so the uplink is: it gives this share of what its nodes ask.
+            let size = self.asked(r) * share;
+            if size < self.ledger.size[r] {
+                self.ledger.resize(r, size);
+            }
+        }
+    }
+
+    // ---- health ----
+
+    /// A periodic note of a node came in.
+    fn noted(&mut self, now: f64, i: usize) {
+        let n = &mut self.nodes;
+        let gap = now - n.noted_at[i];
+        if gap > GAP_SPREAD {
+            let off = (gap - n.gap_mean[i]).abs();
+            blend(&mut n.gap_dev[i], off, 0.1);
+            blend(&mut n.gap_mean[i], gap, 0.1);
+        }
+        n.noted_at[i] = now;
+        self.fleet_noted = self.fleet_noted.max(now);
+        self.heard(now, i);
+    }
+
+    fn heard(&mut self, now: f64, i: usize) {
+        let warm_within = self.figures.warm_within;
+        let n = &mut self.nodes;
+        n.strikes[i] = 0;
+        n.barred_until[i] = n.barred_until[i].min(now);
+        if n.cold_since[i] == f64::INFINITY && n.cold_until[i] == f64::INFINITY {
+            // First word after a failure: it may have started just now.
+            n.cold_since[i] = now;
+            n.cold_until[i] = now + warm_within;
+        }
+    }
+
+    /// A node failed us: bar it for a growing while; once back it may be cold without a word from the list.
+    fn failed(&mut self, now: f64, i: usize) {
+        let n = &mut self.nodes;
+        n.barred_until[i] =
+            n.barred_until[i].max(now + BAR_MOST.min(BAR * f64::from(1 << n.strikes[i].min(8))));
+        n.strikes[i] += 1;
+        n.cold_since[i] = f64::INFINITY;
+        n.cold_until[i] = f64::INFINITY;
+    }
+
+    /// Whether a node with sessions of ours is silent for unusually long, judged by its own note gaps. Time in
+    /// which the whole fleet is silent does not count: then the notes are late, not the nodes.
+    fn silent(&self, now: f64, i: usize) -> bool {
+        let n = &self.nodes;
+        if self.figures.told_every == 0.0 || n.streams[i] < 1.0 {
+            return false;
+        }
+        let silence = now.min(self.fleet_noted + BEAT_SPREAD) - n.noted_at[i];
+        silence > n.gap_mean[i] + UNUSUAL * n.gap_dev[i].max(GAP_SPREAD)
+    }
+
+    // ---- sessions ----
+
+    fn adopt(&mut self, now: f64, ask: &NewSession, node: NodeId) {
+        let i = self.nodes.index.get(&node).copied().unwrap_or_else(|| self.new_node(node));
+        let group = ask.group.0 as usize;
+        let rung = self.figures.groups[group].floor;
+        let sess = Sess {
+            ask: *ask,
+            deadline: f64::INFINITY,
+            target: now,
+            rung,
+            stage: Stage::Playing { since: f64::NEG_INFINITY },
+            node: i,
+            setups: 1,
+            tried: Vec::new(),
+            maybe_ran: None,
+            changed_at: now,
+            left: false,
+        };
+        self.sess.insert(ask.sess, sess);
+        self.hold(now, ask.sess);
+        self.nodes.noted_at[i] = now + self.figures.seen_after;
+    }
+
+    /// Counts a session in at its node: rate, place and seat.
+    fn hold(&mut self, now: f64, sess: SessId) {
+        let s = &self.sess[&sess];
+        let (i, group, title) = (s.node, s.ask.group.0, s.ask.title);
+        let kb = self.figures.groups[group as usize].kb[s.rung as usize];
+        self.nodes.streams[i] += 1.0;
+        *self.seats.entry((title, group)).or_default() += 1;
+        self.count(now, i, kb);
+    }
+
+    fn release(&mut self, now: f64, sess: SessId) {
+        let s = &self.sess[&sess];
+        let (i, group, title) = (s.node, s.ask.group.0, s.ask.title);
+        let kb = self.figures.groups[group as usize].kb[s.rung as usize];
+        self.nodes.streams[i] -= 1.0;
+        if let Some(held) = self.seats.get_mut(&(title, group)) {
+            *held -= 1;
+            if *held == 0 {
+                self.seats.remove(&(title, group));
+            }
+        }
+        self.count(now, i, -kb);
+    }
+
+    fn take(&mut self, now: f64, ask: &NewSession, orders: &mut impl Orders) {
+        self.taken.push_back(now);
+        let group = &self.figures.groups[ask.group.0 as usize];
+        let sess = Sess {
+            ask: *ask,
+            deadline: now + ask.setup_timeout,
+            target: now + group.start_target.min(ask.setup_timeout),
+            rung: group.floor,
+            stage: Stage::Owed,
+            node: 0,
+            setups: 0,
+            tried: Vec::new(),
+            maybe_ran: None,
+            changed_at: now,
+            left: false,
+        };
+        self.sess.insert(ask.sess, sess);
+        self.place(now, ask.sess, orders);
+    }
+
+    fn plays(&mut self, now: f64, p: &Playing) {
+        let Some(s) = self.sess.get_mut(&p.sess) else {
+            return;
+        };
+        if s.stage != Stage::Out {
+            return;
+        }
+        s.stage = Stage::Playing { since: now };
+        s.changed_at = now;
+        let i = s.node;
+        let off = (p.took - self.setup_mean).abs();
+        blend(&mut self.setup_dev, off, 0.1);
+        blend(&mut self.setup_mean, p.took, 0.1);
+        let starts = &mut self.nodes.starts[i];
+        *starts = (starts.0 + p.took, starts.1 + 1.0);
+        if self.nodes.streams[i] <= 1.0 || self.nodes.noted_at[i] == f64::INFINITY {
+            self.nodes.noted_at[i] = now + self.figures.seen_after;
+        }
+        self.heard(now, i);
+    }
+
+    /// How a SETUP or session ended; the session, if an answer is still owed.
+    fn ended(&mut self, now: f64, e: &Ended, orders: &mut impl Orders) -> Option<SessId> {
+        let known = self.nodes.index.get(&e.node).copied();
+        if let Some(i) = known {
+            match e.how {
+                Ending::Served | Ending::Erred => self.heard(now, i),
+                Ending::BusyReplied => {
+                    self.heard(now, i);
+                    self.nodes.barred_until[i] = now + BAR_FULL;
+                }
+                Ending::Broken | Ending::Unreachable => self.failed(now, i),
+                Ending::TimedOut => {
+                    self.failed(now, i);
+                    self.withdraw_all(i, e.sess, orders);
+                }
+                Ending::Withdrawn | Ending::Moot => {}
+            }
+            self.load_read(now, i, e);
+        }
+        let s = self.sess.get(&e.sess)?;
+        if s.stage == Stage::Owed {
+            return None;
+        }
+        if let (Stage::Playing { since }, Ending::Served) = (s.stage, e.how)
+            && since > f64::NEG_INFINITY
+        {
+            // What has been is the best guess of what a session still has before it.
+            blend(&mut self.life, now - since, 0.05);
+        }
+        self.release(now, e.sess);
+        let s = self.sess.get_mut(&e.sess)?;
+        if e.closed || s.left || s.stage != Stage::Out {
+            self.sess.remove(&e.sess);
+            return None;
+        }
+        s.stage = Stage::Owed;
+        s.tried.push(e.node);
+        if !matches!(e.how, Ending::BusyReplied | Ending::Unreachable | Ending::Moot) && s.maybe_ran.is_none()
+        {
+            let i = s.node;
+            s.maybe_ran = Some((self.nodes.zone[i], self.nodes.cell[i], s.changed_at));
+        }
+        Some(e.sess)
+    }
+
+    /// One SETUP there found no answer, so the others out there are called off to try elsewhere sooner.
+    fn withdraw_all(&mut self, i: usize, but: SessId, orders: &mut impl Orders) {
+        if !self.figures.may_withdraw {
+            return;
+        }
+        let groups = &self.figures.groups;
+        for (&id, s) in &self.sess {
+            let freely = groups[s.ask.group.0 as usize].repeat == Repeat::Freely;
+            if id != but
+                && s.stage == Stage::Out
+                && s.node == i
+                && freely
+                && s.setups < self.figures.max_setups
+            {
+                orders.withdraw(id, s.setups as u8 - 1);
+            }
+        }
+    }
+
+    fn departs(&mut self, sess: SessId, orders: &mut impl Orders) {
+        let Some(s) = self.sess.get_mut(&sess) else {
+            return;
+        };
+        if s.stage == Stage::Owed {
+            self.sess.remove(&sess);
+        } else {
+            s.left = true;
+            if s.stage == Stage::Out && self.figures.may_withdraw {
+                orders.withdraw(sess, s.setups as u8 - 1);
+            }
+        }
+    }
+
+    // ---- set-up ----
+
+    /// Whether another SETUP beyond a session's first fits the budget of the span.
+    fn further_fits(&mut self, now: f64) -> bool {
+        let Some(budget) = self.figures.further else {
+            return true;
+        };
+        while self.taken.front().is_some_and(|&t| t <= now - budget.span + BEAT) {
+            self.taken.pop_front();
+        }
+        while self.further.front().is_some_and(|&t| t < now - budget.span - BEAT) {
+            self.further.pop_front();
+        }
+        self.further.len() as f64 + 1.0 <= budget.free + budget.per_taken * self.taken.len() as f64
+    }
+
+    /// Whether a node takes a SETUP of ours now, by its warmth. All directors share a clock and know how many
+    /// they are, so each has slots of its own and no window can hold more than its budget.
+    fn cold_slot(&self, now: f64, i: usize) -> Option<u64> {
+        let f = &self.figures;
+        let budget = f.cold_budget * self.nodes.places[i] * self.warmth(now, i);
+        let few = budget < 2.0;
+        let slot = if few { 1.6 * f.fall_window } else { 1.2 * f.fall_window / budget.floor() };
+        let turn = now / slot.max(1e-3);
+        let mine = turn as u64 % f.directors as u64 == f.me && (!few || turn.fract() < 0.35);
+        (mine && turn as u64 != self.nodes.cold_slot[i]).then_some(turn as u64)
+    }
+
+    /// Nodes that may take this session now.
+    fn holders(&self, now: f64, s: &Sess) -> Vec<usize> {
+        let (n, f) = (&self.nodes, &self.figures);
+        let group = &f.groups[s.ask.group.0 as usize];
+        let fits = |&i: &usize| {
+            let off = (n.cell[i] % f.cells + f.cells - s.ask.first_cell % f.cells) % f.cells;
+            let reach = match (s.maybe_ran, group.repeat) {
+                (Some((zone, cell, _)), Repeat::Within(reach)) => match reach {
+                    Reach::Anywhere => true,
+                    Reach::Zone => n.zone[i] == zone,
+                    Reach::Cell => n.cell[i] == cell,
+                },
+                _ => true,
+            };
+            off < s.ask.cells
+                && n.phase[i] == Phase::Ready
+                && now >= n.barred_until[i]
+                && !self.silent(now, i)
+                && !s.tried.contains(&n.id[i])
+                && n.streams[i] + n.other_streams[i] + 1.0 <= n.places[i]
+                && (now >= n.cold_until[i] || self.cold_slot(now, i).is_some())
+                && reach
+        };
+        self.listed().into_iter().filter(fits).collect()
+    }
+
+    /// Places a session that is owed an answer, or gives it up at once.
+    fn place(&mut self, now: f64, sess: SessId, orders: &mut impl Orders) {
+        let Some(s) = self.sess.get(&sess) else {
+            return;
+        };
+        if s.stage != Stage::Owed {
+            return;
+        }
+        let (setups, left) = (s.setups, s.deadline - now);
+        let (title, g) = (s.ask.title, s.ask.group.0);
+        let group = &self.figures.groups[g as usize];
+        let repeat_ok = match (s.maybe_ran, group.repeat) {
+            (None, _) | (_, Repeat::Freely) => true,
+            (_, Repeat::Never) => false,
+            (Some((_, _, sent)), Repeat::Within(_)) => now - sent < group.repeat_window - BEAT,
+        };
+        let seats_ok = group.seats == 0 || self.seats.get(&(title, g)).copied().unwrap_or(0) < group.seats;
+        let time_ok = setups == 0 || left > SETUP_TIME_LEFT;
+        let may = repeat_ok && seats_ok && time_ok && setups < self.figures.max_setups;
+        let found =
+            if may && (setups == 0 || self.further_fits(now)) { self.choose(now, sess) } else { None };
+        let Some((i, rung, plan)) = found else {
+            return self.give_up(now, sess, orders);
+        };
+        for (other, lower) in plan {
+            self.set_rung(now, other, lower, orders);
+        }
+        if now < self.nodes.cold_until[i] {
+            self.nodes.cold_slot[i] = self.cold_slot(now, i).unwrap_or(0);
+        }
+        if setups > 0 {
+            self.further.push_back(now);
+        }
+        let more = setups + 1 < self.figures.max_setups;
+        let late = self.setup_mean + SETUP_LATE * self.setup_dev;
+        let s = self.sess.get_mut(&sess).expect("held since the start of this call");
+        // Before the start target a part of the time left to it, after it half of what the viewer still waits.
+        let part = if now < s.target { SETUP_WAIT_PART * (s.target - now) } else { left / 2.0 };
+        let wait = late.min(part).max(SETUP_WAIT_LEAST);
+        s.node = i;
+        s.rung = rung;
+        s.stage = Stage::Out;
+        s.setups += 1;
+        s.changed_at = now;
+        let id = self.nodes.id[i];
+        self.hold(now, sess);
+        orders.rung(sess, rung);
+        orders.setup(sess, id, (more && wait < left).then_some(wait));
+    }
+
+    /// The final answer when no SETUP can be sent: busy where that is allowed, so that the viewer may come back.
+    fn give_up(&mut self, _now: f64, sess: SessId, orders: &mut impl Orders) {
+        let Some(s) = self.sess.remove(&sess) else {
+            return;
+        };
+        let repeat = self.figures.groups[s.ask.group.0 as usize].repeat;
+        if s.maybe_ran.is_none() || matches!(repeat, Repeat::Freely | Repeat::Within(Reach::Anywhere)) {
+            orders.busy(sess, self.figures.come_back);
+        } else {
+            orders.fail(sess);
+        }
+    }
+
+    /// The node and rung for a session, with the step-downs that make room: drawn by shares among the holders
+    /// with room for the highest rung that any of them has room for.
+    #[allow(clippy::type_complexity)]
+    fn choose(&mut self, now: f64, sess: SessId) -> Option<(usize, u8, Vec<(SessId, u8)>)> {
+        let s = &self.sess[&sess];
+        let group = &self.figures.groups[s.ask.group.0 as usize];
+        let best = s.ask.best_rung.min(group.top);
+        if best < group.floor {
+            return None;
+        }
+        let fits = |i: usize| {
+            let (link, uplink) = self.room(now, i, FILL);
+            let room = link.min(uplink);
+            let rung =
+                (group.floor..=best).rev().find(|&r| group.kb[r as usize] * (1.0 + RATE_SPREAD) <= room);
+            rung.map_or(-1, i16::from)
+        };
+        let holders = self.holders(now, s);
+        let mut offers: Vec<_> = holders.iter().map(|&i| (i, fits(i), Vec::new())).collect();
+        if offers.iter().all(|o| o.1 < best.into()) {
+            // None has room for the best rung: see what room there is in steps that earn less.
+            for offer in &mut offers {
+                let (rung, plan) = self.squeeze(now, offer.0, s, offer.1, best);
+                (offer.1, offer.2) = (rung, plan);
+            }
+        }
+        let wanted = offers.iter().map(|o| o.1).max().filter(|&r| r >= 0)?;
+        offers.retain(|o| o.1 == wanted);
+        if self.figures.near_first && offers.iter().any(|o| self.nodes.zone[o.0] == self.figures.zone) {
+            offers.retain(|o| self.nodes.zone[o.0] == self.figures.zone);
+        }
+        let sum: f64 = offers.iter().map(|o| self.nodes.share[o.0]).sum();
+        let mut draw = self.rng.f64() * sum;
+        let last = offers.len() - 1;
+        for (k, (i, rung, plan)) in offers.into_iter().enumerate() {
+            draw -= self.nodes.share[i];
+            if draw < 0.0 || k == last {
+                return Some((i, rung as u8, plan));
+            }
+        }
+        None
+    }
+
+    /// The rung that a new session could have at node `i` if steps of our own sessions that earn clearly less
+    /// for each kB gave way.
+    fn squeeze(&self, now: f64, i: usize, s: &Sess, from: i16, best: u8) -> (i16, Vec<(SessId, u8)>) {
+        let group = &self.figures.groups[s.ask.group.0 as usize];
+        let (link, uplink) = self.room(now, i, FILL);
+        let (mut reached, mut plan) = (from, Vec::new());
+        for next in (from + 1).max(group.floor.into())..=best.into() {
+            let next = next as usize;
+            let below = if reached < 0 { (0.0, 0.0) } else { (group.earns[next - 1], group.kb[next - 1]) };
+            let density = (group.earns[next] - below.0) / (group.kb[next] - below.1).max(1e-9);
+            let kb = group.kb[next] * (1.0 + RATE_SPREAD);
+            let on_link = kb > link;
+            let need = kb - if on_link { link.min(uplink) } else { uplink };
+            let (steps, freed) = self.cheapest(
+                |o| {
+                    if on_link { o == i } else { self.rack(o) == self.rack(i) }
+                },
+                need,
+                density / SQUEEZE_GAIN,
+            );
+            if freed < need {
+                break;
+            }
+            (reached, plan) = (next as i16, steps);
+        }
+        (reached, plan)
+    }
+
+    /// Step-downs of our playing sessions at the given nodes that free `need` kB at the least loss, none of them
+    /// losing more than `most` for each kB; and what they free.
+    fn cheapest(&self, at: impl Fn(usize) -> bool, need: f64, most: f64) -> (Vec<(SessId, u8)>, f64) {
+        let playing = |s: &&Sess| matches!(s.stage, Stage::Playing { .. }) && !s.left && at(s.node);
+        let mut rungs: Vec<(&Sess, u8)> = self.sess.values().filter(playing).map(|s| (s, s.rung)).collect();
+        let mut freed = 0.0;
+        while freed < need {
+            let step = rungs.iter().enumerate().filter_map(|(k, &(s, rung))| {
+                let group = &self.figures.groups[s.ask.group.0 as usize];
+                if rung <= group.floor {
+                    return None;
+                }
+                // A session that is stepped down already pays for its change only once.
+                let switch = if rung == s.rung { group.switch / self.life } else { 0.0 };
+                let loss = group.density(rung, rung - 1, switch);
+                (loss <= most).then_some((k, loss))
+            });
+            let Some((k, _)) = step.min_by(|a, b| a.1.total_cmp(&b.1)) else {
+                break;
+            };
+            let (s, rung) = &mut rungs[k];
+            let kb = &self.figures.groups[s.ask.group.0 as usize].kb;
+            freed += kb[*rung as usize] - kb[*rung as usize - 1];
+            *rung -= 1;
+        }
+        (rungs.into_iter().filter(|(s, r)| *r < s.rung).map(|(s, r)| (s.ask.sess, r)).collect(), freed)
+    }
+
+    fn set_rung(&mut self, now: f64, sess: SessId, rung: u8, orders: &mut impl Orders) {
+        let Some(s) = self.sess.get_mut(&sess) else {
+            return;
+        };
+        let kb = &self.figures.groups[s.ask.group.0 as usize].kb;
+        let (i, more) = (s.node, kb[rung as usize] - kb[s.rung as usize]);
+        s.rung = rung;
+        s.changed_at = now;
+        self.count(now, i, more);
+        orders.rung(sess, rung);
+    }
+
+    // ---- the beat ----
+
+    fn beat(&mut self, now: f64, orders: &mut impl Orders) {
+        if self.figures.ask_list && now >= self.ask_at {
+            orders.subscribe();
+            self.ask_at = f64::INFINITY;
+        }
+        let listed = self.listed();
+        if !self.figures.uplinks_told {
+            for r in 0..self.figures.racks {
+                let (size, whole) = (self.ledger.size[r], self.ledger.listed[r]);
+                self.ledger.size[r] = (size * (1.0 + UPLINK_REGROW * BEAT)).min(whole.max(size));
+            }
+        }
+        let racks = self.figures.racks;
+        for l in (0..racks).chain(listed.iter().map(|&i| racks + i)) {
+            self.relieve(now, l, orders);
+        }
+        for &i in &listed {
+            self.rise(now, i, orders);
+        }
+        if now >= self.next_step {
+            self.next_step = now + STEP;
+            self.step();
+        }
+        let gone = |&i: &usize| self.nodes.phase[i] == Phase::Gone && self.nodes.streams[i] < 0.5;
+        let gone: Vec<usize> = self.nodes.index.values().copied().filter(gone).collect();
+        for i in gone {
+            self.nodes.index.remove(&self.nodes.id[i]);
+        }
+    }
+
+    /// Steps down our part of what a link is over. Each director hears the same, so each takes its own share.
+    fn relieve(&mut self, now: f64, l: usize, orders: &mut impl Orders) {
+        let asked = self.asked(l);
+        let racks = self.figures.racks;
+        let told = l >= racks || self.figures.uplinks_told;
+        let warmth = if l < racks { 1.0 } else { self.warmth(now, l - racks) };
+        let _ = warmth;
+        if asked <= OVERFULL * self.ledger.size[l] || self.ledger.own[l] <= 0.0 {
+            return;
+        }
+        if told && self.ledger.read_at[l] < self.ledger.eased_at[l] || now < self.ledger.eased_at[l] + SETTLE
+        {
+            return;
+        }
+        let need = self.ledger.own[l] * (asked - RELIEVED * self.ledger.size[l]) / asked;
+        let at = |i: usize| {
+            if l < racks { self.rack(i) == l } else { self.link(i) == l }
+        };
+        let (plan, _) = self.cheapest(at, need, f64::INFINITY);
+        if plan.is_empty() {
+            return;
+        }
+        for (sess, rung) in plan {
+            let i = self.sess[&sess].node;
+            let wait = self.rise_wait();
+            self.nodes.rise_at[i] = now + wait;
+            self.set_rung(now, sess, rung, orders);
+        }
+        self.ledger.eased_at[l] = now;
+    }
+
+    fn rise_wait(&mut self) -> f64 {
+        let (least, most) = RISE_WAIT;
+        (least + self.rng.f64() * (most - least)) * self.figures.directors
+    }
+
+    /// After a random quiet wait, one of our sessions at a node rises as far as half the room there allows.
+    fn rise(&mut self, now: f64, i: usize, orders: &mut impl Orders) {
+        let l = self.link(i);
+        if now < self.nodes.rise_at[i] || self.nodes.short[i] || now - self.ledger.read_at[l] > RISE_READING {
+            return;
+        }
+        let (link, uplink) = self.room(now, i, RISE_FILL);
+        let room = link.min(uplink);
+        let mut best: Option<(f64, SessId, u8)> = None;
+        for (&id, s) in &self.sess {
+            let settled =
+                matches!(s.stage, Stage::Playing { .. }) && !s.left && now - s.changed_at > RISE_GAP;
+            if s.node != i || !settled {
+                continue;
+            }
+            let group = &self.figures.groups[s.ask.group.0 as usize];
+            let top = s.ask.best_rung.min(group.top);
+            let kb = |r: u8| (group.kb[r as usize] - group.kb[s.rung as usize]) * (1.0 + RATE_SPREAD);
+            let Some(to) =
+                (s.rung + 1..=top).rev().find(|&r| kb(r) <= room / 2.0 || (r == s.rung + 1 && kb(r) <= room))
+            else {
+                continue;
+            };
+            let gain = group.density(to, s.rung, -group.switch / self.life);
+            if gain > best.map_or(0.0, |b| b.0) {
+                best = Some((gain, id, to));
+            }
+        }
+        if let Some((_, sess, rung)) = best {
+            self.set_rung(now, sess, rung, orders);
+            let wait = self.rise_wait();
+            self.nodes.rise_at[i] = now + wait;
+        }
+    }
+
+    // ---- shares ----
+
+    /// A step of the shares: learn from the last, then keep or raise one node at the worst one's cost.
+    fn step(&mut self) {
+        let listed = self.listed();
+        let mut payoff = 0.0;
+        for &i in &listed {
+            let l = self.link(i);
+            let load = self.asked(l) / self.ledger.size[l].max(1e-9);
+            let n = &mut self.nodes;
+            let (sum, count) = n.starts[i];
+            let watched = (n.streams[i] * STEP).max(STEP);
+            // Start-up time, stall ratio and stalls per 100 s, weights 1 each.
+            let pain = sum / count.max(1.0) + n.missing[i] / STEP + n.shortages[i] * 100.0 / watched;
+            payoff -= pain / listed.len() as f64;
+            n.starts[i] = (0.0, 0.0);
+            n.missing[i] = 0.0;
+            n.shortages[i] = 0.0;
+            for (past, new) in [(&mut n.past_load[i], load), (&mut n.past_pain[i], pain)] {
+                past.push_back(new);
+                if past.len() > PAST {
+                    past.pop_front();
+                }
+            }
+        }
+        self.actor.learn(payoff);
+        if listed.len() < 2 {
+            return;
+        }
+        let pain = |i: usize| self.nodes.past_pain[i].back().copied().unwrap_or(0.0);
+        let floors: Vec<f64> =
+            (0..self.nodes.id.len()).map(|i| SHARE_FLOOR * self.base_share(&listed, i)).collect();
+        let mut ranked = listed.clone();
+        ranked.sort_by(|&a, &b| pain(b).total_cmp(&pain(a)).then(self.nodes.id[a].cmp(&self.nodes.id[b])));
+        let worst = ranked.into_iter().find(|&i| self.nodes.share[i] > floors[i] + 1e-9);
+        let raises = if self.actor.settled() { &RAISES[..] } else { &RAISES[..1] };
+        let choices: Vec<(usize, f64)> =
+            listed.iter().flat_map(|&i| raises.iter().map(move |&a| (i, a))).collect();
+        let mean = |past: &VecDeque<f64>| past.iter().sum::<f64>() / past.len().max(1) as f64;
+        let features = |&(i, by): &(usize, f64)| {
+            let (loads, pains) = (&self.nodes.past_load[i], &self.nodes.past_pain[i]);
+            let last = |past: &VecDeque<f64>| past.back().copied().unwrap_or(0.0);
+            [last(loads), mean(loads), last(pains), mean(pains)].map(|v| v.min(2.0) * by / RAISES[2])
+        };
+        let rows: Vec<_> = choices.iter().map(features).collect();
+        let picked = self.actor.pick(&rows, &mut self.rng);
+        let (Some(&(to, by)), Some(from)) = (picked.and_then(|k| choices.get(k)), worst) else {
+            return;
+        };
+        if to == from {
+            return;
+        }
+        let cap = SHARE_CAP * self.base_share(&listed, to) - self.nodes.share[to];
+        let by =
+            (by * 3.0 / listed.len() as f64).min(self.nodes.share[from] - floors[from]).min(cap).max(0.0);
+        self.nodes.share[to] += by;
+        self.nodes.share[from] -= by;
+    }
+}
+
+impl Actor {
+    fn settled(&self) -> bool {
+        self.steps >= PAST && self.surprise < SETTLED
+    }
+
+    /// Nudges the weights along the last choice by how much better than usual it went.
+    fn learn(&mut self, payoff: f64) {
+        if self.steps == 0 {
+            self.payoff_mean = payoff;
+        }
+        let better = (payoff - self.payoff_mean).clamp(-1.0, 1.0);
+        for (w, n) in self.weights.iter_mut().zip(self.nudge) {
+            *w += LEARN_RATE * better * n;
+        }
+        blend(&mut self.payoff_mean, payoff, PAYOFF_MEMORY);
+        blend(&mut self.surprise, better.abs(), PAYOFF_MEMORY);
+        self.steps += 1;
+    }
+
+    /// Draws a raise by softmax; `None` keeps, whose features are all 0.
+    fn pick(&mut self, rows: &[[f64; FEATURES]], rng: &mut Rng) -> Option<usize> {
+        let score =
+            |row: &[f64; FEATURES]| row.iter().zip(self.weights).map(|(f, w)| f * w).sum::<f64>().exp();
+        let odds: Vec<f64> = rows.iter().map(score).collect();
+        let sum = 1.0 + odds.iter().sum::<f64>();
+        let mut draw = rng.f64() * sum;
+        let picked = odds.iter().position(|o| {
+            draw -= o;
+            draw < 0.0
+        });
+        for k in 0..FEATURES {
+            let expected = rows.iter().zip(&odds).map(|(row, o)| row[k] * o).sum::<f64>() / sum;
+            self.nudge[k] = picked.map_or(0.0, |p| rows[p][k]) - expected;
+        }
+        picked
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor/src/lib.rs
@@ -0,0 +1,15 @@
+//! kelpdoor decides where video sessions play and at what rung, on media nodes with shared links.
+//!
+//! The library does no I/O: [`Director::round`] takes all that came in since the last call and writes its
+//! decisions into an [`Orders`].
+
+mod decide;
+pub mod ids;
+pub mod orders;
+pub mod round;
+pub mod terms;
+
+pub use decide::Director;
+pub use orders::Orders;
+pub use round::Round;
+pub use terms::Terms;
--- /dev/null
+++ b/crates/kelpdoor/src/orders.rs
@@ -0,0 +1,23 @@
+//! Where decisions go. Whoever calls the director passes a writer of its own.
+
+use crate::ids::{NodeId, SessId};
+
+/// Takes decisions in the order in which they are to act.
+pub trait Orders {
+    /// Sets the rung of a session, before its SETUP or while it plays.
+    fn rung(&mut self, sess: SessId, rung: u8);
+    /// Sends a SETUP that is given up after `wait` seconds; `None` waits as long as the viewer does.
+    fn setup(&mut self, sess: SessId, node: NodeId, wait: Option<f64>);
+    /// Stops waiting for the SETUP of that number.
+    fn withdraw(&mut self, sess: SessId, setup: u8);
+    /// Final answer: not now; the viewer may come back after `come_back` seconds.
+    fn busy(&mut self, sess: SessId, come_back: Option<f64>);
+    /// Final answer: it failed, and it may have run.
+    fn fail(&mut self, sess: SessId);
+    /// Takes a playing session off its node; its viewer comes back to this director.
+    fn shift(&mut self, sess: SessId);
+    /// Asks the list of nodes for changes from now on.
+    fn subscribe(&mut self);
+    /// Calls the director again after that many seconds, even if nothing comes in.
+    fn wake(&mut self, after: f64);
+}
