Step down only on news; keep bookkeeping in files of its own

Cause: before any reading the account guessed the other directors' load from our own, and sessions handed over were stepped down on the guess; uplinks without figures were held to the listed mean.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -13,10 +13,12 @@
 
 use fastrand::Rng;
 
+use crate::figures::Figures;
 use crate::ids::{NodeId, SessId, TitleId};
 use crate::orders::Orders;
 use crate::round::{Ended, Ending, ListChange, Listed, NewSession, Phase, Playing, Reading, Round};
-use crate::terms::{FurtherBudget, Reach, Repeat, Terms};
+use crate::state::{Ledger, Nodes, Sess, Stage};
+use crate::terms::{Reach, Repeat, Terms};
 
 /// s; rounds at least this often: a tenth of the shortest wait that any decision uses.
 const BEAT: f64 = 0.1;
@@ -100,117 +102,7 @@
 /// s; for so long after its start a director takes every node for just started: lists lag by that.
 const COLD_FRESH: f64 = 5.0;
 
-struct Group {
-    start_target: f64,
-    floor: u8,
-    top: u8,
-    seats: u32,
-    repeat: Repeat,
-    repeat_window: f64,
-    /// kB a second of each rung.
-    kb: Vec<f64>,
-    /// Utility a second of each rung.
-    earns: Vec<f64>,
-    switch: f64,
-}
-
-impl Group {
-    /// Utility lost for each kB by going from rung `from` to the lower `to`; `switch` counts a change's cost.
-    fn density(&self, from: u8, to: u8, switch: f64) -> f64 {
-        let (f, t) = (from as usize, to as usize);
-        (self.earns[f] - self.earns[t] + switch) / (self.kb[f] - self.kb[t]).max(1e-9)
-    }
-}
-
-/// The figures that decisions use, derived once from the terms.
-struct Figures {
-    me: u64,
-    directors: f64,
-    zone: u16,
-    groups: Vec<Group>,
-    places: Vec<f64>,
-    cells: u16,
-    racks: usize,
-    link_unit: f64,
-    rack_uplink: f64,
-    seen_after: f64,
-    told_every: f64,
-    near_first: bool,
-    max_setups: u32,
-    may_withdraw: bool,
-    come_back: Option<f64>,
-    cold_from: f64,
-    warm_within: f64,
-    cold_budget: f64,
-    fall_window: f64,
-    further: Option<FurtherBudget>,
-    ask_list: bool,
-    uplinks_told: bool,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Stage {
-    /// A SETUP is out.
-    Out,
-    Playing {
-        since: f64,
-    },
-    /// Nothing is out and an answer is owed.
-    Owed,
-}
-
-struct Sess {
-    ask: NewSession,
-    deadline: f64,
-    target: f64,
-    rung: u8,
-    stage: Stage,
-    /// Its node, while a SETUP is out or it plays.
-    node: usize,
-    setups: u32,
-    tried: Vec<NodeId>,
-    /// Where and when a SETUP that may have run was sent first.
-    maybe_ran: Option<(u16, u16, f64)>,
-    changed_at: f64,
-    left: bool,
-}
-
-/// Links and uplinks in parallel arrays: racks first, then nodes.
-#[derive(Default)]
-struct Ledger {
-    size: Vec<f64>,
-    listed: Vec<f64>,
-    own: Vec<f64>,
-    others: Vec<f64>,
-    read_at: Vec<f64>,
-    eased_at: Vec<f64>,
-    log: Vec<VecDeque<(f64, f64)>>,
-}
-
 impl Ledger {
-    fn grow(&mut self, listed: f64) {
-        self.size.push(listed);
-        self.listed.push(listed);
-        self.own.push(0.0);
-        self.others.push(0.0);
-        self.read_at.push(f64::NEG_INFINITY);
-        self.eased_at.push(f64::NEG_INFINITY);
-        self.log.push(VecDeque::new());
-    }
-
-    fn add(&mut self, now: f64, l: usize, kb: f64) {
-        self.log[l].push_back((now, self.own[l]));
-        self.own[l] = (self.own[l] + kb).max(0.0);
-        while self.log[l].front().is_some_and(|&(t, _)| t < now - LOG) {
-            self.log[l].pop_front();
-        }
-    }
-
-    /// Own load at an earlier time: entries hold what was there before each change.
-    fn own_at(&self, l: usize, then: f64) -> f64 {
-        self.log[l].iter().find(|&&(t, _)| t >= then).map_or(self.own[l], |&(_, before)| before)
-    }
-
     /// A view of fullness at `then`: what is not our own is the others'.
     fn read(&mut self, l: usize, full: f64, then: f64, trust: f64) {
         if then < self.read_at[l] {
@@ -229,38 +121,6 @@
     }
 }
 
-/// What is known of media nodes, in parallel arrays under a dense index; indices of gone nodes are used again.
-#[derive(Default)]
-struct Nodes {
-    index: BTreeMap<NodeId, usize>,
-    id: Vec<NodeId>,
-    zone: Vec<u16>,
-    cell: Vec<u16>,
-    phase: Vec<Phase>,
-    size: Vec<f64>,
-    places: Vec<f64>,
-    up_since: Vec<f64>,
-    cold_since: Vec<f64>,
-    cold_until: Vec<f64>,
-    cold_slot: Vec<u64>,
-    barred_until: Vec<f64>,
-    strikes: Vec<i32>,
-    noted_at: Vec<f64>,
-    gap_mean: Vec<f64>,
-    gap_dev: Vec<f64>,
-    streams: Vec<f64>,
-    other_streams: Vec<f64>,
-    rise_at: Vec<f64>,
-    share: Vec<f64>,
-    /// This step's start-up times (sum, count), short delivery (sum), shortages begun, and whether short now.
-    starts: Vec<(f64, f64)>,
-    missing: Vec<f64>,
-    shortages: Vec<f64>,
-    short: Vec<bool>,
-    past_load: Vec<VecDeque<f64>>,
-    past_pain: Vec<VecDeque<f64>>,
-}
-
 const FEATURES: usize = 4;
 
 /// The learned actor: a softmax over keep and raises, few weights for each feature, nudged by payoff.
@@ -273,24 +133,24 @@
 }
 
 pub struct Director {
-    figures: Figures,
-    rng: Rng,
-    nodes: Nodes,
-    ledger: Ledger,
-    sess: BTreeMap<SessId, Sess>,
-    actor: Actor,
-    next_step: f64,
-    next_beat: f64,
-    woken_for: f64,
-    started: f64,
-    fleet_noted: f64,
-    setup_mean: f64,
-    setup_dev: f64,
-    life: f64,
-    taken: VecDeque<f64>,
-    further: VecDeque<f64>,
-    seats: BTreeMap<(TitleId, u8), u32>,
-    ask_at: f64,
+    pub(crate) figures: Figures,
+    pub(crate) rng: Rng,
+    pub(crate) nodes: Nodes,
+    pub(crate) ledger: Ledger,
+    pub(crate) sess: BTreeMap<SessId, Sess>,
+    pub(crate) actor: Actor,
+    pub(crate) next_step: f64,
+    pub(crate) next_beat: f64,
+    pub(crate) woken_for: f64,
+    pub(crate) started: f64,
+    pub(crate) fleet_noted: f64,
+    pub(crate) setup_mean: f64,
+    pub(crate) setup_dev: f64,
+    pub(crate) life: f64,
+    pub(crate) taken: VecDeque<f64>,
+    pub(crate) further: VecDeque<f64>,
+    pub(crate) seats: BTreeMap<(TitleId, u8), u32>,
+    pub(crate) ask_at: f64,
 }
 
 fn blend(old: &mut f64, new: f64, part: f64) {
@@ -299,48 +159,15 @@
 
 impl Director {
     pub fn new(terms: &Terms, seed: u64, now: f64) -> Self {
-        let group = |g: &crate::terms::GroupTerms| {
-            let top = g.top.min(terms.ladder.len() as u8 - 1);
-            Group {
-                start_target: g.start_target,
-                floor: g.floor.min(top),
-                top,
-                seats: g.seats,
-                repeat: g.repeat,
-                repeat_window: g.repeat_window,
-                kb: terms.ladder.iter().map(|kb| kb * g.scale).collect(),
-                earns: terms.rung_utility.iter().map(|u| u * g.utility).collect(),
-                switch: terms.switch_cost * g.utility,
-            }
-        };
-        let figures = Figures {
-            me: terms.me.into(),
-            directors: terms.directors.max(terms.me + 1).into(),
-            zone: terms.zone,
-            groups: terms.groups.iter().map(group).collect(),
-            places: terms.places_by_kind.clone(),
-            cells: terms.cells.max(1),
-            racks: terms.racks.max(1).into(),
-            link_unit: terms.link_unit.max(1.0),
-            rack_uplink: terms.rack_uplink,
-            seen_after: terms.seen_after,
-            told_every: terms.told_every,
-            near_first: terms.cross_zone_price > 0.0,
-            max_setups: terms.max_setups.max(1),
-            may_withdraw: terms.may_withdraw,
-            come_back: terms.come_back,
-            cold_from: terms.cold_from,
-            warm_within: terms.warm_within,
-            cold_budget: terms.tip_multiple * terms.fall_window / terms.warm_within.max(1e-3) * COLD_USE,
-            fall_window: terms.fall_window,
-            further: terms.further,
-            ask_list: terms.ask_list,
-            uplinks_told: terms.uplinks_told,
-        };
-        let mut ledger = Ledger::default();
+        let figures = Figures::new(terms);
+        let mut ledger = Ledger { keep: LOG, ..Ledger::default() };
         for _ in 0..figures.racks {
             ledger.grow(if figures.rack_uplink > 0.0 { figures.rack_uplink } else { f64::MAX / 4.0 });
         }
+        if !figures.uplinks_told {
+            // Nothing is told of uplinks: each counts as wide until delivery falls short.
+            ledger.size.iter_mut().for_each(|size| *size *= SIZE_RANGE.1);
+        }
         let actor = Actor {
             weights: [0.0; FEATURES],
             nudge: [0.0; FEATURES],
@@ -472,65 +299,6 @@
         self.ledger.listed[l] = f.link_unit * n.size[i];
     }
 
-    fn new_node(&mut self, id: NodeId) -> usize {
-        let n = &mut self.nodes;
-        let free = (0..n.id.len()).find(|&i| !n.index.values().any(|&used| used == i));
-        let i = free.unwrap_or_else(|| {
-            n.id.push(id);
-            n.zone.push(0);
-            n.cell.push(0);
-            n.phase.push(Phase::Gone);
-            for figures in [&mut n.size, &mut n.places, &mut n.up_since, &mut n.cold_since, &mut n.cold_until]
-            {
-                figures.push(0.0);
-            }
-            for figures in [&mut n.barred_until, &mut n.noted_at, &mut n.gap_mean, &mut n.gap_dev] {
-                figures.push(0.0);
-            }
-            for figures in [&mut n.streams, &mut n.other_streams, &mut n.rise_at, &mut n.share] {
-                figures.push(0.0);
-            }
-            n.missing.push(0.0);
-            n.shortages.push(0.0);
-            n.cold_slot.push(0);
-            n.strikes.push(0);
-            n.starts.push((0.0, 0.0));
-            n.short.push(false);
-            n.past_load.push(VecDeque::new());
-            n.past_pain.push(VecDeque::new());
-            self.ledger.grow(0.0);
-            n.id.len() - 1
-        });
-        let l = self.figures.racks + i;
-        n.index.insert(id, i);
-        n.id[i] = id;
-        n.up_since[i] = 0.0;
-        n.cold_since[i] = f64::NEG_INFINITY;
-        n.cold_until[i] = f64::NEG_INFINITY;
-        n.cold_slot[i] = 0;
-        n.barred_until[i] = f64::NEG_INFINITY;
-        n.strikes[i] = 0;
-        n.noted_at[i] = f64::INFINITY;
-        n.gap_mean[i] = self.figures.told_every;
-        n.gap_dev[i] = GAP_SPREAD;
-        n.streams[i] = 0.0;
-        n.other_streams[i] = 0.0;
-        n.rise_at[i] = 0.0;
-        n.share[i] = 0.0;
-        n.short[i] = false;
-        n.past_load[i].clear();
-        n.past_pain[i].clear();
-        self.ledger.own[l] = 0.0;
-        self.ledger.others[l] = 0.0;
-        self.ledger.read_at[l] = f64::NEG_INFINITY;
-        self.ledger.log[l].clear();
-        i
-    }
-
-    fn listed(&self) -> Vec<usize> {
-        self.nodes.index.values().copied().filter(|&i| self.nodes.phase[i] != Phase::Gone).collect()
-    }
-
     /// Link-size share of a node, in thousandths.
     fn base_share(&self, listed: &[usize], i: usize) -> f64 {
         1000.0 * self.nodes.size[i] / listed.iter().map(|&j| self.nodes.size[j]).sum::<f64>()
@@ -558,14 +326,6 @@
 
     // ---- the account of links ----
 
-    fn rack(&self, i: usize) -> usize {
-        self.nodes.cell[i] as usize % self.figures.racks
-    }
-
-    fn link(&self, i: usize) -> usize {
-        self.figures.racks + i
-    }
-
     /// How warm a node is thought to be, as a part of its capacity.
     fn warmth(&self, now: f64, i: usize) -> f64 {
         if now >= self.nodes.cold_until[i] {
@@ -605,13 +365,6 @@
         (link, self.left_under(now, self.rack(i), fill, 1.0))
     }
 
-    /// Counts a session's rate in or out at its node.
-    fn count(&mut self, now: f64, i: usize, kb: f64) {
-        let (l, r) = (self.link(i), self.rack(i));
-        self.ledger.add(now, l, kb);
-        self.ledger.add(now, r, kb);
-    }
-
     fn load_read(&mut self, now: f64, i: usize, e: &Ended) {
         let (l, r, then) = (self.link(i), self.rack(i), now - REPORT_AGE);
         if let Some(streams) = e.load.streams {
@@ -639,15 +392,7 @@
 
     fn reading(&mut self, now: f64, reading: &Reading) {
         match *reading {
-            Reading::Rung { sess, rung } => {
-                if let Some(s) = self.sess.get_mut(&sess) {
-                    let kb = &self.figures.groups[s.ask.group.0 as usize].kb;
-                    let rung = rung.min(kb.len() as u8 - 1);
-                    let (i, more) = (s.node, kb[rung as usize] - kb[s.rung as usize]);
-                    s.rung = rung;
-                    self.count(now, i, more);
-                }
-            }
+            Reading::Rung { sess, rung } => self.recount(now, sess, rung),
             Reading::Link { sess, node, asked } | Reading::Uplink { sess, node, asked } => {
                 let Some(&i) = self.nodes.index.get(&node) else {
                     return;
@@ -705,6 +450,7 @@
             let size = self.asked(r) * share;
             if size < self.ledger.size[r] {
                 self.ledger.resize(r, size);
+                self.ledger.read_at[r] = then;
             }
         }
     }
@@ -763,65 +509,17 @@
     fn adopt(&mut self, now: f64, ask: &NewSession, node: NodeId) {
         let i = self.nodes.index.get(&node).copied().unwrap_or_else(|| self.new_node(node));
         let group = ask.group.0 as usize;
-        let rung = self.figures.groups[group].floor;
-        let sess = Sess {
-            ask: *ask,
-            deadline: f64::INFINITY,
-            target: now,
-            rung,
-            stage: Stage::Playing { since: f64::NEG_INFINITY },
-            node: i,
-            setups: 1,
-            tried: Vec::new(),
-            maybe_ran: None,
-            changed_at: now,
-            left: false,
-        };
+        let mut sess = Sess::new(ask, now, self.figures.groups[group].floor, 0.0);
+        (sess.stage, sess.node) = (Stage::Playing { since: f64::NEG_INFINITY }, i);
         self.sess.insert(ask.sess, sess);
         self.hold(now, ask.sess);
         self.nodes.noted_at[i] = now + self.figures.seen_after;
     }
 
-    /// Counts a session in at its node: rate, place and seat.
-    fn hold(&mut self, now: f64, sess: SessId) {
-        let s = &self.sess[&sess];
-        let (i, group, title) = (s.node, s.ask.group.0, s.ask.title);
-        let kb = self.figures.groups[group as usize].kb[s.rung as usize];
-        self.nodes.streams[i] += 1.0;
-        *self.seats.entry((title, group)).or_default() += 1;
-        self.count(now, i, kb);
-    }
-
-    fn release(&mut self, now: f64, sess: SessId) {
-        let s = &self.sess[&sess];
-        let (i, group, title) = (s.node, s.ask.group.0, s.ask.title);
-        let kb = self.figures.groups[group as usize].kb[s.rung as usize];
-        self.nodes.streams[i] -= 1.0;
-        if let Some(held) = self.seats.get_mut(&(title, group)) {
-            *held -= 1;
-            if *held == 0 {
-                self.seats.remove(&(title, group));
-            }
-        }
-        self.count(now, i, -kb);
-    }
-
     fn take(&mut self, now: f64, ask: &NewSession, orders: &mut impl Orders) {
         self.taken.push_back(now);
         let group = &self.figures.groups[ask.group.0 as usize];
-        let sess = Sess {
-            ask: *ask,
-            deadline: now + ask.setup_timeout,
-            target: now + group.start_target.min(ask.setup_timeout),
-            rung: group.floor,
-            stage: Stage::Owed,
-            node: 0,
-            setups: 0,
-            tried: Vec::new(),
-            maybe_ran: None,
-            changed_at: now,
-            left: false,
-        };
+        let sess = Sess::new(ask, now, group.floor, group.start_target);
         self.sess.insert(ask.sess, sess);
         self.place(now, ask.sess, orders);
     }
@@ -945,7 +643,7 @@
     /// they are, so each has slots of its own and no window can hold more than its budget.
     fn cold_slot(&self, now: f64, i: usize) -> Option<u64> {
         let f = &self.figures;
-        let budget = f.cold_budget * self.nodes.places[i] * self.warmth(now, i);
+        let budget = COLD_USE * f.cold_budget * self.nodes.places[i] * self.warmth(now, i);
         let few = budget < 2.0;
         let slot = if few { 1.6 * f.fall_window } else { 1.2 * f.fall_window / budget.floor() };
         let turn = now / slot.max(1e-3);
@@ -1001,7 +699,7 @@
         let found =
             if may && (setups == 0 || self.further_fits(now)) { self.choose(now, sess) } else { None };
         let Some((i, rung, plan)) = found else {
-            return self.give_up(now, sess, orders);
+            return self.give_up(sess, orders);
         };
         for (other, lower) in plan {
             self.set_rung(now, other, lower, orders);
@@ -1030,7 +728,7 @@
     }
 
     /// The final answer when no SETUP can be sent: busy where that is allowed, so that the viewer may come back.
-    fn give_up(&mut self, _now: f64, sess: SessId, orders: &mut impl Orders) {
+    fn give_up(&mut self, sess: SessId, orders: &mut impl Orders) {
         let Some(s) = self.sess.remove(&sess) else {
             return;
         };
@@ -1142,15 +840,11 @@
     }
 
     fn set_rung(&mut self, now: f64, sess: SessId, rung: u8, orders: &mut impl Orders) {
-        let Some(s) = self.sess.get_mut(&sess) else {
-            return;
-        };
-        let kb = &self.figures.groups[s.ask.group.0 as usize].kb;
-        let (i, more) = (s.node, kb[rung as usize] - kb[s.rung as usize]);
-        s.rung = rung;
-        s.changed_at = now;
-        self.count(now, i, more);
-        orders.rung(sess, rung);
+        self.recount(now, sess, rung);
+        if let Some(s) = self.sess.get_mut(&sess) {
+            s.changed_at = now;
+            orders.rung(sess, rung);
+        }
     }
 
     // ---- the beat ----
@@ -1164,7 +858,7 @@
         if !self.figures.uplinks_told {
             for r in 0..self.figures.racks {
                 let (size, whole) = (self.ledger.size[r], self.ledger.listed[r]);
-                self.ledger.size[r] = (size * (1.0 + UPLINK_REGROW * BEAT)).min(whole.max(size));
+                self.ledger.size[r] = (size * (1.0 + UPLINK_REGROW * BEAT)).min(whole * SIZE_RANGE.1);
             }
         }
         let racks = self.figures.racks;
@@ -1178,25 +872,18 @@
             self.next_step = now + STEP;
             self.step();
         }
-        let gone = |&i: &usize| self.nodes.phase[i] == Phase::Gone && self.nodes.streams[i] < 0.5;
-        let gone: Vec<usize> = self.nodes.index.values().copied().filter(gone).collect();
-        for i in gone {
-            self.nodes.index.remove(&self.nodes.id[i]);
-        }
+        self.forget_gone();
     }
 
     /// Steps down our part of what a link is over. Each director hears the same, so each takes its own share.
     fn relieve(&mut self, now: f64, l: usize, orders: &mut impl Orders) {
         let asked = self.asked(l);
         let racks = self.figures.racks;
-        let told = l >= racks || self.figures.uplinks_told;
-        let warmth = if l < racks { 1.0 } else { self.warmth(now, l - racks) };
-        let _ = warmth;
         if asked <= OVERFULL * self.ledger.size[l] || self.ledger.own[l] <= 0.0 {
             return;
         }
-        if told && self.ledger.read_at[l] < self.ledger.eased_at[l] || now < self.ledger.eased_at[l] + SETTLE
-        {
+        // Only on news: a guess, or a shortage that was answered already, is no reason to step down.
+        if self.ledger.read_at[l] <= self.ledger.eased_at[l] {
             return;
         }
         let need = self.ledger.own[l] * (asked - RELIEVED * self.ledger.size[l]) / asked;
--- a/crates/kelpdoor/src/lib.rs
+++ b/crates/kelpdoor/src/lib.rs
@@ -3,10 +3,13 @@
 //! The library does no I/O: [`Director::round`] takes all that came in since the last call and writes its
 //! decisions into an [`Orders`].
 
+mod books;
 mod decide;
+mod figures;
 pub mod ids;
 pub mod orders;
 pub mod round;
+mod state;
 pub mod terms;
 
 pub use decide::Director;
