--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -59,7 +59,9 @@
 /// of the listed size; a link may be thought this much smaller or larger.
 const SIZE_RANGE: (f64, f64) = (0.2, 1.6);
 /// a second; an uplink thought sagging grows back so fast until it falls short again.
-const UPLINK_REGROW: f64 = 0.03;
+const UPLINK_REGROW: f64 = 0.05;
+/// of what is short; a link whose own figure explains this much of it is the cause, not its rack.
+const LINK_EXPLAINS: f64 = 0.9;
 /// s; how old a load report is on arrival, by typical refresh and way.
 const REPORT_AGE: f64 = 0.4;
 /// s; a reading this soon after a session began is of now, later ones are delayed.
@@ -328,10 +330,10 @@
 
     /// How warm a node is thought to be, as a part of its capacity.
     fn warmth(&self, now: f64, i: usize) -> f64 {
+        let f = &self.figures;
         if now >= self.nodes.cold_until[i] {
             return 1.0;
         }
-        let f = &self.figures;
         let part = ((now - self.nodes.cold_since[i]) / f.warm_within.max(1e-3)).clamp(0.0, 1.0);
         (f.cold_from + (1.0 - f.cold_from) * part).clamp(0.05, 1.0)
     }
@@ -361,7 +363,9 @@
     }
 
     fn room(&self, now: f64, i: usize, fill: f64) -> (f64, f64) {
-        let link = self.left_under(now, self.link(i), fill, self.warmth(now, i));
+        // A node that is taken for just started only for want of news counts as warm here: its link is read.
+        let doubted = self.nodes.cold_since[i] == f64::INFINITY && self.nodes.cold_until[i] < f64::INFINITY;
+        let link = self.left_under(now, self.link(i), fill, if doubted { 1.0 } else { self.warmth(now, i) });
         (link, self.left_under(now, self.rack(i), fill, 1.0))
     }
 
@@ -443,10 +447,10 @@
             if full.max(uplink) * share < 1.0 {
                 self.ledger.read(worst, 1.0 / share, then, TRUST_REPORT);
             }
-        } else if full * share >= 0.9 || self.figures.told_every == 0.0 {
+        } else if full * share >= LINK_EXPLAINS || !self.rack_short(r) {
             self.ledger.read(l, 1.0 / share, then, TRUST_REPORT);
         } else {
-            // The link is not full, so the uplink is: it gives this share of what its nodes ask.
+            // The uplink gives this share of what its nodes ask.
             let size = self.asked(r) * share;
             if size < self.ledger.size[r] {
                 self.ledger.resize(r, size);
@@ -455,6 +459,13 @@
         }
     }
 
+    /// Whether a rack's nodes fall short together, as far as we have sessions there: one alone is its own link.
+    fn rack_short(&self, r: usize) -> bool {
+        let ours = self.listed().into_iter().filter(|&i| self.rack(i) == r && self.nodes.streams[i] >= 1.0);
+        let (short, all) = ours.fold((0, 0), |(s, a), i| (s + i32::from(self.nodes.short[i]), a + 1));
+        short >= 2 && short * 2 > all
+    }
+
     // ---- health ----
 
     /// A periodic note of a node came in.
@@ -476,6 +487,7 @@
         let n = &mut self.nodes;
         n.strikes[i] = 0;
         n.barred_until[i] = n.barred_until[i].min(now);
+        n.noted_at[i] = n.noted_at[i].max(now);
         if n.cold_since[i] == f64::INFINITY && n.cold_until[i] == f64::INFINITY {
             // First word after a failure: it may have started just now.
             n.cold_since[i] = now;
@@ -504,6 +516,18 @@
         silence > n.gap_mean[i] + UNUSUAL * n.gap_dev[i].max(GAP_SPREAD)
     }
 
+    /// Bars each silent node but for a trial SETUP now and then, whose answer clears it. Where more than half of
+    /// the nodes fall silent it is the notes that stay out, so none is barred: never blind for want of notes.
+    fn watch(&mut self, now: f64, listed: &[usize]) {
+        let silent: Vec<usize> = listed.iter().copied().filter(|&i| self.silent(now, i)).collect();
+        let watched = listed.iter().filter(|&&i| self.nodes.streams[i] >= 1.0).count();
+        for i in silent.iter().copied().filter(|_| silent.len() * 2 <= watched) {
+            if self.nodes.cold_until[i] < f64::INFINITY {
+                self.failed(now, i);
+            }
+        }
+    }
+
     // ---- sessions ----
 
     fn adopt(&mut self, now: f64, ask: &NewSession, node: NodeId) {
@@ -668,7 +692,6 @@
             off < s.ask.cells
                 && n.phase[i] == Phase::Ready
                 && now >= n.barred_until[i]
-                && !self.silent(now, i)
                 && !s.tried.contains(&n.id[i])
                 && n.streams[i] + n.other_streams[i] + 1.0 <= n.places[i]
                 && (now >= n.cold_until[i] || self.cold_slot(now, i).is_some())
@@ -865,6 +888,7 @@
         for l in (0..racks).chain(listed.iter().map(|&i| racks + i)) {
             self.relieve(now, l, orders);
         }
+        self.watch(now, &listed);
         for &i in &listed {
             self.rise(now, i, orders);
         }
