--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -1,7 +1,7 @@
 //! The decisions: which media node a session is set up on, at what rung, and when it steps down or up.
 //!
-//! Called once a round by `Director::round(now, &Round, &mut impl Orders)`. What comes in is in `round.rs`, where
-//! decisions go in `orders.rs`, what a director is given at its start in `terms.rs`. The design is LTS
+//! Called once a round by `Director::round(now, &Round, &mut impl Orders)`. What comes in is in `round.rs`,
+//! where decisions go in `orders.rs`, what a director is given at its start in `terms.rs`. The design is LTS
 //! (Zhang et al.) as docs/design.md trims it. Beside it stand these mechanisms:
 //!   1. health: a node is barred while its silence is unusual, and after failures for a growing while
 //!   2. cold pace: slots for SETUPs to a node that may have started lately, shared out over all directors
@@ -17,142 +17,70 @@
 use crate::ids::{NodeId, SessId, TitleId};
 use crate::orders::Orders;
 use crate::round::{Ended, Ending, ListChange, Listed, NewSession, Phase, Playing, Reading, Round};
-use crate::state::{Ledger, Nodes, Sess, Stage};
+use crate::state::{Actor, FEATURES, Ledger, Nodes, Sess, Stage};
 use crate::terms::{Reach, Repeat, Terms};
 
-/// s; rounds at least this often: a tenth of the shortest wait that any decision uses.
-const BEAT: f64 = 0.1;
-/// s; a step of the shares, the design's own start value.
-const STEP: f64 = 2.0;
-/// steps; past loads and quality figures kept for each node, the paper's k.
-const PAST: usize = 20;
-/// thousandths for three nodes; the paper's three raises, scaled by 3/m.
-const RAISES: [f64; 3] = [1.0, 5.0, 10.0];
-/// of a node's link-size share; small, so that a node is never forgotten.
-const SHARE_FLOOR: f64 = 0.2;
-/// of a node's link-size share; the design's bound.
-const SHARE_CAP: f64 = 2.0;
-/// the actor's step; a payoff one above the mean moves a weight by a twentieth.
-const LEARN_RATE: f64 = 0.05;
-/// part of the running mean that a new payoff replaces; about ten steps of memory.
-const PAYOFF_MEMORY: f64 = 0.1;
-/// payoff; with the mean surprise under this after PAST steps the actor counts as settled.
-const SETTLED: f64 = 0.5;
-/// of a link; what set-ups fill at most. Leaves room for what other directors send unseen.
-const FILL: f64 = 0.92;
-/// of a link; rises stop here, well under FILL, so that arrivals find room without stepping others down.
-const RISE_FILL: f64 = 0.86;
-/// of a link; asked for more than this, sessions step down: delivery is about to fall short.
-const OVERFULL: f64 = 1.0;
-/// of a link; step-downs aim here, between OVERFULL and FILL.
-const RELIEVED: f64 = 0.94;
-/// of a rate; true rates lie off the ladder by title, so a single session counts as this much more.
-const RATE_SPREAD: f64 = 0.1;
-/// of a link a second; how fast an old reading loses value, and the most that it can lose.
-const STALE_EACH_S: f64 = 0.01;
-const STALE_MOST: f64 = 0.12;
-/// weight of a new reading beside the account; reports carry noise, readings at set-up and later little.
-const TRUST_REPORT: f64 = 0.4;
-const TRUST_READING: f64 = 0.8;
-/// weight of a new view of a link's size; one view errs by a third.
-const TRUST_SIZE: f64 = 0.1;
-/// of the listed size; a link may be thought this much smaller or larger.
-const SIZE_RANGE: (f64, f64) = (0.2, 1.6);
-/// a second; an uplink thought sagging grows back so fast until it falls short again.
-const UPLINK_REGROW: f64 = 0.05;
-/// of what is short; a link whose own figure explains this much of it is the cause, not its rack.
-const LINK_EXPLAINS: f64 = 0.9;
-/// s; how old a load report is on arrival, by typical refresh and way.
-const REPORT_AGE: f64 = 0.4;
-/// s; a reading this soon after a session began is of now, later ones are delayed.
-const FRESH_READING: f64 = 0.15;
-/// s; after step-downs, notes of this much longer still show the old, smoothed shortage.
-const SETTLE: f64 = 0.8;
-/// s; the random quiet wait before a rise, and how long one session keeps its rung at least.
-const RISE_WAIT: (f64, f64) = (1.0, 3.0);
-const RISE_GAP: f64 = 6.0;
-/// s; no rise on a reading older than this.
-const RISE_READING: f64 = 6.0;
-/// s; first guess of a session's remaining length, then learned.
-const LIFE: f64 = 20.0;
-/// a step must earn so many times more for each kB than the steps it displaces, for errors of the account.
-const SQUEEZE_GAIN: f64 = 1.3;
-/// s; own load changes are remembered this long, past the latest readings.
-const LOG: f64 = 8.0;
-/// deviations of a node's note gaps; over this its silence is unusual.
-const UNUSUAL: f64 = 4.0;
-/// s; the least deviation of note gaps that is believed, for rounds and ways.
-const GAP_SPREAD: f64 = 0.15;
-/// s; notes of one beat come in within this of each other.
-const BEAT_SPREAD: f64 = 1.0;
-/// s; first bar after a failure; doubled at each further one up to the longest.
-const BAR: f64 = 1.0;
-const BAR_MOST: f64 = 8.0;
-/// s; bar after a busy reply: a session ends there about as often.
-const BAR_FULL: f64 = 0.7;
-/// s; a director's first guess of set-up time, and the shortest time-out it uses.
-const SETUP_TIME: f64 = 0.3;
-const SETUP_WAIT_LEAST: f64 = 0.3;
-/// deviations; a SETUP that took this much longer than usual is lost.
-const SETUP_LATE: f64 = 6.0;
-/// of the start target; a first SETUP waits no longer, so that another can still start in time.
-const SETUP_WAIT_PART: f64 = 0.45;
-/// s; with less time left no further SETUP can succeed.
-const SETUP_TIME_LEFT: f64 = 0.1;
-/// of the cold budget that all directors together use; SETUPs differ in weight.
-const COLD_USE: f64 = 0.6;
-/// s; for so long after its start a director takes every node for just started: lists lag by that.
-const COLD_FRESH: f64 = 5.0;
-
-impl Ledger {
-    /// A view of fullness at `then`: what is not our own is the others'.
-    fn read(&mut self, l: usize, full: f64, then: f64, trust: f64) {
-        if then < self.read_at[l] {
-            return;
-        }
-        let others = full * self.size[l] - self.own_at(l, then);
-        let trust = if self.read_at[l] == f64::NEG_INFINITY { 1.0 } else { trust };
-        self.others[l] += trust * (others - self.others[l]);
-        self.read_at[l] = then;
-    }
-
-    /// Believed size of a link, kept in reason.
-    fn resize(&mut self, l: usize, size: f64) {
-        let (least, most) = SIZE_RANGE;
-        self.size[l] = size.clamp(least * self.listed[l], most * self.listed[l]);
-    }
-}
-
-const FEATURES: usize = 4;
-
-/// The learned actor: a softmax over keep and raises, few weights for each feature, nudged by payoff.
-struct Actor {
-    weights: [f64; FEATURES],
-    nudge: [f64; FEATURES],
-    payoff_mean: f64,
-    surprise: f64,
-    steps: usize,
-}
+const BEAT: f64 = 0.1; // s; rounds at least this often: a tenth of the shortest wait used here
+const STEP: f64 = 2.0; // s; a step of the shares, the design's own start value
+const PAST: usize = 20; // steps; loads and quality figures kept for each node, the paper's k
+const RAISES: [f64; 3] = [1.0, 5.0, 10.0]; // thousandths for three nodes; the paper's, scaled by 3/m
+const SHARE_FLOOR: f64 = 0.2; // of a link-size share; small, so that a node is never forgotten
+const SHARE_CAP: f64 = 2.0; // of a link-size share; the design's bound
+const LEARN_RATE: f64 = 0.05; // weight for each payoff above the mean; slow, as payoffs are noisy
+const PAYOFF_MEMORY: f64 = 0.1; // part of the mean that a payoff replaces; about ten steps of memory
+const SETTLED: f64 = 0.5; // payoff; mean surprise under this after PAST steps: the actor has settled
+const FILL: f64 = 0.92; // of a link; set-ups fill this much, the rest is for what others send unseen
+const RISE_FILL: f64 = 0.86; // of a link; under FILL, so that arrivals find room after rises
+const OVERFULL: f64 = 1.0; // of a link; over this delivery falls short, so sessions step down
+const RELIEVED: f64 = 0.94; // of a link; step-downs aim here, between FILL and OVERFULL
+const RATE_SPREAD: f64 = 0.1; // of a rate; true rates lie off the ladder by about as much
+const STALE: (f64, f64) = (0.01, 0.12); // of a link a second, and at most; an old reading loses value
+const TRUST_REPORT: f64 = 0.4; // weight of a report against the account; reports are noisy and old
+const TRUST_READING: f64 = 0.8; // weight of a reading; readings carry little noise
+const TRUST_SIZE: f64 = 0.1; // weight of a view of a link's size; one view errs by a third
+const SIZE_RANGE: (f64, f64) = (0.2, 1.6); // of the listed size; beyond this a view is in error
+const UPLINK_REGROW: f64 = 0.05; // a second; an uplink that sagged is tried again over some 20 s
+const LINK_EXPLAINS: f64 = 0.9; // of a shortage; a link that explains so much is the cause, not its rack
+const REPORT_AGE: f64 = 0.4; // s; age of a load report on arrival, by typical refresh and way
+const FRESH_READING: f64 = 0.15; // s; so soon after a session began a reading is of now, later ones are old
+const SETTLE: f64 = 0.8; // s; notes are smoothed: for so long after step-downs they show the old shortage
+const RISE_WAIT: (f64, f64) = (1.0, 3.0); // s for each director; the random quiet wait before a rise
+const RISE_GAP: f64 = 6.0; // s; a session keeps its rung for so long at least, to be worth its change
+const RISE_READING: f64 = 6.0; // s; no rise on an older reading: two notes were missed
+const LIFE: f64 = 20.0; // s; first guess of a session's remaining length, then learned
+const SQUEEZE_GAIN: f64 = 1.3; // times; a step earns so much more than those it displaces, as accounts err
+const LOG: f64 = 8.0; // s; own load changes are remembered past the latest readings
+const UNUSUAL: f64 = 4.0; // deviations of a node's note gaps; a longer silence is unusual
+const GAP_SPREAD: f64 = 0.15; // s; least deviation of note gaps that is believed, for rounds and ways
+const BEAT_SPREAD: f64 = 1.0; // s; notes of one beat come in within this of each other
+const BAR: (f64, f64) = (1.0, 8.0); // s; bar after a failure, doubled at each further one up to the longest
+const BAR_FULL: f64 = 0.7; // s; bar after a busy reply: a session ends there about as often
+const SETUP_TIME: f64 = 0.3; // s; first guess of set-up time, and the shortest time-out
+const SETUP_LATE: f64 = 6.0; // deviations; a SETUP that takes so much longer than usual is lost
+const SETUP_WAIT_PART: f64 = 0.45; // of the time to the start target; then another still starts in time
+const SETUP_TIME_LEFT: f64 = 0.1; // s; with less time left no further SETUP can succeed
+const COLD_USE: f64 = 0.6; // of the cold budget that all directors use; SETUPs differ in weight
+const COLD_FRESH: f64 = 5.0; // s; a director just started takes all nodes for just started: lists lag
 
 pub struct Director {
     pub(crate) figures: Figures,
-    pub(crate) rng: Rng,
+    rng: Rng,
     pub(crate) nodes: Nodes,
     pub(crate) ledger: Ledger,
     pub(crate) sess: BTreeMap<SessId, Sess>,
-    pub(crate) actor: Actor,
-    pub(crate) next_step: f64,
-    pub(crate) next_beat: f64,
-    pub(crate) woken_for: f64,
-    pub(crate) started: f64,
-    pub(crate) fleet_noted: f64,
-    pub(crate) setup_mean: f64,
-    pub(crate) setup_dev: f64,
-    pub(crate) life: f64,
-    pub(crate) taken: VecDeque<f64>,
-    pub(crate) further: VecDeque<f64>,
+    actor: Actor,
+    next_step: f64,
+    next_beat: f64,
+    woken_for: f64,
+    started: f64,
+    fleet_noted: f64,
+    setup_mean: f64,
+    setup_dev: f64,
+    life: f64,
+    taken: VecDeque<f64>,
+    further: VecDeque<f64>,
     pub(crate) seats: BTreeMap<(TitleId, u8), u32>,
-    pub(crate) ask_at: f64,
+    ask_at: f64,
 }
 
 fn blend(old: &mut f64, new: f64, part: f64) {
@@ -170,13 +98,7 @@
             // Nothing is told of uplinks: each counts as wide until delivery falls short.
             ledger.size.iter_mut().for_each(|size| *size *= SIZE_RANGE.1);
         }
-        let actor = Actor {
-            weights: [0.0; FEATURES],
-            nudge: [0.0; FEATURES],
-            payoff_mean: 0.0,
-            surprise: 1.0,
-            steps: 0,
-        };
+        let actor = Actor { surprise: 1.0, ..Actor::default() };
         Director {
             figures,
             rng: Rng::with_seed(seed),
@@ -235,8 +157,6 @@
         }
     }
 
-    // ---- the list of nodes ----
-
     fn list(&mut self, now: f64, change: &ListChange) {
         let (lines, whole, cached) = match change {
             ListChange::Changed(lines) => (lines, false, false),
@@ -278,7 +198,8 @@
         if line.up_since > n.up_since[i] || (known.is_none() && !cached) || back {
             // A start we are told of: cold from then on, whatever we held against it before.
             n.up_since[i] = line.up_since.max(n.up_since[i]);
-            let since = if line.up_since > 0.0 || known.is_none() { line.up_since } else { now };
+            let long_ago = if known.is_none() { f64::NEG_INFINITY } else { now };
+            let since = if line.up_since > 0.0 { line.up_since } else { long_ago };
             n.cold_since[i] = since;
             n.cold_until[i] = since + f.warm_within;
             n.barred_until[i] = f64::NEG_INFINITY;
@@ -326,8 +247,6 @@
         }
     }
 
-    // ---- the account of links ----
-
     /// How warm a node is thought to be, as a part of its capacity.
     fn warmth(&self, now: f64, i: usize) -> f64 {
         let f = &self.figures;
@@ -357,8 +276,7 @@
         let f = &self.figures;
         let unseen = (f.directors - 1.0) / f.directors;
         let age = now - self.ledger.read_at[l];
-        let stale =
-            if l < f.racks && !f.uplinks_told { 0.0 } else { (age * STALE_EACH_S).min(STALE_MOST) * unseen };
+        let stale = if l < f.racks && !f.uplinks_told { 0.0 } else { (age * STALE.0).min(STALE.1) * unseen };
         (fill - stale) * self.ledger.size[l] * warmth - self.asked(l)
     }
 
@@ -379,7 +297,7 @@
             if let Some(full) = e.load.link.filter(|&x| x > 0.2 && count >= 2.0) {
                 let size = mine / count * (count + others) / full;
                 let (old, before) = (self.ledger.size[l], self.asked(l));
-                self.ledger.resize(l, old + TRUST_SIZE * (size - old));
+                self.ledger.resize(l, old + TRUST_SIZE * (size - old), SIZE_RANGE);
                 if self.ledger.read_at[l] > f64::NEG_INFINITY {
                     // Fullness was read, not size: keep it as it was.
                     self.ledger.others[l] = before * self.ledger.size[l] / old - mine;
@@ -453,21 +371,19 @@
             // The uplink gives this share of what its nodes ask.
             let size = self.asked(r) * share;
             if size < self.ledger.size[r] {
-                self.ledger.resize(r, size);
+                self.ledger.resize(r, size, SIZE_RANGE);
                 self.ledger.read_at[r] = then;
             }
         }
     }
 
-    /// Whether a rack's nodes fall short together, as far as we have sessions there: one alone is its own link.
+    /// Whether a rack's nodes fall short together, as far as we see them: one alone is its own link.
     fn rack_short(&self, r: usize) -> bool {
         let ours = self.listed().into_iter().filter(|&i| self.rack(i) == r && self.nodes.streams[i] >= 1.0);
         let (short, all) = ours.fold((0, 0), |(s, a), i| (s + i32::from(self.nodes.short[i]), a + 1));
         short >= 2 && short * 2 > all
     }
 
-    // ---- health ----
-
     /// A periodic note of a node came in.
     fn noted(&mut self, now: f64, i: usize) {
         let n = &mut self.nodes;
@@ -498,15 +414,16 @@
     /// A node failed us: bar it for a growing while; once back it may be cold without a word from the list.
     fn failed(&mut self, now: f64, i: usize) {
         let n = &mut self.nodes;
-        n.barred_until[i] =
-            n.barred_until[i].max(now + BAR_MOST.min(BAR * f64::from(1 << n.strikes[i].min(8))));
-        n.strikes[i] += 1;
+        if now >= n.barred_until[i] {
+            n.barred_until[i] = now + BAR.1.min(BAR.0 * f64::from(1 << n.strikes[i].min(8)));
+            n.strikes[i] += 1;
+        }
         n.cold_since[i] = f64::INFINITY;
         n.cold_until[i] = f64::INFINITY;
     }
 
-    /// Whether a node with sessions of ours is silent for unusually long, judged by its own note gaps. Time in
-    /// which the whole fleet is silent does not count: then the notes are late, not the nodes.
+    /// Whether a node with sessions of ours is silent for unusually long, judged by its own note gaps. Time
+    /// in which the whole fleet is silent does not count: then the notes are late, not the nodes.
     fn silent(&self, now: f64, i: usize) -> bool {
         let n = &self.nodes;
         if self.figures.told_every == 0.0 || n.streams[i] < 1.0 {
@@ -516,8 +433,8 @@
         silence > n.gap_mean[i] + UNUSUAL * n.gap_dev[i].max(GAP_SPREAD)
     }
 
-    /// Bars each silent node but for a trial SETUP now and then, whose answer clears it. Where more than half of
-    /// the nodes fall silent it is the notes that stay out, so none is barred: never blind for want of notes.
+    /// Bars each silent node but for a trial SETUP now and then, whose answer clears it. Where more than half
+    /// of the nodes fall silent the notes stay out, so none is barred: never blind for want of notes.
     fn watch(&mut self, now: f64, listed: &[usize]) {
         let silent: Vec<usize> = listed.iter().copied().filter(|&i| self.silent(now, i)).collect();
         let watched = listed.iter().filter(|&&i| self.nodes.streams[i] >= 1.0).count();
@@ -528,8 +445,6 @@
         }
     }
 
-    // ---- sessions ----
-
     fn adopt(&mut self, now: f64, ask: &NewSession, node: NodeId) {
         let i = self.nodes.index.get(&node).copied().unwrap_or_else(|| self.new_node(node));
         let group = ask.group.0 as usize;
@@ -647,8 +562,6 @@
         }
     }
 
-    // ---- set-up ----
-
     /// Whether another SETUP beyond a session's first fits the budget of the span.
     fn further_fits(&mut self, now: f64) -> bool {
         let Some(budget) = self.figures.further else {
@@ -682,11 +595,9 @@
         let fits = |&i: &usize| {
             let off = (n.cell[i] % f.cells + f.cells - s.ask.first_cell % f.cells) % f.cells;
             let reach = match (s.maybe_ran, group.repeat) {
-                (Some((zone, cell, _)), Repeat::Within(reach)) => match reach {
-                    Reach::Anywhere => true,
-                    Reach::Zone => n.zone[i] == zone,
-                    Reach::Cell => n.cell[i] == cell,
-                },
+                (Some((zone, cell, _)), Repeat::Within(reach)) => {
+                    reach.joins((zone, cell), (n.zone[i], n.cell[i]))
+                }
                 _ => true,
             };
             off < s.ask.cells
@@ -736,9 +647,9 @@
         let more = setups + 1 < self.figures.max_setups;
         let late = self.setup_mean + SETUP_LATE * self.setup_dev;
         let s = self.sess.get_mut(&sess).expect("held since the start of this call");
-        // Before the start target a part of the time left to it, after it half of what the viewer still waits.
+        // Before the start target a part of the time left to it, then half of what the viewer still waits.
         let part = if now < s.target { SETUP_WAIT_PART * (s.target - now) } else { left / 2.0 };
-        let wait = late.min(part).max(SETUP_WAIT_LEAST);
+        let wait = late.min(part).max(SETUP_TIME);
         s.node = i;
         s.rung = rung;
         s.stage = Stage::Out;
@@ -750,7 +661,7 @@
         orders.setup(sess, id, (more && wait < left).then_some(wait));
     }
 
-    /// The final answer when no SETUP can be sent: busy where that is allowed, so that the viewer may come back.
+    /// The final answer when no SETUP can be sent: busy where allowed, so that the viewer may come back.
     fn give_up(&mut self, sess: SessId, orders: &mut impl Orders) {
         let Some(s) = self.sess.remove(&sess) else {
             return;
@@ -818,14 +729,9 @@
             let density = (group.earns[next] - below.0) / (group.kb[next] - below.1).max(1e-9);
             let kb = group.kb[next] * (1.0 + RATE_SPREAD);
             let on_link = kb > link;
-            let need = kb - if on_link { link.min(uplink) } else { uplink };
-            let (steps, freed) = self.cheapest(
-                |o| {
-                    if on_link { o == i } else { self.rack(o) == self.rack(i) }
-                },
-                need,
-                density / SQUEEZE_GAIN,
-            );
+            let need = kb - link.min(uplink);
+            let at = |o: usize| if on_link { o == i } else { self.rack(o) == self.rack(i) };
+            let (steps, freed) = self.cheapest(at, need, density / SQUEEZE_GAIN);
             if freed < need {
                 break;
             }
@@ -834,7 +740,7 @@
         (reached, plan)
     }
 
-    /// Step-downs of our playing sessions at the given nodes that free `need` kB at the least loss, none of them
+    /// Step-downs of our playing sessions at the given nodes that free `need` kB at the least loss, none
     /// losing more than `most` for each kB; and what they free.
     fn cheapest(&self, at: impl Fn(usize) -> bool, need: f64, most: f64) -> (Vec<(SessId, u8)>, f64) {
         let playing = |s: &&Sess| matches!(s.stage, Stage::Playing { .. }) && !s.left && at(s.node);
@@ -870,8 +776,6 @@
         }
     }
 
-    // ---- the beat ----
-
     fn beat(&mut self, now: f64, orders: &mut impl Orders) {
         if self.figures.ask_list && now >= self.ask_at {
             orders.subscribe();
@@ -967,8 +871,6 @@
         }
     }
 
-    // ---- shares ----
-
     /// A step of the shares: learn from the last, then keep or raise one node at the worst one's cost.
     fn step(&mut self) {
         let listed = self.listed();
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -103,6 +103,23 @@
     pub fn own_at(&self, l: usize, then: f64) -> f64 {
         self.log[l].iter().find(|&&(t, _)| t >= then).map_or(self.own[l], |&(_, before)| before)
     }
+
+    /// Takes in a view of fullness at `then`: what of it is not our own is the others'. `trust` weighs it
+    /// against the account; the first view counts whole, an older one than the last not at all.
+    pub fn read(&mut self, l: usize, full: f64, then: f64, trust: f64) {
+        if then < self.read_at[l] {
+            return;
+        }
+        let others = full * self.size[l] - self.own_at(l, then);
+        let trust = if self.read_at[l] == f64::NEG_INFINITY { 1.0 } else { trust };
+        self.others[l] += trust * (others - self.others[l]);
+        self.read_at[l] = then;
+    }
+
+    /// Sets a link's size, kept within that range of its listed size.
+    pub fn resize(&mut self, l: usize, size: f64, (least, most): (f64, f64)) {
+        self.size[l] = size.clamp(least * self.listed[l], most * self.listed[l]);
+    }
 }
 
 /// What is known of media nodes, in parallel arrays under a dense index; indices of gone nodes are used again.
@@ -171,3 +188,16 @@
         i
     }
 }
+
+/// Features of a raise: load and quality of its node, last and on average.
+pub const FEATURES: usize = 4;
+
+/// The learned actor: a softmax over keep and raises, few weights for each feature, nudged by payoff.
+#[derive(Default)]
+pub struct Actor {
+    pub weights: [f64; FEATURES],
+    pub nudge: [f64; FEATURES],
+    pub payoff_mean: f64,
+    pub surprise: f64,
+    pub steps: usize,
+}
--- a/crates/kelpdoor/src/terms.rs
+++ b/crates/kelpdoor/src/terms.rs
@@ -19,6 +19,17 @@
     Cell,
 }
 
+impl Reach {
+    /// Whether two nodes, each by zone and cell, know of each other's SETUPs.
+    pub fn joins(self, one: (u16, u16), other: (u16, u16)) -> bool {
+        match self {
+            Reach::Anywhere => true,
+            Reach::Zone => one.0 == other.0,
+            Reach::Cell => one.1 == other.1,
+        }
+    }
+}
+
 /// What holds for one service group.
 #[derive(Clone, Debug)]
 pub struct GroupTerms {
