--- a/crates/kelpdoor-benchlink/src/decode.rs
+++ b/crates/kelpdoor-benchlink/src/decode.rs
@@ -28,10 +28,13 @@
     }
 }
 
+/// Puts one event into its instance's round.
+type Put<'a> = Box<dyn FnOnce(&mut Round, &ReportFields) + 'a>;
+
 pub enum Indication<'a> {
     Start { seed: u64, terms: Box<Terms>, report: ReportFields },
     PowerOff,
-    Came(Box<dyn FnOnce(&mut Round, &ReportFields) + 'a>),
+    Came(Put<'a>),
 }
 
 /// Walks a batch in order and hands each event on with its instance.
--- a/crates/kelpdoor/src/books.rs
+++ b/crates/kelpdoor/src/books.rs
@@ -6,6 +6,11 @@
 use crate::state::Nodes;
 
 impl Director {
+    /// A node's share in thousandths; 0 for one that is not listed.
+    pub fn share(&self, node: NodeId) -> f64 {
+        self.nodes.index.get(&node).map_or(0.0, |&i| self.nodes.share[i])
+    }
+
     pub(crate) fn new_node(&mut self, id: NodeId) -> usize {
         let i = self.nodes.add(id);
         self.nodes.gap_mean[i] = self.figures.told_every;
--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -62,6 +62,9 @@
 const COLD_USE: f64 = 0.6; // of the cold budget that all directors use; SETUPs differ in weight
 const COLD_FRESH: f64 = 5.0; // s; a director just started takes all nodes for just started: lists lag
 
+/// Sessions and the lower rungs that they are to have.
+type Steps = Vec<(SessId, u8)>;
+
 pub struct Director {
     pub(crate) figures: Figures,
     rng: Rng,
@@ -676,8 +679,7 @@
 
     /// The node and rung for a session, with the step-downs that make room: drawn by shares among the holders
     /// with room for the highest rung that any of them has room for.
-    #[allow(clippy::type_complexity)]
-    fn choose(&mut self, now: f64, sess: SessId) -> Option<(usize, u8, Vec<(SessId, u8)>)> {
+    fn choose(&mut self, now: f64, sess: SessId) -> Option<(usize, u8, Steps)> {
         let s = &self.sess[&sess];
         let group = &self.figures.groups[s.ask.group.0 as usize];
         let best = s.ask.best_rung.min(group.top);
@@ -719,7 +721,7 @@
 
     /// The rung that a new session could have at node `i` if steps of our own sessions that earn clearly less
     /// for each kB gave way.
-    fn squeeze(&self, now: f64, i: usize, s: &Sess, from: i16, best: u8) -> (i16, Vec<(SessId, u8)>) {
+    fn squeeze(&self, now: f64, i: usize, s: &Sess, from: i16, best: u8) -> (i16, Steps) {
         let group = &self.figures.groups[s.ask.group.0 as usize];
         let (link, uplink) = self.room(now, i, FILL);
         let (mut reached, mut plan) = (from, Vec::new());
@@ -742,7 +744,7 @@
 
     /// Step-downs of our playing sessions at the given nodes that free `need` kB at the least loss, none
     /// losing more than `most` for each kB; and what they free.
-    fn cheapest(&self, at: impl Fn(usize) -> bool, need: f64, most: f64) -> (Vec<(SessId, u8)>, f64) {
+    fn cheapest(&self, at: impl Fn(usize) -> bool, need: f64, most: f64) -> (Steps, f64) {
         let playing = |s: &&Sess| matches!(s.stage, Stage::Playing { .. }) && !s.left && at(s.node);
         let mut rungs: Vec<(&Sess, u8)> = self.sess.values().filter(playing).map(|s| (s, s.rung)).collect();
         let mut freed = 0.0;
--- /dev/null
+++ b/crates/kelpdoor/tests/helper/mod.rs
@@ -0,0 +1,171 @@
+//! A small fleet and a writer that prints decisions.
+
+use std::fmt::Write;
+
+use kelpdoor::ids::{GroupId, NodeId, SessId, TitleId};
+use kelpdoor::round::{Ended, Ending, ListChange, Listed, LoadReport, NewSession, Phase, Playing, Reading};
+use kelpdoor::terms::{GroupTerms, Repeat, Terms};
+use kelpdoor::{Director, Orders, Round};
+
+/// One director, its clock, and what it decided.
+pub struct Desk {
+    pub director: Director,
+    pub now: f64,
+    pub trace: Trace,
+}
+
+#[derive(Default)]
+pub struct Trace {
+    pub text: String,
+    pub sent: Vec<(SessId, NodeId)>,
+    at: f64,
+}
+
+impl Trace {
+    fn line(&mut self, text: std::fmt::Arguments) {
+        writeln!(self.text, "{:.1} {text}", self.at).expect("strings take all");
+    }
+}
+
+impl Orders for Trace {
+    fn rung(&mut self, s: SessId, rung: u8) {
+        self.line(format_args!("sess {} rung {rung}", s.0));
+    }
+    fn setup(&mut self, s: SessId, node: NodeId, wait: Option<f64>) {
+        let wait = wait.map_or("as long as the viewer".into(), |w| format!("{w:.2}"));
+        self.line(format_args!("sess {} SETUP at {}, wait {wait}", s.0, node.0));
+        self.sent.push((s, node));
+    }
+    fn withdraw(&mut self, s: SessId, setup: u8) {
+        self.line(format_args!("sess {} withdraw {setup}", s.0));
+    }
+    fn busy(&mut self, s: SessId, back: Option<f64>) {
+        self.line(format_args!("sess {} busy, come back {back:?}", s.0));
+    }
+    fn fail(&mut self, s: SessId) {
+        self.line(format_args!("sess {} fail", s.0));
+    }
+    fn shift(&mut self, s: SessId) {
+        self.line(format_args!("sess {} shift", s.0));
+    }
+    fn subscribe(&mut self) {
+        self.line(format_args!("subscribe"));
+    }
+    fn wake(&mut self, _: f64) {}
+}
+
+/// Two racks, six cells, a ladder of three; a node's link carries ten sessions at the middle rung.
+pub fn terms() -> Terms {
+    Terms {
+        me: 0,
+        directors: 1,
+        zone: 0,
+        groups: vec![GroupTerms {
+            start_target: 1.0,
+            utility: 1.0,
+            repeat: Repeat::Freely,
+            repeat_window: 5.0,
+            floor: 0,
+            top: 2,
+            scale: 1.0,
+            seats: 0,
+        }],
+        ladder: vec![40.0, 100.0, 250.0],
+        rung_utility: vec![0.3, 0.6, 1.0],
+        places_by_kind: vec![24.0],
+        cells: 6,
+        racks: 2,
+        link_unit: 1000.0,
+        rack_uplink: 3000.0,
+        seen_after: 0.5,
+        told_every: 3.0,
+        stall: 8.0,
+        switch_cost: 0.5,
+        move_price: 0.2,
+        cross_zone_price: 0.0,
+        max_setups: 3,
+        may_withdraw: true,
+        come_back: Some(1.0),
+        cold_from: 0.4,
+        warm_within: 12.0,
+        tip_multiple: 3.0,
+        fall_window: 1.0,
+        further: None,
+        ask_list: false,
+        uplinks_told: false,
+    }
+}
+
+pub fn line(node: u32, phase: Phase, up_since: f64) -> Listed {
+    Listed { node: NodeId(node), zone: 0, kind: 0, cell: node as u16, phase, size: 1.0, up_since }
+}
+
+/// A viewer of a title that lies on the first `cells` nodes.
+pub fn viewer(sess: u64, cells: u16) -> NewSession {
+    NewSession {
+        sess: SessId(sess),
+        group: GroupId(0),
+        title: TitleId(7),
+        setup_timeout: 4.0,
+        first_cell: 0,
+        cells,
+        best_rung: 2,
+    }
+}
+
+impl Desk {
+    /// A director past its first doubts, at 100 s, with nodes 0 to 5 long up.
+    pub fn new(terms: &Terms) -> Desk {
+        let mut desk = Desk { director: Director::new(terms, 42, 90.0), now: 90.0, trace: Trace::default() };
+        let lines = (0..6).map(|n| line(n, Phase::Ready, 0.0)).collect();
+        desk.round(|r| r.list_changes.push(ListChange::Cached(lines)));
+        desk.run_to(100.0);
+        desk
+    }
+
+    pub fn round(&mut self, fill: impl FnOnce(&mut Round)) {
+        let mut round = Round::default();
+        fill(&mut round);
+        self.trace.at = self.now;
+        self.director.round(self.now, &round, &mut self.trace);
+    }
+
+    /// Lets time pass with nothing coming in.
+    pub fn run_to(&mut self, until: f64) {
+        while self.now < until - 0.05 {
+            self.now += 0.1;
+            self.round(|_| ());
+        }
+    }
+
+    pub fn hand_over(&mut self, sess: u64, node: u32, rung: u8) {
+        self.round(|r| {
+            r.handed_over.push((viewer(sess, 6), NodeId(node)));
+            r.readings.push(Reading::Rung { sess: SessId(sess), rung });
+        });
+    }
+
+    pub fn asks(&mut self, sess: u64, cells: u16) {
+        self.round(|r| r.new_sessions.push(viewer(sess, cells)));
+    }
+
+    /// The SETUP of a session ended in that way, at the node it was sent to last.
+    pub fn ends(&mut self, sess: u64, how: Ending) {
+        let node = self.trace.sent.iter().rev().find(|s| s.0 == SessId(sess)).expect("was sent").1;
+        let (sess, load) = (SessId(sess), LoadReport::default());
+        self.round(|r| r.ended.push(Ended { sess, node, setup: 0, how, closed: false, load }));
+    }
+
+    pub fn plays(&mut self, sess: u64) {
+        let node = self.trace.sent.iter().rev().find(|s| s.0 == SessId(sess)).expect("was sent").1;
+        self.round(|r| r.playing.push(Playing { sess: SessId(sess), node, took: 0.1 }));
+    }
+
+    pub fn full(&mut self, sess: u64, node: u32, asked: f64) {
+        self.round(|r| r.readings.push(Reading::Link { sess: SessId(sess), node: NodeId(node), asked }));
+    }
+
+    pub fn delivered(&mut self, node: u32, share: f64) {
+        self.round(|r| r.readings.push(Reading::Delivered { node: NodeId(node), share }));
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor/tests/traces.rs
@@ -0,0 +1,423 @@
+//! Short traces of decisions, each against one that was read by people.
+
+mod helper;
+
+use expect_test::{Expect, expect};
+use helper::{Desk, line, terms, viewer};
+use kelpdoor::ids::NodeId;
+use kelpdoor::round::{Ending, ListChange, Phase};
+use kelpdoor::terms::{FurtherBudget, GroupTerms, Reach, Repeat, Terms};
+
+fn check(desk: &Desk, kept: Expect) {
+    kept.assert_eq(&desk.trace.text);
+}
+
+fn with_group(change: impl FnOnce(&mut GroupTerms)) -> Terms {
+    let mut terms = terms();
+    change(&mut terms.groups[0]);
+    terms
+}
+
+#[test]
+fn starts_at_the_highest_rung_that_fits_then_lower_then_busy() {
+    let mut desk = Desk::new(&terms());
+    for sess in 1..=12 {
+        desk.asks(sess, 1);
+    }
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 0, wait 0.45
+        100.0 sess 2 rung 2
+        100.0 sess 2 SETUP at 0, wait 0.45
+        100.0 sess 3 rung 2
+        100.0 sess 3 SETUP at 0, wait 0.45
+        100.0 sess 4 rung 1
+        100.0 sess 4 SETUP at 0, wait 0.45
+        100.0 sess 5 rung 0
+        100.0 sess 5 SETUP at 0, wait 0.45
+        100.0 sess 6 busy, come back Some(1.0)
+        100.0 sess 7 busy, come back Some(1.0)
+        100.0 sess 8 busy, come back Some(1.0)
+        100.0 sess 9 busy, come back Some(1.0)
+        100.0 sess 10 busy, come back Some(1.0)
+        100.0 sess 11 busy, come back Some(1.0)
+        100.0 sess 12 busy, come back Some(1.0)
+    "#]],
+    );
+}
+
+#[test]
+fn a_shortage_is_answered_once() {
+    let mut desk = Desk::new(&terms());
+    for sess in 1..=4 {
+        desk.hand_over(sess, 0, 2);
+    }
+    desk.full(1, 0, 1.3);
+    desk.run_to(100.3);
+    desk.delivered(0, 0.77);
+    desk.run_to(100.6);
+    check(
+        &desk,
+        expect![[r#"
+        100.1 sess 1 rung 1
+        100.1 sess 2 rung 1
+        100.1 sess 3 rung 1
+        100.1 sess 4 rung 1
+    "#]],
+    );
+}
+
+#[test]
+fn rises_after_a_quiet_wait_when_room_is_read() {
+    let mut desk = Desk::new(&terms());
+    desk.hand_over(1, 0, 0);
+    desk.run_to(107.0);
+    desk.full(1, 0, 0.1);
+    desk.run_to(108.0);
+    check(
+        &desk,
+        expect![[r#"
+        107.1 sess 1 rung 2
+    "#]],
+    );
+}
+
+#[test]
+fn a_rack_is_blamed_only_when_its_nodes_fall_short_together() {
+    // Cells 0, 2 and 4 share a rack. One node short alone is its own link: the others still take sessions.
+    let mut alone = Desk::new(&terms());
+    let mut together = Desk::new(&terms());
+    for desk in [&mut alone, &mut together] {
+        for node in [0, 2, 4] {
+            for k in 0..2 {
+                desk.hand_over(u64::from(10 * node + k), node, 2);
+            }
+            desk.full(u64::from(10 * node), node, 0.5);
+        }
+        desk.run_to(102.0);
+    }
+    alone.delivered(0, 0.5);
+    for node in [0, 2, 4] {
+        together.delivered(node, 0.5);
+    }
+    alone.run_to(102.3);
+    together.run_to(102.3);
+    check(
+        &alone,
+        expect![[r#"
+        102.1 sess 0 rung 1
+    "#]],
+    );
+    check(
+        &together,
+        expect![[r#"
+        102.1 sess 0 rung 1
+        102.1 sess 1 rung 1
+        102.1 sess 20 rung 1
+        102.1 sess 21 rung 1
+        102.1 sess 40 rung 1
+        102.1 sess 41 rung 1
+        102.1 sess 0 rung 0
+    "#]],
+    );
+}
+
+#[test]
+fn seats_count_sessions_handed_over_and_setups_out() {
+    let mut desk = Desk::new(&with_group(|g| g.seats = 2));
+    desk.hand_over(1, 0, 0);
+    desk.asks(2, 6);
+    desk.asks(3, 6);
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 2 rung 2
+        100.0 sess 2 SETUP at 3, wait 0.45
+        100.0 sess 3 busy, come back Some(1.0)
+    "#]],
+    );
+}
+
+#[test]
+fn a_floor_is_never_gone_under() {
+    let mut desk = Desk::new(&with_group(|g| g.floor = 1));
+    desk.hand_over(1, 0, 1);
+    desk.full(1, 0, 3.0);
+    desk.run_to(101.0);
+    desk.asks(2, 1);
+    check(
+        &desk,
+        expect![[r#"
+        101.0 sess 2 busy, come back Some(1.0)
+    "#]],
+    );
+}
+
+#[test]
+fn an_unsafe_group_is_sent_again_only_after_proof() {
+    let mut desk = Desk::new(&with_group(|g| g.repeat = Repeat::Never));
+    desk.asks(1, 6);
+    desk.ends(1, Ending::Unreachable);
+    desk.ends(1, Ending::TimedOut);
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 3, wait 0.45
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 2, wait 0.45
+        100.0 sess 1 fail
+    "#]],
+    );
+}
+
+#[test]
+fn a_keyed_group_stays_in_reach_of_its_first_node() {
+    let mut desk = Desk::new(&with_group(|g| g.repeat = Repeat::Within(Reach::Cell)));
+    desk.asks(1, 6);
+    desk.ends(1, Ending::Broken);
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 3, wait 0.45
+        100.0 sess 1 fail
+    "#]],
+    );
+}
+
+#[test]
+fn further_setups_stay_in_budget_from_a_fresh_start() {
+    let mut terms = terms();
+    terms.further = Some(FurtherBudget { free: 1.0, per_taken: 0.2, span: 10.0 });
+    let mut desk = Desk::new(&terms);
+    for sess in 1..=3 {
+        desk.asks(sess, 6);
+        desk.ends(sess, Ending::Erred);
+    }
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 3, wait 0.45
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 2, wait 0.45
+        100.0 sess 2 rung 2
+        100.0 sess 2 SETUP at 5, wait 0.45
+        100.0 sess 2 busy, come back Some(1.0)
+        100.0 sess 3 rung 2
+        100.0 sess 3 SETUP at 2, wait 0.45
+        100.0 sess 3 busy, come back Some(1.0)
+    "#]],
+    );
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_or_gone_node() {
+    let mut desk = Desk::new(&terms());
+    let lines = vec![line(0, Phase::Draining, 0.0), line(1, Phase::Gone, 0.0)];
+    desk.round(|r| {
+        r.list_changes.push(ListChange::Changed(lines));
+        r.new_sessions.push(viewer(1, 2));
+    });
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 1 busy, come back Some(1.0)
+    "#]],
+    );
+}
+
+/// SETUPs that three directors together send to node 0 in each second, while sessions pour in.
+fn burst(told: bool) -> Vec<usize> {
+    let mut sent = vec![0; 12];
+    for me in 0..3 {
+        let mut terms = Terms { me, directors: 3, ..terms() };
+        terms.groups[0].top = 0;
+        let mut desk = Desk::new(&terms);
+        if told {
+            desk.round(|r| r.list_changes.push(ListChange::Changed(vec![line(0, Phase::Ready, 99.9)])));
+        } else {
+            desk.asks(1, 1);
+            desk.plays(1);
+            desk.ends(1, Ending::Broken);
+        }
+        for sess in 10.. {
+            desk.run_to(desk.now + 0.1);
+            if desk.now >= 112.0 {
+                break;
+            }
+            let before = desk.trace.sent.len();
+            desk.asks(sess, 1);
+            if desk.trace.sent.len() > before {
+                sent[(desk.now - 100.0) as usize] += 1;
+                desk.plays(sess);
+                desk.ends(sess, Ending::Served);
+            }
+        }
+    }
+    sent
+}
+
+#[test]
+fn a_cold_node_gets_a_slow_rising_pace_from_all_directors_together() {
+    // 24 places over 12 s at 0.4 to 1, times 3: 2.4 to 6 in any second.
+    expect![[r#"
+        [
+            1,
+            0,
+            1,
+            3,
+            1,
+            2,
+            2,
+            1,
+            3,
+            2,
+            3,
+            5,
+        ]
+    "#]]
+    .assert_debug_eq(&burst(true));
+}
+
+#[test]
+fn a_restart_that_no_list_told_is_taken_for_cold() {
+    expect![[r#"
+        [
+            0,
+            1,
+            1,
+            0,
+            2,
+            0,
+            2,
+            1,
+            2,
+            1,
+            2,
+            3,
+        ]
+    "#]]
+    .assert_debug_eq(&burst(false));
+}
+
+#[test]
+fn one_silent_node_is_barred_but_a_silent_fleet_is_not() {
+    let mut one = Desk::new(&terms());
+    let mut all = Desk::new(&terms());
+    for desk in [&mut one, &mut all] {
+        for node in 0..6 {
+            desk.hand_over(u64::from(node), node, 0);
+        }
+    }
+    for (desk, then) in [(&mut one, 1..6), (&mut all, 0..0)] {
+        for (beat, speak) in [(103.0, 0..6), (106.0, then)] {
+            desk.run_to(beat);
+            speak.for_each(|node| desk.full(u64::from(node), node, 0.1));
+        }
+        desk.run_to(107.0);
+    }
+    one.asks(50, 1);
+    all.asks(50, 1);
+    check(
+        &one,
+        expect![[r#"
+            106.1 sess 0 rung 2
+            106.1 sess 1 rung 2
+            106.1 sess 2 rung 2
+            106.1 sess 3 rung 2
+            106.1 sess 4 rung 2
+            106.1 sess 5 rung 2
+            107.0 sess 50 busy, come back Some(1.0)
+        "#]],
+    );
+    check(
+        &all,
+        expect![[r#"
+            106.1 sess 0 rung 2
+            106.1 sess 1 rung 2
+            106.1 sess 2 rung 2
+            106.1 sess 3 rung 2
+            106.1 sess 4 rung 2
+            106.1 sess 5 rung 2
+            107.0 sess 50 rung 2
+            107.0 sess 50 SETUP at 0, wait 0.45
+        "#]],
+    );
+}
+
+#[test]
+fn a_lost_setup_goes_elsewhere_and_calls_off_the_others_there() {
+    let mut desk = Desk::new(&terms());
+    desk.asks(1, 1);
+    desk.asks(2, 1);
+    desk.ends(1, Ending::TimedOut);
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 0, wait 0.45
+        100.0 sess 2 rung 2
+        100.0 sess 2 SETUP at 0, wait 0.45
+        100.0 sess 2 withdraw 0
+        100.0 sess 1 busy, come back Some(1.0)
+    "#]],
+    );
+}
+
+#[test]
+fn a_node_that_keeps_stalling_loses_share() {
+    let mut desk = Desk::new(&terms());
+    for node in 0..6 {
+        desk.hand_over(u64::from(node), node, 1);
+    }
+    let mut shares = vec![desk.director.share(NodeId(3))];
+    for _ in 0..4 {
+        for _ in 0..20 {
+            desk.run_to(desk.now + 1.0);
+            desk.delivered(3, 0.6);
+        }
+        shares.push(desk.director.share(NodeId(3)));
+    }
+    let sum: f64 = (0..6).map(|n| desk.director.share(NodeId(n))).sum();
+    assert!((sum - 1000.0).abs() < 1e-6, "shares sum to {sum}");
+    expect![[r#"
+        [
+            167.0,
+            166.0,
+            160.0,
+            138.0,
+            126.0,
+        ]
+    "#]]
+    .assert_debug_eq(&shares.iter().map(|s| s.round()).collect::<Vec<_>>());
+}
+
+#[test]
+fn shares_sum_to_1000_through_joins_and_losses() {
+    let mut desk = Desk::new(&terms());
+    let total = |desk: &Desk| (0..9).map(|n| desk.director.share(NodeId(n))).sum::<f64>().round();
+    let mut sums = vec![total(&desk)];
+    for lines in [
+        vec![line(2, Phase::Gone, 0.0)],
+        vec![line(6, Phase::Ready, 100.0), line(7, Phase::Ready, 100.0)],
+        vec![line(0, Phase::Gone, 0.0), line(1, Phase::Draining, 0.0)],
+    ] {
+        desk.round(|r| r.list_changes.push(ListChange::Changed(lines)));
+        sums.push(total(&desk));
+    }
+    assert_eq!(sums, [1000.0; 4]);
+}
+
+#[test]
+fn a_viewer_who_left_in_the_same_round_is_not_sent() {
+    let mut desk = Desk::new(&terms());
+    desk.round(|r| {
+        r.new_sessions.push(viewer(1, 6));
+        r.departures.push(viewer(1, 6).sess);
+    });
+    check(&desk, expect![[""]]);
+}
