Rise on each reading into our part of the room

Change: each director may use its part (1/directors) of the room of a reading at once, and must see a later reading before more. Guards also against herds after any outage; could harm where the others are idle: then rising takes more readings.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -44,7 +44,7 @@
 const REPORT_AGE: f64 = 0.4; // s; age of a load report on arrival, by typical refresh and way
 const FRESH_READING: f64 = 0.15; // s; so soon after a session began a reading is of now, later ones are old
 const SETTLE: f64 = 0.8; // s; notes are smoothed: for so long after step-downs they show the old shortage
-const RISE_WAIT: (f64, f64) = (1.0, 3.0); // s for each director; the random quiet wait before a rise
+const RISE_WAIT: (f64, f64) = (0.5, 2.0); // s; the random quiet wait before a rise, about a note's time
 const RISE_GAP: f64 = 6.0; // s; a session keeps its rung for so long at least, to be worth its change
 const RISE_READING: f64 = 6.0; // s; no rise on an older reading: two notes were missed
 const LIFE: f64 = 20.0; // s; first guess of a session's remaining length, then learned
@@ -453,6 +453,7 @@
         let group = ask.group.0 as usize;
         let mut sess = Sess::new(ask, now, self.figures.groups[group].floor, 0.0);
         (sess.stage, sess.node) = (Stage::Playing { since: f64::NEG_INFINITY }, i);
+        sess.changed_at = f64::NEG_INFINITY;
         self.sess.insert(ask.sess, sess);
         self.hold(now, ask.sess);
         self.nodes.noted_at[i] = now + self.figures.seen_after;
@@ -745,7 +746,7 @@
     /// Step-downs of our playing sessions at the given nodes that free `need` kB at the least loss, none
     /// losing more than `most` for each kB; and what they free.
     fn cheapest(&self, at: impl Fn(usize) -> bool, need: f64, most: f64) -> (Steps, f64) {
-        let playing = |s: &&Sess| matches!(s.stage, Stage::Playing { .. }) && !s.left && at(s.node);
+        let playing = |s: &&Sess| s.plays() && at(s.node);
         let mut rungs: Vec<(&Sess, u8)> = self.sess.values().filter(playing).map(|s| (s, s.rung)).collect();
         let mut freed = 0.0;
         while freed < need {
@@ -835,41 +836,59 @@
 
     fn rise_wait(&mut self) -> f64 {
         let (least, most) = RISE_WAIT;
-        (least + self.rng.f64() * (most - least)) * self.figures.directors
+        least + self.rng.f64() * (most - least)
     }
 
-    /// After a random quiet wait, one of our sessions at a node rises as far as half the room there allows.
+    /// What of the room left on a link is ours to use until news shows what the others did with theirs.
+    fn our_part(&self, l: usize, room: f64) -> f64 {
+        (room + self.ledger.spent[l]) / self.figures.directors - self.ledger.spent[l]
+    }
+
+    /// After a random quiet wait, our sessions at a node rise where that earns most, into our part of the room
+    /// there; where no step fits our part, one director in so many takes one that fits the whole room.
     fn rise(&mut self, now: f64, i: usize, orders: &mut impl Orders) {
-        let l = self.link(i);
+        let (l, r) = (self.link(i), self.rack(i));
         if now < self.nodes.rise_at[i] || self.nodes.short[i] || now - self.ledger.read_at[l] > RISE_READING {
             return;
         }
+        self.nodes.rise_at[i] = now + self.rise_wait();
         let (link, uplink) = self.room(now, i, RISE_FILL);
-        let room = link.min(uplink);
-        let mut best: Option<(f64, SessId, u8)> = None;
-        for (&id, s) in &self.sess {
-            let settled =
-                matches!(s.stage, Stage::Playing { .. }) && !s.left && now - s.changed_at > RISE_GAP;
-            if s.node != i || !settled {
-                continue;
-            }
-            let group = &self.figures.groups[s.ask.group.0 as usize];
-            let top = s.ask.best_rung.min(group.top);
-            let kb = |r: u8| (group.kb[r as usize] - group.kb[s.rung as usize]) * (1.0 + RATE_SPREAD);
-            let Some(to) =
-                (s.rung + 1..=top).rev().find(|&r| kb(r) <= room / 2.0 || (r == s.rung + 1 && kb(r) <= room))
-            else {
-                continue;
-            };
-            let gain = group.density(to, s.rung, -group.switch / self.life);
-            if gain > best.map_or(0.0, |b| b.0) {
-                best = Some((gain, id, to));
+        let (whole, ours) = (link.min(uplink), self.our_part(l, link).min(self.our_part(r, uplink)));
+        let settled = |s: &&Sess| s.node == i && s.plays() && now - s.changed_at > RISE_GAP;
+        let mut rungs: Vec<(&Sess, u8)> = self.sess.values().filter(settled).map(|s| (s, s.rung)).collect();
+        let lucky = self.rng.f64() * self.figures.directors < 1.0;
+        let mut used = 0.0;
+        loop {
+            let left = if used == 0.0 && lucky { whole.min(ours.max(whole / 2.0)) } else { ours - used };
+            let step = rungs.iter().enumerate().filter_map(|(k, &(s, rung))| {
+                let group = &self.figures.groups[s.ask.group.0 as usize];
+                let kb = |r: u8| group.kb[r as usize];
+                if rung >= s.ask.best_rung.min(group.top)
+                    || (kb(rung + 1) - kb(rung)) * (1.0 + RATE_SPREAD) > left
+                {
+                    return None;
+                }
+                // A session that rises already pays for its change only once.
+                let switch = if rung == s.rung { group.switch / self.life } else { 0.0 };
+                Some((k, group.density(rung + 1, rung, -switch), kb(rung + 1) - kb(rung)))
+            });
+            let Some((k, gain, kb)) = step.max_by(|a, b| a.1.total_cmp(&b.1)) else { break };
+            if gain <= 0.0 {
+                break;
             }
+            rungs[k].1 += 1;
+            used += kb * (1.0 + RATE_SPREAD);
         }
-        if let Some((_, sess, rung)) = best {
+        let rises: Steps =
+            rungs.into_iter().filter(|(s, r)| *r > s.rung).map(|(s, r)| (s.ask.sess, r)).collect();
+        for (sess, rung) in rises {
             self.set_rung(now, sess, rung, orders);
-            let wait = self.rise_wait();
-            self.nodes.rise_at[i] = now + wait;
+        }
+        for l in [l, r] {
+            self.ledger.spent[l] += used;
+            if used > 0.0 {
+                self.ledger.rose_at[l] = now;
+            }
         }
     }
 
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -57,6 +57,10 @@
             left: false,
         }
     }
+
+    pub fn plays(&self) -> bool {
+        matches!(self.stage, Stage::Playing { .. }) && !self.left
+    }
 }
 
 /// Links and uplinks in parallel arrays: racks first, then nodes.
@@ -70,6 +74,9 @@
     pub others: Vec<f64>,
     pub read_at: Vec<f64>,
     pub eased_at: Vec<f64>,
+    /// What our rises took since the last reading that shows the others', and when the last of them was.
+    pub spent: Vec<f64>,
+    pub rose_at: Vec<f64>,
     pub log: Vec<VecDeque<(f64, f64)>>,
 }
 
@@ -87,6 +94,8 @@
         put(&mut self.others, l, 0.0);
         put(&mut self.read_at, l, f64::NEG_INFINITY);
         put(&mut self.eased_at, l, f64::NEG_INFINITY);
+        put(&mut self.spent, l, 0.0);
+        put(&mut self.rose_at, l, f64::NEG_INFINITY);
         put(&mut self.log, l, VecDeque::new());
     }
 
@@ -114,6 +123,9 @@
         let trust = if self.read_at[l] == f64::NEG_INFINITY { 1.0 } else { trust };
         self.others[l] += trust * (others - self.others[l]);
         self.read_at[l] = then;
+        if then > self.rose_at[l] {
+            self.spent[l] = 0.0;
+        }
     }
 
     /// Sets a link's size, kept within that range of its listed size.
