--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -813,8 +813,8 @@
         if asked <= OVERFULL * self.ledger.size[l] || self.ledger.own[l] <= 0.0 {
             return;
         }
-        // Only on news: a guess, or a shortage that was answered already, is no reason to step down.
-        if self.ledger.read_at[l] <= self.ledger.eased_at[l] {
+        // Only on news, and on such that can show what the others did on hearing of the same shortage.
+        if self.ledger.read_at[l] <= self.ledger.eased_at[l] + self.figures.seen_after {
             return;
         }
         let need = self.ledger.own[l] * (asked - RELIEVED * self.ledger.size[l]) / asked;
