After step-downs on an uplink wait for news of the others'

Cause: a set-up's own reading shows a shortage at once to one director, which cut again before the others had heard. Conclusion: kept for uplinks. Could harm where a sagging uplink carries one director's sessions only.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -813,8 +813,9 @@
         if asked <= OVERFULL * self.ledger.size[l] || self.ledger.own[l] <= 0.0 {
             return;
         }
-        // Only on news, and on such that can show what the others did on hearing of the same shortage.
-        if self.ledger.read_at[l] <= self.ledger.eased_at[l] + self.figures.seen_after {
+        // Only on news; for an uplink, which all share, on such that shows what the others did on hearing of it.
+        let heard = if l < racks { self.figures.seen_after } else { 0.0 };
+        if self.ledger.read_at[l] <= self.ledger.eased_at[l] + heard {
             return;
         }
         let need = self.ledger.own[l] * (asked - RELIEVED * self.ledger.size[l]) / asked;
