Blame an uplink only on links that were read of late

Cause: at the start, and with reports late, links never read looked empty, so short delivery made their uplink look sagging.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -31,6 +31,7 @@
 const SETTLED: f64 = 0.5; // payoff; mean surprise under this after PAST steps: the actor has settled
 const FILL: f64 = 0.92; // of a link; set-ups fill this much, the rest is for what others send unseen
 const RISE_FILL: f64 = 0.86; // of a link; under FILL, so that arrivals find room after rises
+const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
 const OVERFULL: f64 = 1.0; // of a link; over this delivery falls short, so sessions step down
 const RELIEVED: f64 = 0.94; // of a link; step-downs aim here, between FILL and OVERFULL
 const RATE_SPREAD: f64 = 0.1; // of a rate; true rates lie off the ladder by about as much
@@ -46,7 +47,7 @@
 const SETTLE: f64 = 0.8; // s; notes are smoothed: for so long after step-downs they show the old shortage
 const RISE_WAIT: (f64, f64) = (0.5, 2.0); // s; the random quiet wait before a rise, about a note's time
 const RISE_GAP: f64 = 6.0; // s; a session keeps its rung for so long at least, to be worth its change
-const RISE_READING: f64 = 6.0; // s; no rise on an older reading: two notes were missed
+const RISE_READING: f64 = 6.0; // s; an older reading is no ground to rise or blame: two notes were missed
 const LIFE: f64 = 20.0; // s; first guess of a session's remaining length, then learned
 const SQUEEZE_GAIN: f64 = 1.3; // times; a step earns so much more than those it displaces, as accounts err
 const LOG: f64 = 8.0; // s; own load changes are remembered past the latest readings
@@ -264,9 +265,17 @@
     fn asked(&self, l: usize) -> f64 {
         let f = &self.figures;
         if l < f.racks && !f.uplinks_told {
-            // No figure of its own: the sum of its nodes.
-            let in_rack = self.listed().into_iter().filter(|&i| self.rack(i) == l);
-            return in_rack.map(|i| self.asked(self.link(i))).sum();
+            // No figure of its own: its nodes', those never read taken to be as full as the rest.
+            let (mut asked, mut read, mut all) = (0.0, 0.0, 0.0);
+            for i in self.listed().into_iter().filter(|&i| self.rack(i) == l) {
+                let link = self.link(i);
+                all += self.ledger.size[link];
+                if self.ledger.read_at[link] > f64::NEG_INFINITY {
+                    asked += self.asked(link);
+                    read += self.ledger.size[link];
+                }
+            }
+            return if read > 0.0 { asked * all / read } else { 0.0 };
         }
         if self.ledger.read_at[l] == f64::NEG_INFINITY {
             return self.ledger.own[l] * f.directors;
@@ -347,11 +356,11 @@
             return;
         };
         let (l, r, then) = (self.link(i), self.rack(i), now - self.figures.seen_after);
-        let short = share < 0.98;
-        if short && !self.nodes.short[i] {
+        let short = share < SHORT;
+        if short && self.nodes.delivered[i] >= SHORT {
             self.nodes.shortages[i] += 1.0;
         }
-        self.nodes.short[i] = short;
+        self.nodes.delivered[i] = share;
         self.nodes.missing[i] += (1.0 - share).max(0.0);
         if !short {
             return;
@@ -368,7 +377,7 @@
             if full.max(uplink) * share < 1.0 {
                 self.ledger.read(worst, 1.0 / share, then, TRUST_REPORT);
             }
-        } else if full * share >= LINK_EXPLAINS || !self.rack_short(r) {
+        } else if !self.rack_short(now, r) {
             self.ledger.read(l, 1.0 / share, then, TRUST_REPORT);
         } else {
             // The uplink gives this share of what its nodes ask.
@@ -380,10 +389,16 @@
         }
     }
 
-    /// Whether a rack's nodes fall short together, as far as we see them: one alone is its own link.
-    fn rack_short(&self, r: usize) -> bool {
+    /// Whether a rack's nodes fall short together, as far as we see them and though their links were read of
+    /// late and are not full: one alone, or one whose link may explain it, is no sign of its uplink.
+    fn rack_short(&self, now: f64, r: usize) -> bool {
         let ours = self.listed().into_iter().filter(|&i| self.rack(i) == r && self.nodes.streams[i] >= 1.0);
-        let (short, all) = ours.fold((0, 0), |(s, a), i| (s + i32::from(self.nodes.short[i]), a + 1));
+        let (short, all) = ours.fold((0, 0), |(short, all), i| {
+            let (l, share) = (self.link(i), self.nodes.delivered[i]);
+            let recent = now - self.ledger.read_at[l] < RISE_READING;
+            let unexplained = self.asked(l) / self.ledger.size[l] * share < LINK_EXPLAINS;
+            (short + i32::from(share < SHORT && recent && unexplained), all + 1)
+        });
         short >= 2 && short * 2 > all
     }
 
@@ -849,7 +864,10 @@
     /// there; where no step fits our part, one director in so many takes one that fits the whole room.
     fn rise(&mut self, now: f64, i: usize, orders: &mut impl Orders) {
         let (l, r) = (self.link(i), self.rack(i));
-        if now < self.nodes.rise_at[i] || self.nodes.short[i] || now - self.ledger.read_at[l] > RISE_READING {
+        if now < self.nodes.rise_at[i]
+            || self.nodes.delivered[i] < SHORT
+            || now - self.ledger.read_at[l] > RISE_READING
+        {
             return;
         }
         self.nodes.rise_at[i] = now + self.rise_wait();
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -157,11 +157,11 @@
     pub other_streams: Vec<f64>,
     pub rise_at: Vec<f64>,
     pub share: Vec<f64>,
-    /// This step's start-up times (sum, count), short delivery (sum), shortages begun, and whether short now.
+    /// This step's start-up times (sum, count), short delivery (sum), shortages begun, and the share last delivered.
     pub starts: Vec<(f64, f64)>,
     pub missing: Vec<f64>,
     pub shortages: Vec<f64>,
-    pub short: Vec<bool>,
+    pub delivered: Vec<f64>,
     pub past_load: Vec<VecDeque<f64>>,
     pub past_pain: Vec<VecDeque<f64>>,
 }
@@ -194,7 +194,7 @@
         put(&mut self.starts, i, (0.0, 0.0));
         put(&mut self.missing, i, 0.0);
         put(&mut self.shortages, i, 0.0);
-        put(&mut self.short, i, false);
+        put(&mut self.delivered, i, 1.0);
         put(&mut self.past_load, i, VecDeque::new());
         put(&mut self.past_pain, i, VecDeque::new());
         i
