--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -126,31 +126,15 @@
     }
 
     pub fn round(&mut self, now: f64, round: &Round, orders: &mut impl Orders) {
-        for change in &round.list_changes {
-            self.list(now, change);
-        }
-        for (ask, node) in &round.handed_over {
-            self.adopt(now, ask, *node);
-        }
-        for playing in &round.playing {
-            self.plays(now, playing);
-        }
-        for reading in &round.readings {
-            self.reading(now, reading);
-        }
-        let mut owed = Vec::new();
-        for ended in &round.ended {
-            owed.extend(self.ended(now, ended, orders));
-        }
-        for &sess in &round.departures {
-            self.departs(sess, orders);
-        }
-        for sess in owed {
-            self.place(now, sess, orders);
-        }
-        for ask in round.new_sessions.iter().filter(|ask| !round.departures.contains(&ask.sess)) {
-            self.take(now, ask, orders);
-        }
+        round.list_changes.iter().for_each(|change| self.list(now, change));
+        round.handed_over.iter().for_each(|(ask, node)| self.adopt(now, ask, *node));
+        round.playing.iter().for_each(|playing| self.plays(now, playing));
+        round.readings.iter().for_each(|reading| self.reading(now, reading));
+        let owed: Vec<SessId> = round.ended.iter().filter_map(|e| self.ended(now, e, orders)).collect();
+        round.departures.iter().for_each(|&sess| self.departs(sess, orders));
+        owed.into_iter().for_each(|sess| self.place(now, sess, orders));
+        let stayed = round.new_sessions.iter().filter(|ask| !round.departures.contains(&ask.sess));
+        stayed.for_each(|ask| self.take(now, ask, orders));
         if now >= self.next_beat {
             self.next_beat = now + BEAT;
             self.beat(now, orders);
@@ -749,7 +733,9 @@
             let on_link = kb > link;
             let need = kb - link.min(uplink);
             let at = |o: usize| if on_link { o == i } else { self.rack(o) == self.rack(i) };
-            let (steps, freed) = self.cheapest(at, need, density / SQUEEZE_GAIN);
+            let most = density / SQUEEZE_GAIN;
+            let (steps, freed) =
+                self.walk(|s| at(s.node), false, |freed, _, loss| freed < need && loss <= most);
             if freed < need {
                 break;
             }
@@ -758,32 +744,32 @@
         (reached, plan)
     }
 
-    /// Step-downs of our playing sessions at the given nodes that free `need` kB at the least loss, none
-    /// losing more than `most` for each kB; and what they free.
-    fn cheapest(&self, at: impl Fn(usize) -> bool, need: f64, most: f64) -> (Steps, f64) {
-        let playing = |s: &&Sess| s.plays() && at(s.node);
-        let mut rungs: Vec<(&Sess, u8)> = self.sess.values().filter(playing).map(|s| (s, s.rung)).collect();
-        let mut freed = 0.0;
-        while freed < need {
+    /// Steps our playing sessions that `of` names up, where that earns most for each kB, or down, where it
+    /// costs least, while `allows` finds a step good: by the kB moved so far, the step's and its density.
+    fn walk(
+        &self, of: impl Fn(&Sess) -> bool, up: bool, allows: impl Fn(f64, f64, f64) -> bool,
+    ) -> (Steps, f64) {
+        let mut rungs: Vec<(&Sess, u8)> =
+            self.sess.values().filter(|s| s.plays() && of(s)).map(|s| (s, s.rung)).collect();
+        let mut moved = 0.0;
+        loop {
             let step = rungs.iter().enumerate().filter_map(|(k, &(s, rung))| {
                 let group = &self.figures.groups[s.ask.group.0 as usize];
-                if rung <= group.floor {
+                let low = if up { rung } else { rung.checked_sub(1)? };
+                if low + 1 > s.ask.best_rung.min(group.top) || low < group.floor {
                     return None;
                 }
-                // A session that is stepped down already pays for its change only once.
+                // A session that moves already pays for its change only once.
                 let switch = if rung == s.rung { group.switch / self.life } else { 0.0 };
-                let loss = group.density(rung, rung - 1, switch);
-                (loss <= most).then_some((k, loss))
+                let density = group.density(low + 1, low, if up { -switch } else { switch });
+                let kb = group.kb[low as usize + 1] - group.kb[low as usize];
+                allows(moved, kb, density).then_some((k, if up { -density } else { density }, kb))
             });
-            let Some((k, _)) = step.min_by(|a, b| a.1.total_cmp(&b.1)) else {
-                break;
-            };
-            let (s, rung) = &mut rungs[k];
-            let kb = &self.figures.groups[s.ask.group.0 as usize].kb;
-            freed += kb[*rung as usize] - kb[*rung as usize - 1];
-            *rung -= 1;
+            let Some((k, _, kb)) = step.min_by(|a, b| a.1.total_cmp(&b.1)) else { break };
+            rungs[k].1 = if up { rungs[k].1 + 1 } else { rungs[k].1 - 1 };
+            moved += kb;
         }
-        (rungs.into_iter().filter(|(s, r)| *r < s.rung).map(|(s, r)| (s.ask.sess, r)).collect(), freed)
+        (rungs.into_iter().filter(|(s, r)| *r != s.rung).map(|(s, r)| (s.ask.sess, r)).collect(), moved)
     }
 
     fn set_rung(&mut self, now: f64, sess: SessId, rung: u8, orders: &mut impl Orders) {
@@ -828,7 +814,7 @@
         if asked <= OVERFULL * self.ledger.size[l] || self.ledger.own[l] <= 0.0 {
             return;
         }
-        // Only on news; for an uplink, which all share, on such that shows what the others did on hearing of it.
+        // Only on news; for an uplink, which all share, on such that shows what the others did about it.
         let heard = if l < racks { self.figures.seen_after } else { 0.0 };
         if self.ledger.read_at[l] <= self.ledger.eased_at[l] + heard {
             return;
@@ -837,7 +823,7 @@
         let at = |i: usize| {
             if l < racks { self.rack(i) == l } else { self.link(i) == l }
         };
-        let (plan, _) = self.cheapest(at, need, f64::INFINITY);
+        let (plan, _) = self.walk(|s| at(s.node), false, |freed, _, _| freed < need);
         if plan.is_empty() {
             return;
         }
@@ -860,8 +846,8 @@
         (room + self.ledger.spent[l]) / self.figures.directors - self.ledger.spent[l]
     }
 
-    /// After a random quiet wait, our sessions at a node rise where that earns most, into our part of the room
-    /// there; where no step fits our part, one director in so many takes one that fits the whole room.
+    /// After a random quiet wait, our sessions at a node rise where that earns most, into our part of the
+    /// room there; where no step fits our part, one director in so many takes one that fits half the room.
     fn rise(&mut self, now: f64, i: usize, orders: &mut impl Orders) {
         let (l, r) = (self.link(i), self.rack(i));
         if now < self.nodes.rise_at[i]
@@ -873,33 +859,13 @@
         self.nodes.rise_at[i] = now + self.rise_wait();
         let (link, uplink) = self.room(now, i, RISE_FILL);
         let (whole, ours) = (link.min(uplink), self.our_part(l, link).min(self.our_part(r, uplink)));
-        let settled = |s: &&Sess| s.node == i && s.plays() && now - s.changed_at > RISE_GAP;
-        let mut rungs: Vec<(&Sess, u8)> = self.sess.values().filter(settled).map(|s| (s, s.rung)).collect();
         let lucky = self.rng.f64() * self.figures.directors < 1.0;
-        let mut used = 0.0;
-        loop {
-            let left = if used == 0.0 && lucky { whole.min(ours.max(whole / 2.0)) } else { ours - used };
-            let step = rungs.iter().enumerate().filter_map(|(k, &(s, rung))| {
-                let group = &self.figures.groups[s.ask.group.0 as usize];
-                let kb = |r: u8| group.kb[r as usize];
-                if rung >= s.ask.best_rung.min(group.top)
-                    || (kb(rung + 1) - kb(rung)) * (1.0 + RATE_SPREAD) > left
-                {
-                    return None;
-                }
-                // A session that rises already pays for its change only once.
-                let switch = if rung == s.rung { group.switch / self.life } else { 0.0 };
-                Some((k, group.density(rung + 1, rung, -switch), kb(rung + 1) - kb(rung)))
-            });
-            let Some((k, gain, kb)) = step.max_by(|a, b| a.1.total_cmp(&b.1)) else { break };
-            if gain <= 0.0 {
-                break;
-            }
-            rungs[k].1 += 1;
-            used += kb * (1.0 + RATE_SPREAD);
-        }
-        let rises: Steps =
-            rungs.into_iter().filter(|(s, r)| *r > s.rung).map(|(s, r)| (s.ask.sess, r)).collect();
+        let of = |s: &Sess| s.node == i && now - s.changed_at > RISE_GAP;
+        let (rises, kb) = self.walk(of, true, |used, kb, gain| {
+            let left = if used == 0.0 && lucky { ours.max(whole / 2.0) } else { ours };
+            gain > 0.0 && (used + kb) * (1.0 + RATE_SPREAD) <= left.min(whole)
+        });
+        let used = kb * (1.0 + RATE_SPREAD);
         for (sess, rung) in rises {
             self.set_rung(now, sess, rung, orders);
         }
