--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -60,7 +60,7 @@
 const SETUP_LATE: f64 = 6.0; // deviations; a SETUP that takes so much longer than usual is lost
 const SETUP_WAIT_PART: f64 = 0.45; // of the time to the start target; then another still starts in time
 const SETUP_TIME_LEFT: f64 = 0.1; // s; with less time left no further SETUP can succeed
-const COLD_USE: f64 = 0.6; // of the cold budget that all directors use; SETUPs differ in weight
+const COLD_USE: f64 = 0.8; // of the cold budget that all directors use; SETUPs differ in weight
 const COLD_FRESH: f64 = 5.0; // s; a director just started takes all nodes for just started: lists lag
 
 /// Sessions and the lower rungs that they are to have.
@@ -278,8 +278,8 @@
 
     fn room(&self, now: f64, i: usize, fill: f64) -> (f64, f64) {
         // A node that is taken for just started only for want of news counts as warm here: its link is read.
-        let doubted = self.nodes.cold_since[i] == f64::INFINITY && self.nodes.cold_until[i] < f64::INFINITY;
-        let link = self.left_under(now, self.link(i), fill, if doubted { 1.0 } else { self.warmth(now, i) });
+        let link =
+            self.left_under(now, self.link(i), fill, if self.doubted(i) { 1.0 } else { self.warmth(now, i) });
         (link, self.left_under(now, self.rack(i), fill, 1.0))
     }
 
@@ -312,9 +312,7 @@
         match *reading {
             Reading::Rung { sess, rung } => self.recount(now, sess, rung),
             Reading::Link { sess, node, asked } | Reading::Uplink { sess, node, asked } => {
-                let Some(&i) = self.nodes.index.get(&node) else {
-                    return;
-                };
+                let Some(&i) = self.nodes.index.get(&node) else { return };
                 let since = match self.sess.get(&sess).map(|s| s.stage) {
                     Some(Stage::Playing { since }) => since,
                     _ => f64::NEG_INFINITY,
@@ -336,9 +334,7 @@
 
     /// Short delivery: of the link where the link's own figure explains it, else of the rack's uplink.
     fn delivered(&mut self, now: f64, node: NodeId, share: f64) {
-        let Some(&i) = self.nodes.index.get(&node) else {
-            return;
-        };
+        let Some(&i) = self.nodes.index.get(&node) else { return };
         let (l, r, then) = (self.link(i), self.rack(i), now - self.figures.seen_after);
         let short = share < SHORT;
         if short && self.nodes.delivered[i] >= SHORT {
@@ -467,9 +463,7 @@
     }
 
     fn plays(&mut self, now: f64, p: &Playing) {
-        let Some(s) = self.sess.get_mut(&p.sess) else {
-            return;
-        };
+        let Some(s) = self.sess.get_mut(&p.sess) else { return };
         if s.stage != Stage::Out {
             return;
         }
@@ -552,9 +546,7 @@
     }
 
     fn departs(&mut self, sess: SessId, orders: &mut impl Orders) {
-        let Some(s) = self.sess.get_mut(&sess) else {
-            return;
-        };
+        let Some(s) = self.sess.get_mut(&sess) else { return };
         if s.stage == Stage::Owed {
             self.sess.remove(&sess);
         } else {
@@ -579,16 +571,25 @@
         self.further.len() as f64 + 1.0 <= budget.free + budget.per_taken * self.taken.len() as f64
     }
 
-    /// Whether a node takes a SETUP of ours now, by its warmth. All directors share a clock and know how many
-    /// they are, so each has slots of its own and no window can hold more than its budget.
-    fn cold_slot(&self, now: f64, i: usize) -> Option<u64> {
-        let f = &self.figures;
+    /// Whether a node that may be cold takes a SETUP of ours now. All directors share a clock and know how many
+    /// they are, so each has slots of its own and no window can hold more than its budget. Under want of news
+    /// alone, as after our own start, a gap that keeps one director to half the budget is enough.
+    fn cold_takes(&self, now: f64, i: usize) -> bool {
+        let (f, last) = (&self.figures, self.nodes.cold_sent[i]);
         let budget = COLD_USE * f.cold_budget * self.nodes.places[i] * self.warmth(now, i);
+        if self.doubted(i) {
+            return now - last >= 2.0 * f.fall_window / budget.max(1e-3);
+        }
         let few = budget < 2.0;
-        let slot = if few { 1.6 * f.fall_window } else { 1.2 * f.fall_window / budget.floor() };
-        let turn = now / slot.max(1e-3);
-        let mine = turn as u64 % f.directors as u64 == f.me && (!few || turn.fract() < 0.35);
-        (mine && turn as u64 != self.nodes.cold_slot[i]).then_some(turn as u64)
+        let slot = (if few { 1.6 * f.fall_window } else { f.fall_window / (budget.floor() - 1.0) }).max(1e-3);
+        let turn = (now / slot).floor();
+        let mine = turn.rem_euclid(f.directors) == f.me as f64 && (!few || now / slot - turn < 0.35);
+        mine && (last / slot).floor() != turn
+    }
+
+    /// Whether a node is taken for just started only for want of news.
+    fn doubted(&self, i: usize) -> bool {
+        self.nodes.cold_since[i] == f64::INFINITY && self.nodes.cold_until[i] < f64::INFINITY
     }
 
     /// Nodes that may take this session now.
@@ -608,7 +609,7 @@
                 && now >= n.barred_until[i]
                 && !s.tried.contains(&n.id[i])
                 && n.streams[i] + n.other_streams[i] + 1.0 <= n.places[i]
-                && (now >= n.cold_until[i] || self.cold_slot(now, i).is_some())
+                && (now >= n.cold_until[i] || self.cold_takes(now, i))
                 && reach
         };
         self.listed().into_iter().filter(fits).collect()
@@ -616,9 +617,7 @@
 
     /// Places a session that is owed an answer, or gives it up at once.
     fn place(&mut self, now: f64, sess: SessId, orders: &mut impl Orders) {
-        let Some(s) = self.sess.get(&sess) else {
-            return;
-        };
+        let Some(s) = self.sess.get(&sess) else { return };
         if s.stage != Stage::Owed {
             return;
         }
@@ -641,9 +640,7 @@
         for (other, lower) in plan {
             self.set_rung(now, other, lower, orders);
         }
-        if now < self.nodes.cold_until[i] {
-            self.nodes.cold_slot[i] = self.cold_slot(now, i).unwrap_or(0);
-        }
+        self.nodes.cold_sent[i] = now;
         if setups > 0 {
             self.further.push_back(now);
         }
@@ -666,9 +663,7 @@
 
     /// The final answer when no SETUP can be sent: busy where allowed, so that the viewer may come back.
     fn give_up(&mut self, sess: SessId, orders: &mut impl Orders) {
-        let Some(s) = self.sess.remove(&sess) else {
-            return;
-        };
+        let Some(s) = self.sess.remove(&sess) else { return };
         let repeat = self.figures.groups[s.ask.group.0 as usize].repeat;
         if s.maybe_ran.is_none() || matches!(repeat, Repeat::Freely | Repeat::Within(Reach::Anywhere)) {
             orders.busy(sess, self.figures.come_back);
@@ -921,9 +916,7 @@
         };
         let rows: Vec<_> = choices.iter().map(features).collect();
         let picked = self.actor.pick(&rows, &mut self.rng);
-        let (Some(&(to, by)), Some(from)) = (picked.and_then(|k| choices.get(k)), worst) else {
-            return;
-        };
+        let (Some(&(to, by)), Some(from)) = (picked.and_then(|k| choices.get(k)), worst) else { return };
         if to == from {
             return;
         }
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -147,7 +147,7 @@
     pub up_since: Vec<f64>,
     pub cold_since: Vec<f64>,
     pub cold_until: Vec<f64>,
-    pub cold_slot: Vec<u64>,
+    pub cold_sent: Vec<f64>,
     pub barred_until: Vec<f64>,
     pub strikes: Vec<i32>,
     pub noted_at: Vec<f64>,
@@ -181,7 +181,7 @@
         put(&mut self.up_since, i, 0.0);
         put(&mut self.cold_since, i, f64::NEG_INFINITY);
         put(&mut self.cold_until, i, f64::NEG_INFINITY);
-        put(&mut self.cold_slot, i, 0);
+        put(&mut self.cold_sent, i, f64::NEG_INFINITY);
         put(&mut self.barred_until, i, f64::NEG_INFINITY);
         put(&mut self.strikes, i, 0);
         put(&mut self.noted_at, i, f64::INFINITY);
