--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -34,6 +34,7 @@
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
 const OVERFULL: f64 = 1.03; // of a link; over this delivery falls short, so sessions step down
 const RELIEVED: f64 = 0.97; // of a link; step-downs aim here, between FILL and OVERFULL
+const UNREAD: f64 = 0.6; // of a link; how full one counts at least before it was read, a common load
 const RATE_SPREAD: f64 = 0.1; // of a rate; true rates lie off the ladder by about as much
 const STALE: (f64, f64) = (0.01, 0.12); // of a link a second, and at most; an old reading loses value
 const TRUST_REPORT: f64 = 0.4; // weight of a report against the account; reports are noisy and old
@@ -262,7 +263,8 @@
             return if read > 0.0 { asked * all / read } else { 0.0 };
         }
         if self.ledger.read_at[l] == f64::NEG_INFINITY {
-            return self.ledger.own[l] * f.directors;
+            // Never read: as much from each of the others, and fairly full at least.
+            return (self.ledger.own[l] * f.directors).max(UNREAD * self.ledger.size[l]);
         }
         (self.ledger.own[l] + self.ledger.others[l]).max(0.0)
     }
