--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -195,9 +195,11 @@
             n.strikes[i] = 0;
             n.noted_at[i] = f64::INFINITY;
             n.other_streams[i] = 0.0;
-            let l = f.racks + i;
-            self.ledger.others[l] = 0.0;
-            self.ledger.read_at[l] = now;
+            if n.cold_until[i] > now {
+                // Just started, so it carries nothing of the others' yet.
+                self.ledger.others[f.racks + i] = 0.0;
+                self.ledger.read_at[f.racks + i] = now;
+            }
         }
         if cached && self.started + COLD_FRESH > n.cold_until[i] {
             // A cached list may miss a restart; take the node for just started until lists have caught up.
@@ -493,7 +495,13 @@
                     self.heard(now, i);
                     self.nodes.barred_until[i] = now + BAR_FULL;
                 }
-                Ending::Broken | Ending::Unreachable => self.failed(now, i),
+                Ending::Broken => {
+                    // Its process died, so what the others had there is gone too.
+                    self.failed(now, i);
+                    (self.ledger.others[self.figures.racks + i], self.nodes.other_streams[i]) = (0.0, 0.0);
+                    self.ledger.read_at[self.figures.racks + i] = now;
+                }
+                Ending::Unreachable => self.failed(now, i),
                 Ending::TimedOut => {
                     self.failed(now, i);
                     self.withdraw_all(i, e.sess, orders);
