--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -51,7 +51,6 @@
 const RISE_READING: f64 = 6.0; // s; an older reading is no ground to rise or blame: two notes were missed
 const LIFE: f64 = 20.0; // s; first guess of a session's remaining length, then learned
 const SQUEEZE_GAIN: f64 = 1.3; // times; a step earns so much more than those it displaces, as accounts err
-const SHORTAGE: f64 = 8.0; // s; how long a shortage that steps can't cover is thought to last
 const LOG: f64 = 8.0; // s; own load changes are remembered past the latest readings
 const UNUSUAL: f64 = 4.0; // deviations of a node's note gaps; a longer silence is unusual
 const GAP_SPREAD: f64 = 0.15; // s; least deviation of note gaps that is believed, for rounds and ways
@@ -829,9 +828,8 @@
         let at = |i: usize| {
             if l < racks { self.rack(i) == l } else { self.link(i) == l }
         };
-        let (plan, freed) = self.walk(|s| at(s.node), false, |freed, _, _| freed < need);
-        let moved = if l >= racks { self.make_way(now, l - racks, need - freed, orders) } else { 0 };
-        if plan.is_empty() && moved == 0 {
+        let (plan, _) = self.walk(|s| at(s.node), false, |freed, _, _| freed < need);
+        if plan.is_empty() {
             return;
         }
         for (sess, rung) in plan {
@@ -843,43 +841,6 @@
         self.ledger.eased_at[l] = now;
     }
 
-    /// Moves sessions off a node whose link stays short with all of ours there at the floor, where what the rest
-    /// regains pays for the moves and another holder has room: for links that give far less, whatever the cause.
-    fn make_way(&mut self, now: f64, i: usize, mut need: f64, orders: &mut impl Orders) -> usize {
-        let (f, full) = (&self.figures, self.asked(self.link(i)) / self.ledger.size[self.link(i)]);
-        let mut ours: Vec<&Sess> = self.sess.values().filter(|s| s.plays() && s.node == i).collect();
-        let figures = |s: &Sess| {
-            let (group, r) = (&f.groups[s.ask.group.0 as usize], s.rung as usize);
-            (group.earns[r], group.kb[r], group.earns[s.ask.best_rung.min(group.top) as usize])
-        };
-        let lost = (f.stall * (SHORT - 1.0 / full)).clamp(0.0, 1.0);
-        let regained = ours.iter().map(|s| figures(s).0).sum::<f64>() * lost * SHORTAGE;
-        ours.sort_by(|a, b| (figures(a).0 / figures(a).1).total_cmp(&(figures(b).0 / figures(b).1)));
-        let (mut moves, mut price) = (Vec::new(), 0.0);
-        for s in ours {
-            let (_, kb, top) = figures(s);
-            let fits = |o: usize| {
-                o != i && now >= self.nodes.cold_until[o] && {
-                    let (link, uplink) = self.room(now, o, FILL);
-                    link.min(uplink) >= kb * (1.0 + RATE_SPREAD)
-                }
-            };
-            price += f.move_price * top * 2.0 * self.life;
-            if need <= 0.0 || price > regained {
-                break;
-            }
-            if self.holders(now, s).into_iter().any(fits) {
-                need -= kb;
-                moves.push(s.ask.sess);
-            }
-        }
-        for sess in &moves {
-            orders.shift(*sess);
-            self.sess.get_mut(sess).expect("was listed above").left = true;
-        }
-        moves.len()
-    }
-
     fn rise_wait(&mut self) -> f64 {
         let (least, most) = RISE_WAIT;
         least + self.rng.f64() * (most - least)
--- a/crates/kelpdoor/src/terms.rs
+++ b/crates/kelpdoor/src/terms.rs
@@ -73,11 +73,8 @@
     pub seen_after: f64,
     /// Time between readings of a link's fullness; 0: none come.
     pub told_every: f64,
-    /// Utility lost for each part of the rate that is missing.
-    pub stall: f64,
     /// A rung change costs so many seconds of the group's utility.
     pub switch_cost: f64,
-    pub move_price: f64,
     pub cross_zone_price: f64,
     pub max_setups: u32,
     pub may_withdraw: bool,
