Let old readings drift to a common load and shortages lapse

Guards also against nodes without sessions of ours that were short when the last one left; could harm where a link is truly full and silent for long, by one set-up at a low rung.

--- a/crates/kelpdoor-benchlink/src/settings.rs
+++ b/crates/kelpdoor-benchlink/src/settings.rs
@@ -50,7 +50,6 @@
     ensure!(root.is_object(), "not a JSON object");
     let root = At(&root);
     let (facts, rules, allowed) = (root.to("specifics"), root.to("rules"), root.to("allowed"));
-    let mix = root.to("scoringMix");
     let [floors, tops, scales, seats] =
         ["lowestRung", "highestRung", "scaleByClass", "licenceCap"].map(|key| facts.to(key).nums());
     let ladder = facts.to("ratesKb").nums();
@@ -91,8 +90,6 @@
         told_every: facts.to("toldEveryMs").seconds(),
         switch_cost: facts.to("switchCostS").num_or(0.0),
         cross_zone_price: if zones > 1 { root.to("prices").to("crossZone").num_or(0.0) } else { 0.0 },
-        worst_group_weight: mix.to("worstClass").num_or(0.0)
-            / mix.to("whole").num().filter(|&w| w > 0.0).unwrap_or(1.0),
         max_setups: allowed.to("sendCap").num_or(1.0) as u32,
         may_withdraw: allowed.to("mayCancel").yes(),
         come_back: allowed.to("retryAfter").yes().then(|| allowed.to("maxRetryAfterMs").seconds()),
--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -13,7 +13,7 @@
 
 use fastrand::Rng;
 
-use crate::figures::{Figures, Group};
+use crate::figures::Figures;
 use crate::ids::{NodeId, SessId, TitleId};
 use crate::orders::Orders;
 use crate::round::{Ended, Ending, ListChange, Listed, NewSession, Phase, Playing, Reading, Round};
@@ -51,8 +51,8 @@
 const RISE_READING: f64 = 6.0; // s; an older reading is no ground to rise or blame: two notes were missed
 const LIFE: f64 = 20.0; // s; first guess of a session's remaining length, then learned
 const SQUEEZE_GAIN: f64 = 1.3; // times; a step earns so much more than those it displaces, as accounts err
-const AWAY: f64 = 2.0; // s; a viewer who is turned away comes back after about so long
-const LEVEL: f64 = 0.1; // of a wish; groups this far apart are clearly worst and not worst
+const DRIFT: f64 = 8.0; // s; an old reading drifts to a common load over about two notes' time
+const SHORT_HOLDS: f64 = 3.0; // s; notes of a shortage come each second, so after three missed it is over
 const LOG: f64 = 8.0; // s; own load changes are remembered past the latest readings
 const UNUSUAL: f64 = 4.0; // deviations of a node's note gaps; a longer silence is unusual
 const GAP_SPREAD: f64 = 0.15; // s; least deviation of note gaps that is believed, for rounds and ways
@@ -88,10 +88,6 @@
     further: VecDeque<f64>,
     pub(crate) seats: BTreeMap<(TitleId, u8), u32>,
     ask_at: f64,
-    /// Utility that viewers of each group wished for and got, and how much more the goal makes it count.
-    wished: Vec<f64>,
-    got: Vec<f64>,
-    favour: Vec<f64>,
 }
 
 fn blend(old: &mut f64, new: f64, part: f64) {
@@ -110,11 +106,7 @@
             ledger.size.iter_mut().for_each(|size| *size *= SIZE_RANGE.1);
         }
         let actor = Actor { surprise: 1.0, ..Actor::default() };
-        let groups = figures.groups.len();
         Director {
-            wished: vec![0.0; groups],
-            got: vec![0.0; groups],
-            favour: vec![1.0; groups],
             figures,
             rng: Rng::with_seed(seed),
             nodes: Nodes::default(),
@@ -354,7 +346,7 @@
         if short && self.nodes.delivered[i] >= SHORT {
             self.nodes.shortages[i] += 1.0;
         }
-        self.nodes.delivered[i] = share;
+        (self.nodes.delivered[i], self.nodes.delivered_at[i]) = (share, now);
         self.nodes.missing[i] += (1.0 - share).max(0.0);
         if !short {
             return;
@@ -482,7 +474,7 @@
             return;
         }
         s.stage = Stage::Playing { since: now };
-        s.changed_at = now;
+        s.changed_at = f64::NEG_INFINITY;
         let i = s.node;
         let off = (p.took - self.setup_mean).abs();
         blend(&mut self.setup_dev, off, 0.1);
@@ -684,9 +676,7 @@
     /// The final answer when no SETUP can be sent: busy where allowed, so that the viewer may come back.
     fn give_up(&mut self, sess: SessId, orders: &mut impl Orders) {
         let Some(s) = self.sess.remove(&sess) else { return };
-        let g = s.ask.group.0 as usize;
-        let Group { repeat, top, earns, .. } = &self.figures.groups[g];
-        self.wished[g] += earns[s.ask.best_rung.min(*top) as usize] * AWAY;
+        let repeat = self.figures.groups[s.ask.group.0 as usize].repeat;
         if s.maybe_ran.is_none() || matches!(repeat, Repeat::Freely | Repeat::Within(Reach::Anywhere)) {
             orders.busy(sess, self.figures.come_back);
         } else {
@@ -750,7 +740,7 @@
             let on_link = kb > link;
             let need = kb - link.min(uplink);
             let at = |o: usize| if on_link { o == i } else { self.rack(o) == self.rack(i) };
-            let most = self.favour[s.ask.group.0 as usize] * density / SQUEEZE_GAIN;
+            let most = density / SQUEEZE_GAIN;
             let (steps, freed) =
                 self.walk(|s| at(s.node), false, |freed, _, loss| freed < need && loss <= most);
             if freed < need {
@@ -778,8 +768,7 @@
                 }
                 // A session that moves already pays for its change only once.
                 let switch = if rung == s.rung { group.switch / self.life } else { 0.0 };
-                let favour = self.favour[s.ask.group.0 as usize];
-                let density = favour * group.density(low + 1, low, if up { -switch } else { switch });
+                let density = group.density(low + 1, low, if up { -switch } else { switch });
                 let kb = group.kb[low as usize + 1] - group.kb[low as usize];
                 allows(moved, kb, density).then_some((k, if up { -density } else { density }, kb))
             });
@@ -812,22 +801,24 @@
         }
         let racks = self.figures.racks;
         for l in (0..racks).chain(listed.iter().map(|&i| racks + i)) {
+            if self.ledger.read_at[l] > f64::NEG_INFINITY && now - self.ledger.read_at[l] > RISE_READING {
+                // No news for long: drift to a common load. A last reading that shut us out must not hold on,
+                // for without sessions there no other comes; one that was low must not invite more.
+                let common = UNREAD * self.ledger.size[l] - self.ledger.own[l];
+                blend(&mut self.ledger.others[l], common.max(0.0), BEAT / DRIFT);
+            }
             self.relieve(now, l, orders);
         }
-        self.watch(now, &listed);
-        for s in self.sess.values().filter(|s| s.plays()) {
-            let g = s.ask.group.0 as usize;
-            let Group { top, earns, .. } = &self.figures.groups[g];
-            self.wished[g] += earns[s.ask.best_rung.min(*top) as usize] * BEAT;
-            self.got[g] += earns[s.rung as usize] * BEAT;
+        for &i in listed.iter().filter(|&&i| now - self.nodes.delivered_at[i] > SHORT_HOLDS) {
+            self.nodes.delivered[i] = 1.0;
         }
+        self.watch(now, &listed);
         for &i in &listed {
             self.rise(now, i, orders);
         }
         if now >= self.next_step {
             self.next_step = now + STEP;
             self.step();
-            self.favour_worst();
         }
         self.forget_gone();
     }
@@ -902,22 +893,6 @@
         }
     }
 
-    /// Lets the group that got least of its wish count for more, as the goal does, fading as they draw level.
-    fn favour_worst(&mut self) {
-        let parts: Vec<f64> = self.got.iter().zip(&self.wished).map(|(g, w)| g / w.max(1e-9)).collect();
-        let all: f64 = self.wished.iter().sum();
-        for g in 0..parts.len() {
-            let others = (0..parts.len()).filter(|&o| o != g && self.wished[o] > 0.0).map(|o| parts[o]);
-            let lead = others.fold(f64::INFINITY, f64::min) - parts[g];
-            let worst = if lead.is_finite() { (0.5 + lead / LEVEL).clamp(0.0, 1.0) } else { 0.0 };
-            self.favour[g] = if self.wished[g] > 0.0 {
-                1.0 + worst * self.figures.worst_group_weight * all / self.wished[g]
-            } else {
-                1.0
-            };
-        }
-    }
-
     /// A step of the shares: learn from the last, then keep or raise one node at the worst one's cost.
     fn step(&mut self) {
         let listed = self.listed();
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -162,6 +162,7 @@
     pub missing: Vec<f64>,
     pub shortages: Vec<f64>,
     pub delivered: Vec<f64>,
+    pub delivered_at: Vec<f64>,
     pub past_load: Vec<VecDeque<f64>>,
     pub past_pain: Vec<VecDeque<f64>>,
 }
@@ -195,6 +196,7 @@
         put(&mut self.missing, i, 0.0);
         put(&mut self.shortages, i, 0.0);
         put(&mut self.delivered, i, 1.0);
+        put(&mut self.delivered_at, i, f64::NEG_INFINITY);
         put(&mut self.past_load, i, VecDeque::new());
         put(&mut self.past_pain, i, VecDeque::new());
         i
--- a/crates/kelpdoor/src/terms.rs
+++ b/crates/kelpdoor/src/terms.rs
@@ -76,8 +76,6 @@
     /// A rung change costs so many seconds of the group's utility.
     pub switch_cost: f64,
     pub cross_zone_price: f64,
-    /// What the goal gives the worst-served group, for each part it gives the whole.
-    pub worst_group_weight: f64,
     pub max_setups: u32,
     pub may_withdraw: bool,
     /// The longest come-back time that viewers heed, where it may be given.
--- a/crates/kelpdoor/tests/helper/mod.rs
+++ b/crates/kelpdoor/tests/helper/mod.rs
@@ -81,7 +81,6 @@
         told_every: 3.0,
         switch_cost: 0.5,
         cross_zone_price: 0.0,
-        worst_group_weight: 0.3,
         max_setups: 3,
         may_withdraw: true,
         come_back: Some(1.0),
