--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -474,7 +474,7 @@
             return;
         }
         s.stage = Stage::Playing { since: now };
-        s.changed_at = f64::NEG_INFINITY;
+        s.changed_at = now;
         let i = s.node;
         let off = (p.took - self.setup_mean).abs();
         blend(&mut self.setup_dev, off, 0.1);
