--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -29,7 +29,7 @@
 const LEARN_RATE: f64 = 0.05; // weight for each payoff above the mean; slow, as payoffs are noisy
 const PAYOFF_MEMORY: f64 = 0.1; // part of the mean that a payoff replaces; about ten steps of memory
 const SETTLED: f64 = 0.5; // payoff; mean surprise under this after PAST steps: the actor has settled
-const FILL: f64 = 0.92; // of a link; set-ups fill this much, the rest is for what others send unseen
+const FILL: f64 = 0.87; // of a link; set-ups fill this much, the rest is for what others send unseen
 const RISE_FILL: f64 = 0.80; // of a link; under FILL, so that arrivals find room after rises
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
 const OVERFULL: f64 = 1.03; // of a link; over this delivery falls short, so sessions step down
@@ -474,7 +474,7 @@
             return;
         }
         s.stage = Stage::Playing { since: now };
-        s.changed_at = now;
+        s.changed_at = f64::NEG_INFINITY;
         let i = s.node;
         let off = (p.took - self.setup_mean).abs();
         blend(&mut self.setup_dev, off, 0.1);
