Let the others' streams at a node fade without reports

Fading of readings, shortages and streams is one mechanism now. Guards against any last bad word; could harm by one SETUP that a full node replies busy to.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -8,6 +8,7 @@
 //!   3. squeeze: a new session may take room from steps that earn less for each kB
 //!   4. further SETUPs: time-outs that leave time for another, within cap, budget and time left
 //!   5. own zone first, where crossing zones has a price
+//!   6. fading: what was last heard drifts to a common load where no news comes
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -540,18 +541,10 @@
 
     /// One SETUP there found no answer, so the others out there are called off to try elsewhere sooner.
     fn withdraw_all(&mut self, i: usize, but: SessId, orders: &mut impl Orders) {
-        if !self.figures.may_withdraw {
-            return;
-        }
-        let groups = &self.figures.groups;
-        for (&id, s) in &self.sess {
-            let freely = groups[s.ask.group.0 as usize].repeat == Repeat::Freely;
-            if id != but
-                && s.stage == Stage::Out
-                && s.node == i
-                && freely
-                && s.setups < self.figures.max_setups
-            {
+        let f = &self.figures;
+        let others = self.sess.iter().filter(|(id, s)| **id != but && s.stage == Stage::Out && s.node == i);
+        for (&id, s) in others.filter(|(_, s)| f.may_withdraw && s.setups < f.max_setups) {
+            if f.groups[s.ask.group.0 as usize].repeat == Repeat::Freely {
                 orders.withdraw(id, s.setups as u8 - 1);
             }
         }
@@ -583,8 +576,8 @@
         self.further.len() as f64 + 1.0 <= budget.free + budget.per_taken * self.taken.len() as f64
     }
 
-    /// Whether a node that may be cold takes a SETUP of ours now. All directors share a clock and know how many
-    /// they are, so each has slots of its own and no window can hold more than its budget. Under want of news
+    /// Whether a node that may be cold takes a SETUP of ours now. All directors share a clock and know how
+    /// many they are, so each has slots of its own and no window can hold more than its budget. Under want of news
     /// alone, as after our own start, a gap that keeps one director to half the budget is enough.
     fn cold_takes(&self, now: f64, i: usize) -> bool {
         let (f, last) = (&self.figures, self.nodes.cold_sent[i]);
@@ -793,29 +786,11 @@
             self.ask_at = f64::INFINITY;
         }
         let listed = self.listed();
-        if !self.figures.uplinks_told {
-            for r in 0..self.figures.racks {
-                let (size, whole) = (self.ledger.size[r], self.ledger.listed[r]);
-                self.ledger.size[r] = (size * (1.0 + UPLINK_REGROW * BEAT)).min(whole * SIZE_RANGE.1);
-            }
-        }
         let racks = self.figures.racks;
-        for l in (0..racks).chain(listed.iter().map(|&i| racks + i)) {
-            if self.ledger.read_at[l] > f64::NEG_INFINITY && now - self.ledger.read_at[l] > RISE_READING {
-                // No news for long: drift to a common load. A last reading that shut us out must not hold on,
-                // for without sessions there no other comes; one that was low must not invite more.
-                let common = UNREAD * self.ledger.size[l] - self.ledger.own[l];
-                blend(&mut self.ledger.others[l], common.max(0.0), BEAT / DRIFT);
-            }
-            self.relieve(now, l, orders);
-        }
-        for &i in listed.iter().filter(|&&i| now - self.nodes.delivered_at[i] > SHORT_HOLDS) {
-            self.nodes.delivered[i] = 1.0;
-        }
+        self.fade(now, &listed);
+        (0..racks).chain(listed.iter().map(|&i| racks + i)).for_each(|l| self.relieve(now, l, orders));
         self.watch(now, &listed);
-        for &i in &listed {
-            self.rise(now, i, orders);
-        }
+        listed.iter().for_each(|&i| self.rise(now, i, orders));
         if now >= self.next_step {
             self.next_step = now + STEP;
             self.step();
@@ -823,6 +798,29 @@
         self.forget_gone();
     }
 
+    /// Lets what was last heard fade where no news comes. A last bad word must not hold on: without sessions
+    /// there no other comes, so it would lock us out for good. A last good one must not invite more either.
+    fn fade(&mut self, now: f64, listed: &[usize]) {
+        let racks = self.figures.racks;
+        for l in (0..racks).chain(listed.iter().map(|&i| racks + i)) {
+            let (size, age) = (self.ledger.size[l], now - self.ledger.read_at[l]);
+            if l < racks && !self.figures.uplinks_told {
+                let most = self.ledger.listed[l] * SIZE_RANGE.1;
+                self.ledger.size[l] = (size * (1.0 + UPLINK_REGROW * BEAT)).min(most);
+            } else if age < f64::INFINITY && age > RISE_READING {
+                let common = (UNREAD * size - self.ledger.own[l]).max(0.0);
+                blend(&mut self.ledger.others[l], common, BEAT / DRIFT);
+            }
+        }
+        for &i in listed {
+            if now - self.nodes.delivered_at[i] > SHORT_HOLDS {
+                self.nodes.delivered[i] = 1.0;
+            }
+            // Reports come with endings of ours only; the others' sessions end unseen all the same.
+            blend(&mut self.nodes.other_streams[i], 0.0, BEAT / (2.0 * DRIFT));
+        }
+    }
+
     /// Steps down our part of what a link is over. Each director hears the same, so each takes its own share.
     fn relieve(&mut self, now: f64, l: usize, orders: &mut impl Orders) {
         let asked = self.asked(l);
@@ -917,9 +915,6 @@
             }
         }
         self.actor.learn(payoff);
-        if listed.len() < 2 {
-            return;
-        }
         let pain = |i: usize| self.nodes.past_pain[i].back().copied().unwrap_or(0.0);
         let floors: Vec<f64> =
             (0..self.nodes.id.len()).map(|i| SHARE_FLOOR * self.base_share(&listed, i)).collect();
--- a/crates/kelpdoor/tests/helper/mod.rs
+++ b/crates/kelpdoor/tests/helper/mod.rs
@@ -150,7 +150,12 @@
     /// The SETUP of a session ended in that way, at the node it was sent to last.
     pub fn ends(&mut self, sess: u64, how: Ending) {
         let node = self.trace.sent.iter().rev().find(|s| s.0 == SessId(sess)).expect("was sent").1;
-        let (sess, load) = (SessId(sess), LoadReport::default());
+        self.ends_at(sess, node.0, how, None);
+    }
+
+    pub fn ends_at(&mut self, sess: u64, node: u32, how: Ending, streams: Option<f64>) {
+        let (sess, node) = (SessId(sess), NodeId(node));
+        let load = LoadReport { streams, ..LoadReport::default() };
         self.round(|r| r.ended.push(Ended { sess, node, setup: 0, how, closed: false, load }));
     }
 
--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -350,6 +350,22 @@
     );
 }
 
+#[test]
+fn a_last_bad_reading_does_not_lock_a_node_out() {
+    let mut desk = Desk::new(&terms());
+    desk.hand_over(1, 0, 0);
+    desk.full(1, 0, 1.8);
+    desk.ends_at(1, 0, Ending::Served, Some(40.0));
+    desk.asks(2, 1);
+    desk.run_to(150.0);
+    desk.asks(3, 1);
+    check(&desk, expect![[r#"
+        100.0 sess 2 busy, come back Some(1.0)
+        150.0 sess 3 rung 1
+        150.0 sess 3 SETUP at 0, wait 0.45
+    "#]]);
+}
+
 #[test]
 fn a_lost_setup_goes_elsewhere_and_calls_off_the_others_there() {
     let mut desk = Desk::new(&terms());
