--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -577,8 +577,8 @@
     }
 
     /// Whether a node that may be cold takes a SETUP of ours now. All directors share a clock and know how
-    /// many they are, so each has slots of its own and no window can hold more than its budget. Under want of news
-    /// alone, as after our own start, a gap that keeps one director to half the budget is enough.
+    /// many they are, so each has slots of its own and no window can hold more than its budget. Under want of
+    /// news alone, as after our own start, a gap that keeps one director to half the budget is enough.
     fn cold_takes(&self, now: f64, i: usize) -> bool {
         let (f, last) = (&self.figures, self.nodes.cold_sent[i]);
         let budget = COLD_USE * f.cold_budget * self.nodes.places[i] * self.warmth(now, i);
--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -359,11 +359,14 @@
     desk.asks(2, 1);
     desk.run_to(150.0);
     desk.asks(3, 1);
-    check(&desk, expect![[r#"
+    check(
+        &desk,
+        expect![[r#"
         100.0 sess 2 busy, come back Some(1.0)
         150.0 sess 3 rung 1
         150.0 sess 3 SETUP at 0, wait 0.45
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
