--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -48,13 +48,12 @@
 const FRESH_READING: f64 = 0.15; // s; so soon after a session began a reading is of now, later ones are old
 const SETTLE: f64 = 0.8; // s; notes are smoothed: for so long after step-downs they show the old shortage
 const RISE_WAIT: (f64, f64) = (0.5, 2.0); // s; the random quiet wait before a rise, about a note's time
-const RISE_GAP: f64 = 6.0; // s; a session keeps its rung for so long at least, to be worth its change
+const RISE_GAP: f64 = 4.0; // s; a session keeps its rung for so long at least, to be worth its change
 const RISE_READING: f64 = 6.0; // s; an older reading is no ground to rise or blame: two notes were missed
 const LIFE: f64 = 20.0; // s; first guess of a session's remaining length, then learned
 const SQUEEZE_GAIN: f64 = 1.3; // times; a step earns so much more than those it displaces, as accounts err
 const DRIFT: f64 = 8.0; // s; an old reading drifts to a common load over about two notes' time
 const SHORT_HOLDS: f64 = 3.0; // s; notes of a shortage come each second, so after three missed it is over
-const BLIND_FILL: f64 = 0.5; // of a link; rises stop here before the first reading, as our own part is a guess
 const LOG: f64 = 8.0; // s; own load changes are remembered past the latest readings
 const UNUSUAL: f64 = 4.0; // deviations of a node's note gaps; a longer silence is unusual
 const GAP_SPREAD: f64 = 0.15; // s; least deviation of note gaps that is believed, for rounds and ways
@@ -865,22 +864,14 @@
     /// room there; where no step fits our part, one director in so many takes one that fits half the room.
     fn rise(&mut self, now: f64, i: usize, orders: &mut impl Orders) {
         let (l, r) = (self.link(i), self.rack(i));
-        let age = now - self.ledger.read_at[l];
-        let stale = age > RISE_READING && age < f64::INFINITY;
-        if now < self.nodes.rise_at[i] || self.nodes.delivered[i] < SHORT || stale {
+        if now < self.nodes.rise_at[i]
+            || self.nodes.delivered[i] < SHORT
+            || now - self.ledger.read_at[l] > RISE_READING
+        {
             return;
         }
         self.nodes.rise_at[i] = now + self.rise_wait();
-        let (mut link, uplink) = self.room(now, i, RISE_FILL);
-        if age == f64::INFINITY {
-            // Sessions handed over, and no reading yet: each director is thought to hold as much here as we do.
-            link = BLIND_FILL * self.ledger.size[l] - self.ledger.own[l] * self.figures.directors;
-        }
-        let uplink = if self.figures.uplinks_told && self.ledger.read_at[r] == f64::NEG_INFINITY {
-            BLIND_FILL * self.ledger.size[r] - self.ledger.own[r] * self.figures.directors
-        } else {
-            uplink
-        };
+        let (link, uplink) = self.room(now, i, RISE_FILL);
         let (whole, ours) = (link.min(uplink), self.our_part(l, link).min(self.our_part(r, uplink)));
         let lucky = self.rng.f64() * self.figures.directors < 1.0;
         let of = |s: &Sess| s.node == i && now - s.changed_at > RISE_GAP;
