Shun nodes that turn SETUPs away for longer each time

Against kinds not met yet: a node that errs or replies busy fast looks empty and draws every session (a black hole), the more so as any note lifted its bar; a list that loses a node and names it again with its old start made it cold for nothing; a link that gives nothing read as infinitely full. Could harm a node whose errors are the sessions' own.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -48,12 +48,13 @@
 const FRESH_READING: f64 = 0.15; // s; so soon after a session began a reading is of now, later ones are old
 const SETTLE: f64 = 0.8; // s; notes are smoothed: for so long after step-downs they show the old shortage
 const RISE_WAIT: (f64, f64) = (0.5, 2.0); // s; the random quiet wait before a rise, about a note's time
-const RISE_GAP: f64 = 4.0; // s; a session keeps its rung for so long at least, to be worth its change
+const RISE_GAP: f64 = 6.0; // s; a session keeps its rung for so long at least, to be worth its change
 const RISE_READING: f64 = 6.0; // s; an older reading is no ground to rise or blame: two notes were missed
 const LIFE: f64 = 20.0; // s; first guess of a session's remaining length, then learned
 const SQUEEZE_GAIN: f64 = 1.3; // times; a step earns so much more than those it displaces, as accounts err
 const DRIFT: f64 = 8.0; // s; an old reading drifts to a common load over about two notes' time
 const SHORT_HOLDS: f64 = 3.0; // s; notes of a shortage come each second, so after three missed it is over
+const FULLEST: f64 = 10.0; // times; a link that gives nothing reads as this full, so that it can recover
 const LOG: f64 = 8.0; // s; own load changes are remembered past the latest readings
 const UNUSUAL: f64 = 4.0; // deviations of a node's note gaps; a longer silence is unusual
 const GAP_SPREAD: f64 = 0.15; // s; least deviation of note gaps that is believed, for rounds and ways
@@ -185,7 +186,8 @@
         n.cell[i] = line.cell;
         n.size[i] = line.size.max(1e-3);
         n.places[i] = places;
-        let back = n.phase[i] == Phase::Gone && line.phase == Phase::Ready;
+        // Listed again with the old start, it never stopped: only the list had lost it.
+        let back = n.phase[i] == Phase::Gone && line.phase == Phase::Ready && line.up_since == 0.0;
         n.phase[i] = line.phase;
         if line.up_since > n.up_since[i] || (known.is_none() && !cached) || back {
             // A start we are told of: cold from then on, whatever we held against it before.
@@ -308,10 +310,10 @@
             }
         }
         if let Some(full) = e.load.link {
-            self.ledger.read(l, full, then, TRUST_REPORT);
+            self.ledger.read(l, full.min(FULLEST), then, TRUST_REPORT);
         }
         if let Some(full) = e.load.uplink {
-            self.ledger.read(r, full, then, TRUST_REPORT);
+            self.ledger.read(r, full.min(FULLEST), then, TRUST_REPORT);
         }
     }
 
@@ -324,6 +326,7 @@
                     Some(Stage::Playing { since }) => since,
                     _ => f64::NEG_INFINITY,
                 };
+                let asked = asked.min(FULLEST);
                 let fresh = now - since < FRESH_READING;
                 let then = if fresh { now } else { now - self.figures.seen_after };
                 if matches!(reading, Reading::Uplink { .. }) {
@@ -341,6 +344,7 @@
 
     /// Short delivery: of the link where the link's own figure explains it, else of the rack's uplink.
     fn delivered(&mut self, now: f64, node: NodeId, share: f64) {
+        let share = share.max(1.0 / FULLEST);
         let Some(&i) = self.nodes.index.get(&node) else { return };
         let (l, r, then) = (self.link(i), self.rack(i), now - self.figures.seen_after);
         let short = share < SHORT;
@@ -485,6 +489,7 @@
         if self.nodes.streams[i] <= 1.0 || self.nodes.noted_at[i] == f64::INFINITY {
             self.nodes.noted_at[i] = now + self.figures.seen_after;
         }
+        self.nodes.turned_away[i] = 0;
         self.heard(now, i);
     }
 
@@ -493,10 +498,15 @@
         let known = self.nodes.index.get(&e.node).copied();
         if let Some(i) = known {
             match e.how {
-                Ending::Served | Ending::Erred => self.heard(now, i),
-                Ending::BusyReplied => {
+                Ending::Served => self.heard(now, i),
+                Ending::Erred | Ending::BusyReplied => {
+                    // It lives but turns SETUPs away: left alone for longer each time until one plays again,
+                    // for a node that fails fast looks empty and would draw every session.
                     self.heard(now, i);
-                    self.nodes.barred_until[i] = now + BAR_FULL;
+                    let first = if e.how == Ending::Erred { BAR.0 } else { BAR_FULL };
+                    let longer = f64::from(1 << self.nodes.turned_away[i].min(8));
+                    self.nodes.shunned_until[i] = now + BAR.1.min(first * longer);
+                    self.nodes.turned_away[i] += 1;
                 }
                 Ending::Broken => {
                     // Its process died, so what the others had there is gone too.
@@ -611,7 +621,7 @@
             };
             off < s.ask.cells
                 && n.phase[i] == Phase::Ready
-                && now >= n.barred_until[i]
+                && now >= n.barred_until[i].max(n.shunned_until[i])
                 && !s.tried.contains(&n.id[i])
                 && n.streams[i] + n.other_streams[i] + 1.0 <= n.places[i]
                 && (now >= n.cold_until[i] || self.cold_takes(now, i))
@@ -864,10 +874,8 @@
     /// room there; where no step fits our part, one director in so many takes one that fits half the room.
     fn rise(&mut self, now: f64, i: usize, orders: &mut impl Orders) {
         let (l, r) = (self.link(i), self.rack(i));
-        if now < self.nodes.rise_at[i]
-            || self.nodes.delivered[i] < SHORT
-            || now - self.ledger.read_at[l] > RISE_READING
-        {
+        let stale = now - self.ledger.read_at[l] > RISE_READING;
+        if now < self.nodes.rise_at[i] || self.nodes.delivered[i] < SHORT || stale {
             return;
         }
         self.nodes.rise_at[i] = now + self.rise_wait();
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -150,6 +150,8 @@
     pub cold_sent: Vec<f64>,
     pub barred_until: Vec<f64>,
     pub strikes: Vec<i32>,
+    pub turned_away: Vec<i32>,
+    pub shunned_until: Vec<f64>,
     pub noted_at: Vec<f64>,
     pub gap_mean: Vec<f64>,
     pub gap_dev: Vec<f64>,
@@ -185,6 +187,8 @@
         put(&mut self.cold_sent, i, f64::NEG_INFINITY);
         put(&mut self.barred_until, i, f64::NEG_INFINITY);
         put(&mut self.strikes, i, 0);
+        put(&mut self.turned_away, i, 0);
+        put(&mut self.shunned_until, i, f64::NEG_INFINITY);
         put(&mut self.noted_at, i, f64::INFINITY);
         put(&mut self.gap_mean, i, 0.0);
         put(&mut self.gap_dev, i, 0.0);
