--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -55,7 +55,6 @@
 const DRIFT: f64 = 8.0; // s; an old reading drifts to a common load over about two notes' time
 const SHORT_HOLDS: f64 = 3.0; // s; notes of a shortage come each second, so after three missed it is over
 const FULLEST: f64 = 10.0; // times; a link that gives nothing reads as this full, so that it can recover
-const BLIND_FILL: f64 = 0.5; // of a link; rises stop here before the first reading, as our own part is a guess
 const LOG: f64 = 8.0; // s; own load changes are remembered past the latest readings
 const UNUSUAL: f64 = 4.0; // deviations of a node's note gaps; a longer silence is unusual
 const GAP_SPREAD: f64 = 0.15; // s; least deviation of note gaps that is believed, for rounds and ways
@@ -464,7 +463,6 @@
         self.sess.insert(ask.sess, sess);
         self.hold(now, ask.sess);
         self.nodes.noted_at[i] = now + self.figures.seen_after;
-        self.nodes.rise_at[i] = now + self.rise_wait();
     }
 
     fn take(&mut self, now: f64, ask: &NewSession, orders: &mut impl Orders) {
@@ -876,26 +874,15 @@
     /// room there; where no step fits our part, one director in so many takes one that fits half the room.
     fn rise(&mut self, now: f64, i: usize, orders: &mut impl Orders) {
         let (l, r) = (self.link(i), self.rack(i));
-        let age = now - self.ledger.read_at[l];
-        let (blind, stale) = (age == f64::INFINITY, age > RISE_READING && age < f64::INFINITY);
+        let stale = now - self.ledger.read_at[l] > RISE_READING;
         if now < self.nodes.rise_at[i] || self.nodes.delivered[i] < SHORT || stale {
             return;
         }
         self.nodes.rise_at[i] = now + self.rise_wait();
-        let (mut link, mut uplink) = self.room(now, i, RISE_FILL);
-        if blind {
-            // Handed over at the floor and no reading yet: the others are thought to hold as much as we do.
-            let guess =
-                |l: usize| BLIND_FILL * self.ledger.size[l] - self.ledger.own[l] * self.figures.directors;
-            link = guess(l);
-            if self.figures.uplinks_told && self.ledger.read_at[r] == f64::NEG_INFINITY {
-                uplink = guess(r);
-            }
-        }
+        let (link, uplink) = self.room(now, i, RISE_FILL);
         let (whole, ours) = (link.min(uplink), self.our_part(l, link).min(self.our_part(r, uplink)));
         let lucky = self.rng.f64() * self.figures.directors < 1.0;
-        let low = |s: &Sess| s.rung == self.figures.groups[s.ask.group.0 as usize].floor;
-        let of = |s: &Sess| s.node == i && now - s.changed_at > RISE_GAP && (!blind || low(s));
+        let of = |s: &Sess| s.node == i && now - s.changed_at > RISE_GAP;
         let (rises, kb) = self.walk(of, true, |used, kb, gain| {
             let left = if used == 0.0 && lucky { ours.max(whole / 2.0) } else { ours };
             gain > 0.0 && (used + kb) * (1.0 + RATE_SPREAD) <= left.min(whole)
