Think the others to add as much as we did since a reading

Guards also against any moment when all directors act on one old reading; could harm a director that alone gets a crowd.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -155,10 +155,7 @@
             ListChange::Changed(lines) => (lines, false, false),
             ListChange::Whole(lines) => (lines, true, false),
             ListChange::Cached(lines) => (lines, true, true),
-            ListChange::Unanswered => {
-                self.ask_at = now + self.rng.f64() + BEAT;
-                return;
-            }
+            ListChange::Unanswered => return self.ask_at = now + BEAT + self.rng.f64(),
         };
         if whole {
             for i in 0..self.nodes.id.len() {
@@ -276,13 +273,17 @@
         (self.ledger.own[l] + self.ledger.others[l]).max(0.0)
     }
 
-    /// kB a second left under `fill` of a link, less for an old reading.
+    /// kB a second left under `fill` of a link, less for an old reading, and for what we added since it: in a
+    /// crowd the others add as much in the same moment.
     fn left_under(&self, now: f64, l: usize, fill: f64, warmth: f64) -> f64 {
-        let f = &self.figures;
+        let (f, then) = (&self.figures, self.ledger.read_at[l]);
         let unseen = (f.directors - 1.0) / f.directors;
-        let age = now - self.ledger.read_at[l];
-        let stale = if l < f.racks && !f.uplinks_told { 0.0 } else { (age * STALE.0).min(STALE.1) * unseen };
-        (fill - stale) * self.ledger.size[l] * warmth - self.asked(l)
+        if l < f.racks && !f.uplinks_told {
+            return fill * self.ledger.size[l] - self.asked(l);
+        }
+        let stale = ((now - then) * STALE.0).min(STALE.1) * unseen;
+        let added = (self.ledger.own[l] - self.ledger.own_at(l, then)).max(0.0) * (f.directors - 1.0);
+        (fill - stale) * self.ledger.size[l] * warmth - self.asked(l) - added
     }
 
     fn room(&self, now: f64, i: usize, fill: f64) -> (f64, f64) {
