--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -282,7 +282,7 @@
             return fill * self.ledger.size[l] - self.asked(l);
         }
         let stale = ((now - then) * STALE.0).min(STALE.1) * unseen;
-        let added = (self.ledger.own[l] - self.ledger.own_at(l, then)).max(0.0) * (f.directors - 1.0);
+        let added = (self.ledger.own[l] - self.ledger.own_at(l, then)).max(0.0) * (f.directors - 1.0) * 0.5;
         (fill - stale) * self.ledger.size[l] * warmth - self.asked(l) - added
     }
 
