--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -36,6 +36,7 @@
 const OVERFULL: f64 = 1.03; // of a link; over this delivery falls short, so sessions step down
 const RELIEVED: f64 = 0.97; // of a link; step-downs aim here, between FILL and OVERFULL
 const UNREAD: f64 = 0.6; // of a link; how full one counts at least before it was read, a common load
+const CROWD: f64 = 0.5; // of what we add; each other director adds about so much unseen, as leans differ
 const RATE_SPREAD: f64 = 0.2; // of a rate; true rates lie off the ladder by up to a quarter, by title
 const STALE: (f64, f64) = (0.01, 0.12); // of a link a second, and at most; an old reading loses value
 const TRUST_REPORT: f64 = 0.4; // weight of a report against the account; reports are noisy and old
@@ -64,7 +65,6 @@
 const SETUP_TIME: f64 = 0.3; // s; first guess of set-up time, and the shortest time-out
 const SETUP_LATE: f64 = 6.0; // deviations; a SETUP that takes so much longer than usual is lost
 const SETUP_WAIT_PART: f64 = 0.45; // of the time to the start target; then another still starts in time
-const SETUP_TIME_LEFT: f64 = 0.1; // s; with less time left no further SETUP can succeed
 const COLD_USE: f64 = 0.8; // of the cold budget that all directors use; SETUPs differ in weight
 const COLD_FRESH: f64 = 5.0; // s; a director just started takes all nodes for just started: lists lag
 
@@ -282,7 +282,7 @@
             return fill * self.ledger.size[l] - self.asked(l);
         }
         let stale = ((now - then) * STALE.0).min(STALE.1) * unseen;
-        let added = (self.ledger.own[l] - self.ledger.own_at(l, then)).max(0.0) * (f.directors - 1.0) * 0.5;
+        let added = CROWD * (self.ledger.own[l] - self.ledger.own_at(l, then)).max(0.0) * (f.directors - 1.0);
         (fill - stale) * self.ledger.size[l] * warmth - self.asked(l) - added
     }
 
@@ -573,18 +573,12 @@
         }
     }
 
-    /// Whether another SETUP beyond a session's first fits the budget of the span.
-    fn further_fits(&mut self, now: f64) -> bool {
-        let Some(budget) = self.figures.further else {
-            return true;
-        };
-        while self.taken.front().is_some_and(|&t| t <= now - budget.span + BEAT) {
-            self.taken.pop_front();
-        }
-        while self.further.front().is_some_and(|&t| t < now - budget.span - BEAT) {
-            self.further.pop_front();
-        }
-        self.further.len() as f64 + 1.0 <= budget.free + budget.per_taken * self.taken.len() as f64
+    /// Whether another SETUP beyond a session's first fits the budget, a beat's doubt on the safe side.
+    fn further_fits(&self, now: f64) -> bool {
+        let Some(budget) = self.figures.further else { return true };
+        let taken = self.taken.iter().filter(|&&t| t > now - budget.span + BEAT).count() as f64;
+        let further = self.further.iter().filter(|&&t| t >= now - budget.span - BEAT).count() as f64;
+        further + 1.0 <= budget.free + budget.per_taken * taken
     }
 
     /// Whether a node that may be cold takes a SETUP of ours now. All directors share a clock and know how
@@ -646,13 +640,11 @@
             (Some((_, _, sent)), Repeat::Within(_)) => now - sent < group.repeat_window - BEAT,
         };
         let seats_ok = group.seats == 0 || self.seats.get(&(title, g)).copied().unwrap_or(0) < group.seats;
-        let time_ok = setups == 0 || left > SETUP_TIME_LEFT;
+        let time_ok = setups == 0 || left > BEAT;
         let may = repeat_ok && seats_ok && time_ok && setups < self.figures.max_setups;
         let found =
             if may && (setups == 0 || self.further_fits(now)) { self.choose(now, sess) } else { None };
-        let Some((i, rung, plan)) = found else {
-            return self.give_up(sess, orders);
-        };
+        let Some((i, rung, plan)) = found else { return self.give_up(sess, orders) };
         for (other, lower) in plan {
             self.set_rung(now, other, lower, orders);
         }
@@ -806,6 +798,9 @@
             self.next_step = now + STEP;
             self.step();
         }
+        let span = self.figures.further.map_or(0.0, |budget| budget.span) + 2.0 * BEAT;
+        self.taken.retain(|&t| t > now - span);
+        self.further.retain(|&t| t > now - span);
         self.forget_gone();
     }
 
