Let sagging uplinks grow back only while none of their nodes falls short

Told apart by the account: uplinks at 0.9 to 1.1 with half of their nodes short throughout. Could harm where one node's own slow link keeps its rack's uplink small.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -811,6 +811,10 @@
         for l in (0..racks).chain(listed.iter().map(|&i| racks + i)) {
             let (size, age) = (self.ledger.size[l], now - self.ledger.read_at[l]);
             if l < racks && !self.figures.uplinks_told {
+                // Not while any of its nodes falls short: it would be tried again in the midst of the sag.
+                if listed.iter().any(|&i| self.rack(i) == l && self.nodes.delivered[i] < SHORT) {
+                    continue;
+                }
                 let most = self.ledger.listed[l] * SIZE_RANGE.1;
                 self.ledger.size[l] = (size * (1.0 + UPLINK_REGROW * BEAT)).min(most);
             } else if age < f64::INFINITY && age > RISE_READING {
