--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -134,7 +134,6 @@
         round.list_changes.iter().for_each(|change| self.list(now, change));
         round.handed_over.iter().for_each(|(ask, node)| self.adopt(now, ask, *node));
         round.playing.iter().for_each(|playing| self.plays(now, playing));
-        round.readings.iter().for_each(|reading| self.delivery(now, reading));
         round.readings.iter().for_each(|reading| self.reading(now, reading));
         let owed: Vec<SessId> = round.ended.iter().filter_map(|e| self.ended(now, e, orders)).collect();
         round.departures.iter().for_each(|&sess| self.departs(sess, orders));
@@ -344,22 +343,18 @@
         }
     }
 
-    /// Takes down what a node delivered, before anything is blamed for it: racks are judged by all their nodes.
-    fn delivery(&mut self, now: f64, reading: &Reading) {
-        let Reading::Delivered { node, share } = *reading else { return };
-        let Some(&i) = self.nodes.index.get(&node) else { return };
-        let n = &mut self.nodes;
-        n.shortages[i] += f64::from(u8::from(share < SHORT && n.delivered[i] >= SHORT));
-        n.missing[i] += (1.0 - share).max(0.0);
-        (n.delivered[i], n.delivered_at[i]) = (share, now);
-    }
-
     /// Short delivery: of the link where the link's own figure explains it, else of the rack's uplink.
     fn delivered(&mut self, now: f64, node: NodeId, share: f64) {
+        let share = share.max(1.0 / FULLEST);
         let Some(&i) = self.nodes.index.get(&node) else { return };
         let (l, r, then) = (self.link(i), self.rack(i), now - self.figures.seen_after);
-        let share = share.max(1.0 / FULLEST);
-        if share >= SHORT {
+        let short = share < SHORT;
+        if short && self.nodes.delivered[i] >= SHORT {
+            self.nodes.shortages[i] += 1.0;
+        }
+        (self.nodes.delivered[i], self.nodes.delivered_at[i]) = (share, now);
+        self.nodes.missing[i] += (1.0 - share).max(0.0);
+        if !short {
             return;
         }
         let wait = self.rise_wait();
--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -369,6 +369,85 @@
     );
 }
 
+#[test]
+fn a_crowd_does_not_fill_a_link_on_one_reading() {
+    // Six directors may be sending here in the same moment, so each sends less than one alone would.
+    let setups = |directors| {
+        let mut desk = Desk::new(&Terms { directors, ..terms() });
+        desk.hand_over(1, 0, 0);
+        desk.full(1, 0, 0.3);
+        (2..20).for_each(|sess| desk.asks(sess, 1));
+        desk.trace.sent.len()
+    };
+    expect![[r#"
+        [
+            3,
+            2,
+            1,
+        ]
+    "#]]
+    .assert_debug_eq(&[1, 2, 6].map(setups));
+}
+
+#[test]
+fn a_node_that_turns_setups_away_is_shunned_for_longer_each_time() {
+    let mut desk = Desk::new(&terms());
+    for sess in 1..=40 {
+        let before = desk.trace.sent.len();
+        desk.asks(sess, 1);
+        if desk.trace.sent.len() > before {
+            desk.ends(sess, Ending::Erred);
+        }
+        desk.run_to(desk.now + 0.5);
+    }
+    let times = desk.trace.text.lines().filter(|l| l.contains("SETUP")).map(|l| &l[..5]);
+    expect![[r#"
+        "100.0 103.5 110.0"
+    "#]]
+    .assert_debug_eq(&times.collect::<Vec<_>>().join(" "));
+}
+
+#[test]
+fn a_link_that_gives_nothing_recovers() {
+    let mut desk = Desk::new(&terms());
+    desk.hand_over(1, 0, 0);
+    desk.full(1, 0, f64::INFINITY);
+    desk.delivered(0, 0.0);
+    desk.asks(2, 1);
+    desk.run_to(160.0);
+    desk.asks(3, 1);
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 2 busy, come back Some(1.0)
+        160.0 sess 3 rung 1
+        160.0 sess 3 SETUP at 0, wait 0.45
+    "#]],
+    );
+}
+
+#[test]
+fn a_node_listed_again_with_its_old_start_is_not_cold() {
+    let mut desk = Desk::new(&terms());
+    for phase in [Phase::Gone, Phase::Ready] {
+        desk.round(|r| r.list_changes.push(ListChange::Changed(vec![line(0, phase, 50.0)])));
+    }
+    for sess in 1..=3 {
+        desk.asks(sess, 1);
+    }
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 0, wait 0.45
+        100.0 sess 2 rung 2
+        100.0 sess 2 SETUP at 0, wait 0.45
+        100.0 sess 3 rung 2
+        100.0 sess 3 SETUP at 0, wait 0.45
+    "#]],
+    );
+}
+
 #[test]
 fn a_lost_setup_goes_elsewhere_and_calls_off_the_others_there() {
     let mut desk = Desk::new(&terms());
