--- a/crates/kelpdoor-benchlink/src/main.rs
+++ b/crates/kelpdoor-benchlink/src/main.rs
@@ -9,7 +9,7 @@
 use std::io::{self, BufReader, BufWriter, Write};
 use std::process::ExitCode;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, ensure};
 use kelpdoor::{Director, Round};
 
 use crate::decode::{Indication, ReportFields, Sheets};
@@ -20,6 +20,7 @@
     director: Director,
     round: Round,
     report: ReportFields,
+    groups: usize,
     touched: bool,
 }
 
@@ -35,8 +36,9 @@
         decode::batch(&head, &buf, &mut sheets, |instance, what| {
             match what {
                 Indication::Start { seed, terms, report } => {
+                    let groups = terms.groups.len();
                     let director = Director::new(&terms, seed, now);
-                    let seat = Seat { director, round: Round::default(), report, touched: true };
+                    let seat = Seat { director, round: Round::default(), report, groups, touched: true };
                     seats.insert(instance, seat);
                 }
                 Indication::PowerOff => {
@@ -47,6 +49,11 @@
                         .get_mut(&instance)
                         .with_context(|| format!("instance {instance} was never started"))?;
                     put(&mut seat.round, &seat.report);
+                    let handed = seat.round.handed_over.last().map(|(s, _)| s);
+                    for sess in handed.into_iter().chain(seat.round.new_sessions.last()) {
+                        let group = sess.group.0;
+                        ensure!(usize::from(group) < seat.groups, "the class {group} is in no settings");
+                    }
                     seat.touched = true;
                 }
             }
--- a/crates/kelpdoor/src/figures.rs
+++ b/crates/kelpdoor/src/figures.rs
@@ -53,7 +53,7 @@
 impl Figures {
     pub fn new(terms: &Terms) -> Self {
         let group = |g: &GroupTerms| {
-            let top = g.top.min(terms.ladder.len() as u8 - 1);
+            let top = g.top.min(u8::try_from(terms.ladder.len() - 1).unwrap_or(u8::MAX));
             Group {
                 start_target: g.start_target,
                 floor: g.floor.min(top),
