--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -33,8 +33,8 @@
 const FILL: f64 = 0.90; // of a link; set-ups fill this much, the rest is for what others send unseen
 const RISE_FILL: f64 = 0.80; // of a link; under FILL, so that arrivals find room after rises
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
-const OVERFULL: f64 = 1.03; // of a link; over this delivery falls short, so sessions step down
-const RELIEVED: f64 = 0.97; // of a link; step-downs aim here, between FILL and OVERFULL
+const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; over the first sessions step down, to the second
+const RELIEF_UPLINK: (f64, f64) = (1.0, 0.94); // the same of an uplink: more viewers suffer, news is later
 const UNREAD: f64 = 0.6; // of a link; how full one counts at least before it was read, a common load
 const CROWD: f64 = 0.5; // of what we add; each other director adds about so much unseen, as leans differ
 const RATE_SPREAD: f64 = 0.2; // of a rate; true rates lie off the ladder by up to a quarter, by title
@@ -835,7 +835,8 @@
     fn relieve(&mut self, now: f64, l: usize, orders: &mut impl Orders) {
         let asked = self.asked(l);
         let racks = self.figures.racks;
-        if asked <= OVERFULL * self.ledger.size[l] || self.ledger.own[l] <= 0.0 {
+        let (over, to) = if l < racks { RELIEF_UPLINK } else { RELIEF };
+        if asked <= over * self.ledger.size[l] || self.ledger.own[l] <= 0.0 {
             return;
         }
         // Only on news; for an uplink, which all share, on such that shows what the others did about it.
@@ -843,7 +844,7 @@
         if self.ledger.read_at[l] <= self.ledger.eased_at[l] + heard {
             return;
         }
-        let need = self.ledger.own[l] * (asked - RELIEVED * self.ledger.size[l]) / asked;
+        let need = self.ledger.own[l] * (asked - to * self.ledger.size[l]) / asked;
         let at = |i: usize| {
             if l < racks { self.rack(i) == l } else { self.link(i) == l }
         };
