Let the chance of a large rise count all nodes of a bound rack

Told apart: uplinks at 1.0 to 1.1 for 20 s while their links stood at 0.3 to 0.9. Could harm where other nodes of the rack have no sessions that could rise.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -25,16 +25,14 @@
 const STEP: f64 = 2.0; // s; a step of the shares, the design's own start value
 const PAST: usize = 20; // steps; loads and quality figures kept for each node, the paper's k
 const RAISES: [f64; 3] = [1.0, 5.0, 10.0]; // thousandths for three nodes; the paper's, scaled by 3/m
-const SHARE_FLOOR: f64 = 0.2; // of a link-size share; small, so that a node is never forgotten
-const SHARE_CAP: f64 = 2.0; // of a link-size share; the design's bound
+const SHARES: (f64, f64) = (0.2, 2.0); // of a link-size share; floor, to forget no node, and the design's cap
 const LEARN_RATE: f64 = 0.05; // weight for each payoff above the mean; slow, as payoffs are noisy
 const PAYOFF_MEMORY: f64 = 0.1; // part of the mean that a payoff replaces; about ten steps of memory
 const SETTLED: f64 = 0.5; // payoff; mean surprise under this after PAST steps: the actor has settled
 const FILL: f64 = 0.90; // of a link; set-ups fill this much, the rest is for what others send unseen
 const RISE_FILL: f64 = 0.80; // of a link; under FILL, so that arrivals find room after rises
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
-const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; over the first sessions step down, to the second
-const RELIEF_UPLINK: (f64, f64) = (1.0, 0.94); // the same of an uplink: more viewers suffer, news is later
+const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; fuller, sessions step down, to under where it falls short
 const UNREAD: f64 = 0.6; // of a link; how full one counts at least before it was read, a common load
 const CROWD: f64 = 0.5; // of what we add; each other director adds about so much unseen, as leans differ
 const RATE_SPREAD: f64 = 0.2; // of a rate; true rates lie off the ladder by up to a quarter, by title
@@ -235,7 +233,7 @@
             for &i in &listed {
                 let base = self.base_share(&listed, i);
                 let share = self.nodes.share[i] * 1000.0 / sum;
-                self.nodes.share[i] = share.clamp(SHARE_FLOOR * base, SHARE_CAP * base);
+                self.nodes.share[i] = share.clamp(SHARES.0 * base, SHARES.1 * base);
             }
         }
     }
@@ -835,8 +833,7 @@
     fn relieve(&mut self, now: f64, l: usize, orders: &mut impl Orders) {
         let asked = self.asked(l);
         let racks = self.figures.racks;
-        let (over, to) = if l < racks { RELIEF_UPLINK } else { RELIEF };
-        if asked <= over * self.ledger.size[l] || self.ledger.own[l] <= 0.0 {
+        if asked <= RELIEF.0 * self.ledger.size[l] || self.ledger.own[l] <= 0.0 {
             return;
         }
         // Only on news; for an uplink, which all share, on such that shows what the others did about it.
@@ -844,7 +841,7 @@
         if self.ledger.read_at[l] <= self.ledger.eased_at[l] + heard {
             return;
         }
-        let need = self.ledger.own[l] * (asked - to * self.ledger.size[l]) / asked;
+        let need = self.ledger.own[l] * (asked - RELIEF.1 * self.ledger.size[l]) / asked;
         let at = |i: usize| {
             if l < racks { self.rack(i) == l } else { self.link(i) == l }
         };
@@ -882,7 +879,9 @@
         self.nodes.rise_at[i] = now + self.rise_wait();
         let (link, uplink) = self.room(now, i, RISE_FILL);
         let (whole, ours) = (link.min(uplink), self.our_part(l, link).min(self.our_part(r, uplink)));
-        let lucky = self.rng.f64() * self.figures.directors < 1.0;
+        // An uplink's room is also that of its other nodes, at each of which every director has a chance.
+        let nodes = self.listed().into_iter().filter(|&o| uplink < link && self.rack(o) == r).count().max(1);
+        let lucky = self.rng.f64() * self.figures.directors * (nodes as f64) < 1.0;
         let of = |s: &Sess| s.node == i && now - s.changed_at > RISE_GAP;
         let (rises, kb) = self.walk(of, true, |used, kb, gain| {
             let left = if used == 0.0 && lucky { ours.max(whole / 2.0) } else { ours };
@@ -926,7 +925,7 @@
         self.actor.learn(payoff);
         let pain = |i: usize| self.nodes.past_pain[i].back().copied().unwrap_or(0.0);
         let floors: Vec<f64> =
-            (0..self.nodes.id.len()).map(|i| SHARE_FLOOR * self.base_share(&listed, i)).collect();
+            (0..self.nodes.id.len()).map(|i| SHARES.0 * self.base_share(&listed, i)).collect();
         let mut ranked = listed.clone();
         ranked.sort_by(|&a, &b| pain(b).total_cmp(&pain(a)).then(self.nodes.id[a].cmp(&self.nodes.id[b])));
         let worst = ranked.into_iter().find(|&i| self.nodes.share[i] > floors[i] + 1e-9);
@@ -945,7 +944,7 @@
         if to == from {
             return;
         }
-        let cap = SHARE_CAP * self.base_share(&listed, to) - self.nodes.share[to];
+        let cap = SHARES.1 * self.base_share(&listed, to) - self.nodes.share[to];
         let by =
             (by * 3.0 / listed.len() as f64).min(self.nodes.share[from] - floors[from]).min(cap).max(0.0);
         self.nodes.share[to] += by;
