--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -32,7 +32,7 @@
 const FILL: f64 = 0.90; // of a link; set-ups fill this much, the rest is for what others send unseen
 const RISE_FILL: f64 = 0.80; // of a link; under FILL, so that arrivals find room after rises
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
-const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; fuller, sessions step down, to under where it falls short
+const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; fuller, sessions step down, to where none is short
 const UNREAD: f64 = 0.6; // of a link; how full one counts at least before it was read, a common load
 const CROWD: f64 = 0.5; // of what we add; each other director adds about so much unseen, as leans differ
 const RATE_SPREAD: f64 = 0.2; // of a rate; true rates lie off the ladder by up to a quarter, by title
@@ -703,6 +703,14 @@
                 (offer.1, offer.2) = (rung, plan);
             }
         }
+        if offers.iter().all(|o| o.1 < 0) {
+            // Before a busy reply, the floor up to where all directors step down: theirs may stand higher.
+            for offer in &mut offers {
+                let (link, uplink) = self.room(now, offer.0, RELIEF.0);
+                offer.1 =
+                    if group.kb[group.floor as usize] <= link.min(uplink) { group.floor.into() } else { -1 };
+            }
+        }
         let wanted = offers.iter().map(|o| o.1).max().filter(|&r| r >= 0)?;
         offers.retain(|o| o.1 == wanted);
         if self.figures.near_first && offers.iter().any(|o| self.nodes.zone[o.0] == self.figures.zone) {
