Bring all tuned values into the one block

One memory serves all running means, the cold slot and the least fullness for a view of size have names.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -27,7 +27,7 @@
 const RAISES: [f64; 3] = [1.0, 5.0, 10.0]; // thousandths for three nodes; the paper's, scaled by 3/m
 const SHARES: (f64, f64) = (0.2, 2.0); // of a link-size share; floor, to forget no node, and the design's cap
 const LEARN_RATE: f64 = 0.05; // weight for each payoff above the mean; slow, as payoffs are noisy
-const PAYOFF_MEMORY: f64 = 0.1; // part of the mean that a payoff replaces; about ten steps of memory
+const MEMORY: f64 = 0.1; // part of a running mean that a new figure replaces; about ten figures' memory
 const SETTLED: f64 = 0.5; // payoff; mean surprise under this after PAST steps: the actor has settled
 const FILL: f64 = 0.90; // of a link; set-ups fill this much, the rest is for what others send unseen
 const RISE_FILL: f64 = 0.80; // of a link; under FILL, so that arrivals find room after rises
@@ -41,8 +41,8 @@
 const TRUST_READING: f64 = 0.8; // weight of a reading; readings carry little noise
 const TRUST_SIZE: f64 = 0.1; // weight of a view of a link's size; one view errs by a third
 const SIZE_RANGE: (f64, f64) = (0.2, 1.6); // of the listed size; beyond this a view is in error
+const SIZE_FROM: f64 = 0.2; // of a link; emptier ones tell too little of their size
 const UPLINK_REGROW: f64 = 0.05; // a second; an uplink that sagged is tried again over some 20 s
-const LINK_EXPLAINS: f64 = 0.9; // of a shortage; a link that explains so much is the cause, not its rack
 const REPORT_AGE: f64 = 0.4; // s; age of a load report on arrival, by typical refresh and way
 const FRESH_READING: f64 = 0.15; // s; so soon after a session began a reading is of now, later ones are old
 const SETTLE: f64 = 0.8; // s; notes are smoothed: for so long after step-downs they show the old shortage
@@ -51,10 +51,9 @@
 const RISE_READING: f64 = 6.0; // s; an older reading is no ground to rise or blame: two notes were missed
 const LIFE: f64 = 20.0; // s; first guess of a session's remaining length, then learned
 const SQUEEZE_GAIN: f64 = 1.3; // times; a step earns so much more than those it displaces, as accounts err
-const DRIFT: f64 = 8.0; // s; an old reading drifts to a common load over about two notes' time
+const DRIFT: f64 = 8.0; // s; an old reading drifts to a common load, own changes are remembered as long
 const SHORT_HOLDS: f64 = 3.0; // s; notes of a shortage come each second, so after three missed it is over
 const FULLEST: f64 = 10.0; // times; a link that gives nothing reads as this full, so that it can recover
-const LOG: f64 = 8.0; // s; own load changes are remembered past the latest readings
 const UNUSUAL: f64 = 4.0; // deviations of a node's note gaps; a longer silence is unusual
 const GAP_SPREAD: f64 = 0.15; // s; least deviation of note gaps that is believed, for rounds and ways
 const BEAT_SPREAD: f64 = 1.0; // s; notes of one beat come in within this of each other
@@ -64,6 +63,7 @@
 const SETUP_LATE: f64 = 6.0; // deviations; a SETUP that takes so much longer than usual is lost
 const SETUP_WAIT_PART: f64 = 0.45; // of the time to the start target; then another still starts in time
 const COLD_USE: f64 = 0.8; // of the cold budget that all directors use; SETUPs differ in weight
+const COLD_SLOT: (f64, f64) = (1.6, 0.35); // windows; a lone SETUP's slot and its open part: one a window
 const COLD_FRESH: f64 = 5.0; // s; a director just started takes all nodes for just started: lists lag
 
 /// Sessions and the lower rungs that they are to have.
@@ -97,7 +97,7 @@
 impl Director {
     pub fn new(terms: &Terms, seed: u64, now: f64) -> Self {
         let figures = Figures::new(terms);
-        let mut ledger = Ledger { keep: LOG, ..Ledger::default() };
+        let mut ledger = Ledger { keep: DRIFT, ..Ledger::default() };
         for _ in 0..figures.racks {
             ledger.grow(if figures.rack_uplink > 0.0 { figures.rack_uplink } else { f64::MAX / 4.0 });
         }
@@ -245,7 +245,7 @@
             return 1.0;
         }
         let part = ((now - self.nodes.cold_since[i]) / f.warm_within.max(1e-3)).clamp(0.0, 1.0);
-        (f.cold_from + (1.0 - f.cold_from) * part).clamp(0.05, 1.0)
+        (f.cold_from + (1.0 - f.cold_from) * part).min(1.0)
     }
 
     /// What is asked of a link or uplink by our account.
@@ -298,7 +298,7 @@
             blend(&mut self.nodes.other_streams[i], others, TRUST_REPORT);
             // Streams over fullness tell the link's size: others' sessions ask what ours ask on average.
             let (mine, count) = (self.ledger.own[l], self.nodes.streams[i]);
-            if let Some(full) = e.load.link.filter(|&x| x > 0.2 && count >= 2.0) {
+            if let Some(full) = e.load.link.filter(|&x| x > SIZE_FROM && count >= 2.0) {
                 let size = mine / count * (count + others) / full;
                 let (old, before) = (self.ledger.size[l], self.asked(l));
                 self.ledger.resize(l, old + TRUST_SIZE * (size - old), SIZE_RANGE);
@@ -386,7 +386,7 @@
         let (short, all) = ours.fold((0, 0), |(short, all), i| {
             let (l, share) = (self.link(i), self.nodes.delivered[i]);
             let recent = now - self.ledger.read_at[l] < RISE_READING;
-            let unexplained = self.asked(l) / self.ledger.size[l] * share < LINK_EXPLAINS;
+            let unexplained = self.asked(l) / self.ledger.size[l] * share < FILL;
             (short + i32::from(share < SHORT && recent && unexplained), all + 1)
         });
         short >= 2 && short * 2 > all
@@ -398,8 +398,8 @@
         let gap = now - n.noted_at[i];
         if gap > GAP_SPREAD {
             let off = (gap - n.gap_mean[i]).abs();
-            blend(&mut n.gap_dev[i], off, 0.1);
-            blend(&mut n.gap_mean[i], gap, 0.1);
+            blend(&mut n.gap_dev[i], off, MEMORY);
+            blend(&mut n.gap_mean[i], gap, MEMORY);
         }
         n.noted_at[i] = now;
         self.fleet_noted = self.fleet_noted.max(now);
@@ -473,16 +473,13 @@
     }
 
     fn plays(&mut self, now: f64, p: &Playing) {
-        let Some(s) = self.sess.get_mut(&p.sess) else { return };
-        if s.stage != Stage::Out {
-            return;
-        }
+        let Some(s) = self.sess.get_mut(&p.sess).filter(|s| s.stage == Stage::Out) else { return };
         s.stage = Stage::Playing { since: now };
         s.changed_at = f64::NEG_INFINITY;
         let i = s.node;
         let off = (p.took - self.setup_mean).abs();
-        blend(&mut self.setup_dev, off, 0.1);
-        blend(&mut self.setup_mean, p.took, 0.1);
+        blend(&mut self.setup_dev, off, MEMORY);
+        blend(&mut self.setup_mean, p.took, MEMORY);
         let starts = &mut self.nodes.starts[i];
         *starts = (starts.0 + p.took, starts.1 + 1.0);
         if self.nodes.streams[i] <= 1.0 || self.nodes.noted_at[i] == f64::INFINITY {
@@ -530,7 +527,7 @@
             && since > f64::NEG_INFINITY
         {
             // What has been is the best guess of what a session still has before it.
-            blend(&mut self.life, now - since, 0.05);
+            blend(&mut self.life, now - since, MEMORY);
         }
         self.release(now, e.sess);
         let s = self.sess.get_mut(&e.sess)?;
@@ -589,9 +586,10 @@
             return now - last >= 2.0 * f.fall_window / budget.max(1e-3);
         }
         let few = budget < 2.0;
-        let slot = (if few { 1.6 * f.fall_window } else { f.fall_window / (budget.floor() - 1.0) }).max(1e-3);
+        let slot = (if few { COLD_SLOT.0 * f.fall_window } else { f.fall_window / (budget.floor() - 1.0) })
+            .max(1e-3);
         let turn = (now / slot).floor();
-        let mine = turn.rem_euclid(f.directors) == f.me as f64 && (!few || now / slot - turn < 0.35);
+        let mine = turn.rem_euclid(f.directors) == f.me as f64 && (!few || now / slot - turn < COLD_SLOT.1);
         mine && (last / slot).floor() != turn
     }
 
@@ -625,10 +623,7 @@
 
     /// Places a session that is owed an answer, or gives it up at once.
     fn place(&mut self, now: f64, sess: SessId, orders: &mut impl Orders) {
-        let Some(s) = self.sess.get(&sess) else { return };
-        if s.stage != Stage::Owed {
-            return;
-        }
+        let Some(s) = self.sess.get(&sess).filter(|s| s.stage == Stage::Owed) else { return };
         let (setups, left) = (s.setups, s.deadline - now);
         let (title, g) = (s.ask.title, s.ask.group.0);
         let group = &self.figures.groups[g as usize];
@@ -703,14 +698,6 @@
                 (offer.1, offer.2) = (rung, plan);
             }
         }
-        if offers.iter().all(|o| o.1 < 0) {
-            // Before a busy reply, the floor up to where all directors step down: theirs may stand higher.
-            for offer in &mut offers {
-                let (link, uplink) = self.room(now, offer.0, RELIEF.0);
-                offer.1 =
-                    if group.kb[group.floor as usize] <= link.min(uplink) { group.floor.into() } else { -1 };
-            }
-        }
         let wanted = offers.iter().map(|o| o.1).max().filter(|&r| r >= 0)?;
         offers.retain(|o| o.1 == wanted);
         if self.figures.near_first && offers.iter().any(|o| self.nodes.zone[o.0] == self.figures.zone) {
@@ -974,8 +961,8 @@
         for (w, n) in self.weights.iter_mut().zip(self.nudge) {
             *w += LEARN_RATE * better * n;
         }
-        blend(&mut self.payoff_mean, payoff, PAYOFF_MEMORY);
-        blend(&mut self.surprise, better.abs(), PAYOFF_MEMORY);
+        blend(&mut self.payoff_mean, payoff, MEMORY);
+        blend(&mut self.surprise, better.abs(), MEMORY);
         self.steps += 1;
     }
 
