Write every action of the wire and hear probe answers

The adapter encodes all actions, with a kept trace of the bytes, and decodes probe answers, which the module hears like any other word of a node.

--- a/crates/kelpdoor-benchlink/src/decode.rs
+++ b/crates/kelpdoor-benchlink/src/decode.rs
@@ -113,7 +113,18 @@
             let p = Playing { sess: SessId(r.u64(2)?), node: NodeId(r.u32(11)?), took: r.f64(15)? / 1000.0 };
             came(move |round| round.playing.push(p))
         }
-        260 | 262 | 267 => came(|_| ()),
+        // Wake-ups carry nothing; what other directors say is read and passed over, as none is asked for.
+        260 => came(|_| ()),
+        262 => {
+            tail_part(r, 6, 1, tail)?;
+            came(|_| ())
+        }
+        267 => {
+            let (node, how, load) = (NodeId(r.u32(2)?), ending(r.u8(6)?)?, gauge(r, 15)?);
+            Some(Indication::Came(Box::new(move |round, report| {
+                round.probed.push((node, how, report.report(&load)));
+            })))
+        }
         263 => {
             let (ended, load) = ended(r)?;
             Some(Indication::Came(Box::new(move |round, report| {
@@ -177,8 +188,8 @@
     })
 }
 
-fn ended(r: &Bytes) -> Result<(Ended, Vec<f64>)> {
-    let how = match r.u8(22)? {
+fn ending(code: u8) -> Result<Ending> {
+    Ok(match code {
         0 => Ending::Served,
         5 => Ending::Erred,
         11 => Ending::BusyReplied,
@@ -188,17 +199,23 @@
         114 => Ending::Moot,
         125 => Ending::Withdrawn,
         other => bail!("the outcome {other} is unknown"),
-    };
-    let values = r.u8(25)? as usize;
+    })
+}
+
+fn gauge(r: &Bytes, at: usize) -> Result<Vec<f64>> {
+    let values = r.u8(at)? as usize;
     ensure!(values <= 4, "a load report of {values} values");
-    let load = (0..values).map(|i| r.f32(26 + 4 * i)).collect::<Result<Vec<_>>>()?;
+    (0..values).map(|i| r.f32(at + 1 + 4 * i)).collect()
+}
+
+fn ended(r: &Bytes) -> Result<(Ended, Vec<f64>)> {
     let ended = Ended {
         sess: SessId(r.u64(2)?),
         node: NodeId(r.u32(10)?),
         setup: r.u8(23)?,
-        how,
+        how: ending(r.u8(22)?)?,
         closed: r.u8(24)? != 0,
         load: LoadReport::default(),
     };
-    Ok((ended, load))
+    Ok((ended, gauge(r, 25)?))
 }
--- a/crates/kelpdoor-benchlink/src/encode.rs
+++ b/crates/kelpdoor-benchlink/src/encode.rs
@@ -12,6 +12,7 @@
 pub struct Reply {
     bytes: Vec<u8>,
     records: u32,
+    tail: Vec<u8>,
 }
 
 impl Reply {
@@ -19,7 +20,7 @@
         let mut bytes = Vec::with_capacity(HEADER + 16 * RECORD);
         bytes.extend_from_slice(&number.to_le_bytes());
         bytes.resize(HEADER, 0);
-        Reply { bytes, records: 0 }
+        Reply { bytes, records: 0, tail: Vec::new() }
     }
 
     /// What follows is for that instance.
@@ -28,12 +29,23 @@
     }
 
     pub fn finish(mut self) -> Vec<u8> {
+        self.bytes.append(&mut self.tail);
         let len = self.bytes.len() as u32;
         self.bytes[4..8].copy_from_slice(&len.to_le_bytes());
         self.bytes[8..12].copy_from_slice(&self.records.to_le_bytes());
         self.bytes
     }
 
+    /// Puts bytes into the tail; where they start and how many they are.
+    fn in_tail(&mut self, bytes: &[u8]) -> [u8; 8] {
+        let (start, len) = (self.tail.len() as u32, bytes.len() as u32);
+        self.tail.extend_from_slice(bytes);
+        let mut field = [0; 8];
+        field[..4].copy_from_slice(&start.to_le_bytes());
+        field[4..].copy_from_slice(&len.to_le_bytes());
+        field
+    }
+
     fn record(&mut self, code: u16, fields: &[&[u8]]) {
         let start = self.bytes.len();
         self.bytes.extend_from_slice(&code.to_le_bytes());
@@ -75,11 +87,89 @@
         self.record(269, &[&sess.0.to_le_bytes()]);
     }
 
-    fn subscribe(&mut self) {
-        self.record(266, &[&[1]]);
+    fn subscribe(&mut self, on: bool) {
+        self.record(266, &[&[on.into()]]);
+    }
+
+    fn fetch_list(&mut self) {
+        self.record(267, &[]);
+    }
+
+    fn probe(&mut self, node: NodeId) {
+        self.record(261, &[&node.0.to_le_bytes()]);
+    }
+
+    fn hang_up(&mut self, node: NodeId) {
+        self.record(262, &[&node.0.to_le_bytes()]);
+    }
+
+    fn tell(&mut self, director: Option<u16>, message: &[u8]) {
+        let field = self.in_tail(message);
+        self.record(263, &[&director.unwrap_or(u16::MAX).to_le_bytes(), &field]);
+    }
+
+    fn log(&mut self, line: &str) {
+        let field = self.in_tail(line.as_bytes());
+        self.record(264, &[&field]);
+    }
+
+    fn fault(&mut self, why: &str) {
+        let field = self.in_tail(why.as_bytes());
+        self.record(265, &[&field]);
     }
 
     fn wake(&mut self, after: f64) {
         self.record(260, &[&ms(after), &WAKE.to_le_bytes()]);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use expect_test::expect;
+
+    #[test]
+    fn each_order_is_one_record() {
+        let mut reply = Reply::new(9);
+        reply.open(3);
+        reply.rung(SessId(1), 2);
+        reply.setup(SessId(1), NodeId(4), Some(0.25));
+        reply.withdraw(SessId(1), 0);
+        reply.busy(SessId(1), Some(1.0));
+        reply.fail(SessId(1));
+        reply.shift(SessId(1));
+        reply.subscribe(true);
+        reply.fetch_list();
+        reply.probe(NodeId(4));
+        reply.hang_up(NodeId(4));
+        reply.tell(None, b"hi");
+        reply.log("node 4 barred");
+        reply.fault("lost");
+        reply.wake(0.1);
+        let bytes = reply.finish();
+        let hex = |part: &[u8]| part.iter().map(|b| format!("{b:02x}")).collect::<String>();
+        let mut lines = vec![hex(&bytes[..HEADER])];
+        let tail = HEADER + 15 * RECORD;
+        lines.extend(bytes[HEADER..tail].chunks(RECORD).map(hex));
+        lines.push(String::from_utf8_lossy(&bytes[tail..]).into_owned());
+        expect![[r#"
+            09000000870100000f000000
+            0e0103000000000000000000000000000000000000000000
+            0c0101000000000000000200000000000000000000000000
+            00010100000000000000040000000000000000406f400000
+            030101000000000000000000000000000000000000000000
+            010101000000000000000000000000408f40000000000000
+            020101000000000000000000000000000000000000000000
+            0d0101000000000000000000000000000000000000000000
+            0a0101000000000000000000000000000000000000000000
+            0b0100000000000000000000000000000000000000000000
+            050104000000000000000000000000000000000000000000
+            060104000000000000000000000000000000000000000000
+            0701ffff0000000002000000000000000000000000000000
+            0801020000000d0000000000000000000000000000000000
+            09010f000000040000000000000000000000000000000000
+            040100000000000059400100000000000000000000000000
+            hinode 4 barredlost"#]]
+        .assert_eq(&lines.join("\n"));
+    }
+}
--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -17,7 +17,9 @@
 use crate::figures::Figures;
 use crate::ids::{NodeId, SessId, TitleId};
 use crate::orders::Orders;
-use crate::round::{Ended, Ending, ListChange, Listed, NewSession, Phase, Playing, Reading, Round};
+use crate::round::{
+    Ended, Ending, ListChange, Listed, LoadReport, NewSession, Phase, Playing, Reading, Round,
+};
 use crate::state::{Actor, FEATURES, Ledger, Nodes, Sess, Stage};
 use crate::terms::{Reach, Repeat, Terms};
 
@@ -105,14 +107,13 @@
             // Nothing is told of uplinks: each counts as wide until delivery falls short.
             ledger.size.iter_mut().for_each(|size| *size *= SIZE_RANGE.1);
         }
-        let actor = Actor { surprise: 1.0, ..Actor::default() };
         Director {
             figures,
             rng: Rng::with_seed(seed),
             nodes: Nodes::default(),
             ledger,
             sess: BTreeMap::new(),
-            actor,
+            actor: Actor { surprise: 1.0, ..Actor::default() },
             next_step: now + STEP,
             next_beat: now,
             woken_for: f64::NEG_INFINITY,
@@ -133,6 +134,7 @@
         round.handed_over.iter().for_each(|(ask, node)| self.adopt(now, ask, *node));
         round.playing.iter().for_each(|playing| self.plays(now, playing));
         round.readings.iter().for_each(|reading| self.reading(now, reading));
+        round.probed.iter().for_each(|(node, how, load)| self.probed(now, *node, *how, load));
         let owed: Vec<SessId> = round.ended.iter().filter_map(|e| self.ended(now, e, orders)).collect();
         round.departures.iter().for_each(|&sess| self.departs(sess, orders));
         owed.into_iter().for_each(|sess| self.place(now, sess, orders));
@@ -291,14 +293,14 @@
         (link, self.left_under(now, self.rack(i), fill, 1.0))
     }
 
-    fn load_read(&mut self, now: f64, i: usize, e: &Ended) {
+    fn load_read(&mut self, now: f64, i: usize, load: &LoadReport) {
         let (l, r, then) = (self.link(i), self.rack(i), now - REPORT_AGE);
-        if let Some(streams) = e.load.streams {
+        if let Some(streams) = load.streams {
             let others = (streams - self.nodes.streams[i]).max(0.0);
             blend(&mut self.nodes.other_streams[i], others, TRUST_REPORT);
             // Streams over fullness tell the link's size: others' sessions ask what ours ask on average.
             let (mine, count) = (self.ledger.own[l], self.nodes.streams[i]);
-            if let Some(full) = e.load.link.filter(|&x| x > SIZE_FROM && count >= 2.0) {
+            if let Some(full) = load.link.filter(|&x| x > SIZE_FROM && count >= 2.0) {
                 let size = mine / count * (count + others) / full;
                 let (old, before) = (self.ledger.size[l], self.asked(l));
                 self.ledger.resize(l, old + TRUST_SIZE * (size - old), SIZE_RANGE);
@@ -308,10 +310,10 @@
                 }
             }
         }
-        if let Some(full) = e.load.link {
+        if let Some(full) = load.link {
             self.ledger.read(l, full.min(FULLEST), then, TRUST_REPORT);
         }
-        if let Some(full) = e.load.uplink {
+        if let Some(full) = load.uplink {
             self.ledger.read(r, full.min(FULLEST), then, TRUST_REPORT);
         }
     }
@@ -341,6 +343,13 @@
         }
     }
 
+    fn probed(&mut self, now: f64, node: NodeId, how: Ending, load: &LoadReport) {
+        let Some(&i) = self.nodes.index.get(&node) else { return };
+        let tells = if how == Ending::Served { Self::heard } else { Self::failed };
+        tells(self, now, i);
+        self.load_read(now, i, load);
+    }
+
     /// Short delivery: of the link where the link's own figure explains it, else of the rack's uplink.
     fn delivered(&mut self, now: f64, node: NodeId, share: f64) {
         let share = share.max(1.0 / FULLEST);
@@ -517,7 +526,7 @@
                 }
                 Ending::Withdrawn | Ending::Moot => {}
             }
-            self.load_read(now, i, e);
+            self.load_read(now, i, &e.load);
         }
         let s = self.sess.get(&e.sess)?;
         if s.stage == Stage::Owed {
@@ -778,7 +787,7 @@
 
     fn beat(&mut self, now: f64, orders: &mut impl Orders) {
         if self.figures.ask_list && now >= self.ask_at {
-            orders.subscribe();
+            orders.subscribe(true);
             self.ask_at = f64::INFINITY;
         }
         let listed = self.listed();
@@ -886,11 +895,8 @@
         for (sess, rung) in rises {
             self.set_rung(now, sess, rung, orders);
         }
-        for l in [l, r] {
-            self.ledger.spent[l] += used;
-            if used > 0.0 {
-                self.ledger.rose_at[l] = now;
-            }
+        for l in [l, r].into_iter().filter(|_| used > 0.0) {
+            (self.ledger.spent[l], self.ledger.rose_at[l]) = (self.ledger.spent[l] + used, now);
         }
     }
 
--- a/crates/kelpdoor/src/orders.rs
+++ b/crates/kelpdoor/src/orders.rs
@@ -16,8 +16,20 @@
     fn fail(&mut self, sess: SessId);
     /// Takes a playing session off its node; its viewer comes back to this director.
     fn shift(&mut self, sess: SessId);
-    /// Asks the list of nodes for changes from now on.
-    fn subscribe(&mut self);
+    /// Asks the list of nodes for changes from now on, or to stop sending them.
+    fn subscribe(&mut self, on: bool);
+    /// Asks for the whole list of nodes once.
+    fn fetch_list(&mut self);
+    /// Asks a node whether it lives.
+    fn probe(&mut self, node: NodeId);
+    /// Closes idle connections to a node.
+    fn hang_up(&mut self, node: NodeId);
+    /// Sends a message to another director, or to all of them.
+    fn tell(&mut self, director: Option<u16>, message: &[u8]);
+    /// Adds a line to the report.
+    fn log(&mut self, line: &str);
+    /// Says that the caller's decisions can no longer be trusted.
+    fn fault(&mut self, why: &str);
     /// Calls the director again after that many seconds, even if nothing comes in.
     fn wake(&mut self, after: f64);
 }
--- a/crates/kelpdoor/src/round.rs
+++ b/crates/kelpdoor/src/round.rs
@@ -111,6 +111,8 @@
     pub handed_over: Vec<(NewSession, NodeId)>,
     pub playing: Vec<Playing>,
     pub readings: Vec<Reading>,
+    /// Nodes that answered a probe, or did not.
+    pub probed: Vec<(NodeId, Ending, LoadReport)>,
     pub ended: Vec<Ended>,
     /// Viewers who left; nothing more is owed to them.
     pub departures: Vec<SessId>,
--- a/crates/kelpdoor/tests/helper/mod.rs
+++ b/crates/kelpdoor/tests/helper/mod.rs
@@ -48,8 +48,26 @@
     fn shift(&mut self, s: SessId) {
         self.line(format_args!("sess {} shift", s.0));
     }
-    fn subscribe(&mut self) {
-        self.line(format_args!("subscribe"));
+    fn subscribe(&mut self, on: bool) {
+        self.line(format_args!("subscribe {on}"));
+    }
+    fn fetch_list(&mut self) {
+        self.line(format_args!("fetch list"));
+    }
+    fn probe(&mut self, node: NodeId) {
+        self.line(format_args!("probe {}", node.0));
+    }
+    fn hang_up(&mut self, node: NodeId) {
+        self.line(format_args!("hang up on {}", node.0));
+    }
+    fn tell(&mut self, director: Option<u16>, message: &[u8]) {
+        self.line(format_args!("tell {director:?} {message:?}"));
+    }
+    fn log(&mut self, line: &str) {
+        self.line(format_args!("log {line}"));
+    }
+    fn fault(&mut self, why: &str) {
+        self.line(format_args!("fault {why}"));
     }
     fn wake(&mut self, _: f64) {}
 }
