--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -872,8 +872,8 @@
         (room + self.ledger.spent[l]) / self.figures.directors - self.ledger.spent[l]
     }
 
-    /// After a random quiet wait, our sessions at a node rise where that earns most, into our part of the room
-    /// there, or one director in so many into half of it; on an old reading only where none are ever told.
+    /// After a random quiet wait, our sessions at a node rise where that earns most, into our part of the
+    /// room, or one director in so many into half of it; on an old reading only where none are ever told.
     fn rise(&mut self, now: f64, i: usize, orders: &mut impl Orders) {
         let (l, r) = (self.link(i), self.rack(i));
         let stale = now - self.ledger.read_at[l] > RISE_READING && self.figures.told_every > 0.0;
