--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -511,6 +511,30 @@
     assert_eq!(sums, [1000.0; 4]);
 }
 
+#[test]
+fn each_session_gets_one_answer_in_time_and_late_endings_are_passed_over() {
+    let mut desk = Desk::new(&terms());
+    desk.asks(1, 6);
+    desk.ends(1, Ending::Erred);
+    desk.ends(1, Ending::Erred);
+    desk.run_to(104.0);
+    desk.ends(1, Ending::TimedOut);
+    desk.ends(1, Ending::Erred);
+    desk.round(|r| r.departures.push(viewer(1, 6).sess));
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 3, wait 0.45
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 2, wait 0.45
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 5, wait as long as the viewer
+        104.0 sess 1 busy, come back Some(1.0)
+    "#]],
+    );
+}
+
 #[test]
 fn a_viewer_who_left_in_the_same_round_is_not_sent() {
     let mut desk = Desk::new(&terms());
