--- a/crates/kelpdoor-benchlink/src/decode.rs
+++ b/crates/kelpdoor-benchlink/src/decode.rs
@@ -57,9 +57,7 @@
                 let instance =
                     instance.context("an event comes before any instance is named").with_context(at)?;
                 let what = event(code, &r, tail, sheets).with_context(at)?;
-                if let Some(what) = what {
-                    hand(instance, what).with_context(at)?;
-                }
+                hand(instance, what).with_context(at)?;
             }
         }
     }
@@ -94,11 +92,11 @@
     })
 }
 
-fn came<'a>(put: impl FnOnce(&mut Round) + 'a) -> Option<Indication<'a>> {
-    Some(Indication::Came(Box::new(|round, _| put(round))))
+fn came<'a>(put: impl FnOnce(&mut Round) + 'a) -> Indication<'a> {
+    Indication::Came(Box::new(|round, _| put(round)))
 }
 
-fn event<'a>(code: u16, r: &Bytes, tail: &[u8], sheets: &'a Sheets) -> Result<Option<Indication<'a>>> {
+fn event<'a>(code: u16, r: &Bytes, tail: &[u8], sheets: &'a Sheets) -> Result<Indication<'a>> {
     Ok(match code {
         256 => {
             let (sess, node) = (new_session(r)?, NodeId(r.u32(60)?));
@@ -107,7 +105,7 @@
         257 => {
             let text = tail_part(r, 10, 1, tail)?;
             let (terms, report) = settings::terms(text).context("the settings")?;
-            Some(Indication::Start { seed: r.u64(2)?, terms: Box::new(terms), report })
+            Indication::Start { seed: r.u64(2)?, terms: Box::new(terms), report }
         }
         258 => {
             let p = Playing { sess: SessId(r.u64(2)?), node: NodeId(r.u32(11)?), took: r.f64(15)? / 1000.0 };
@@ -121,21 +119,21 @@
         }
         267 => {
             let (node, how, load) = (NodeId(r.u32(2)?), ending(r.u8(6)?)?, gauge(r, 15)?);
-            Some(Indication::Came(Box::new(move |round, report| {
+            Indication::Came(Box::new(move |round, report| {
                 round.probed.push((node, how, report.report(&load)));
-            })))
+            }))
         }
         263 => {
             let (ended, load) = ended(r)?;
-            Some(Indication::Came(Box::new(move |round, report| {
+            Indication::Came(Box::new(move |round, report| {
                 round.ended.push(Ended { load: report.report(&load), ..ended });
-            })))
+            }))
         }
         264 => {
             let sess = SessId(r.u64(2)?);
             came(move |round| round.departures.push(sess))
         }
-        265 => Some(Indication::PowerOff),
+        265 => Indication::PowerOff,
         266 => {
             let form = r.u8(2)?;
             let entries = if form == 3 {
@@ -212,7 +210,6 @@
     let ended = Ended {
         sess: SessId(r.u64(2)?),
         node: NodeId(r.u32(10)?),
-        setup: r.u8(23)?,
         how: ending(r.u8(22)?)?,
         closed: r.u8(24)? != 0,
         load: LoadReport::default(),
--- a/crates/kelpdoor/src/books.rs
+++ b/crates/kelpdoor/src/books.rs
@@ -3,7 +3,7 @@
 use crate::decide::Director;
 use crate::ids::{NodeId, SessId};
 use crate::round::Phase;
-use crate::state::Nodes;
+use crate::state::{Nodes, Sess};
 
 impl Director {
     /// A node's share in thousandths; 0 for one that is not listed.
@@ -14,11 +14,7 @@
     pub(crate) fn new_node(&mut self, id: NodeId) -> usize {
         let i = self.nodes.add(id);
         self.nodes.gap_mean[i] = self.figures.told_every;
-        let l = self.link(i);
-        if l == self.ledger.size.len() {
-            self.ledger.grow(0.0);
-        }
-        self.ledger.clear(l, self.figures.link_unit);
+        self.ledger.clear(self.link(i), self.figures.link_unit);
         i
     }
 
@@ -34,6 +30,15 @@
         self.figures.racks + i
     }
 
+    /// All uplinks, then the links of the given nodes.
+    pub(crate) fn links(&self, nodes: &[usize]) -> Vec<usize> {
+        (0..self.figures.racks).chain(nodes.iter().map(|&i| self.link(i))).collect()
+    }
+
+    fn rate(&self, s: &Sess) -> f64 {
+        self.figures.groups[s.ask.group.0 as usize].kb[s.rung as usize]
+    }
+
     /// Counts a session's rate in or out at its node.
     pub(crate) fn count(&mut self, now: f64, i: usize, kb: f64) {
         let (l, r) = (self.link(i), self.rack(i));
@@ -44,8 +49,7 @@
     /// Counts a session in at its node: rate, place and seat.
     pub(crate) fn hold(&mut self, now: f64, sess: SessId) {
         let s = &self.sess[&sess];
-        let (i, group, title) = (s.node, s.ask.group.0, s.ask.title);
-        let kb = self.figures.groups[group as usize].kb[s.rung as usize];
+        let (i, group, title, kb) = (s.node, s.ask.group.0, s.ask.title, self.rate(s));
         self.nodes.streams[i] += 1.0;
         *self.seats.entry((title, group)).or_default() += 1;
         self.count(now, i, kb);
@@ -53,8 +57,7 @@
 
     pub(crate) fn release(&mut self, now: f64, sess: SessId) {
         let s = &self.sess[&sess];
-        let (i, group, title) = (s.node, s.ask.group.0, s.ask.title);
-        let kb = self.figures.groups[group as usize].kb[s.rung as usize];
+        let (i, group, title, kb) = (s.node, s.ask.group.0, s.ask.title, self.rate(s));
         self.nodes.streams[i] -= 1.0;
         if let Some(held) = self.seats.get_mut(&(title, group)) {
             *held -= 1;
--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -20,7 +20,7 @@
 use crate::round::{
     Ended, Ending, ListChange, Listed, LoadReport, NewSession, Phase, Playing, Reading, Round,
 };
-use crate::state::{Actor, FEATURES, Ledger, Nodes, Sess, Stage};
+use crate::state::{Actor, FEATURES, Ledger, Nodes, Sess, Stage, blend, track};
 use crate::terms::{Reach, Repeat, Terms};
 
 const BEAT: f64 = 0.1; // s; rounds at least this often: a tenth of the shortest wait used here
@@ -68,7 +68,7 @@
 const COLD_SLOT: (f64, f64) = (1.6, 0.35); // windows; a lone SETUP's slot and its open part: one a window
 const COLD_FRESH: f64 = 5.0; // s; a director just started takes all nodes for just started: lists lag
 
-/// Sessions and the lower rungs that they are to have.
+/// Sessions and the rungs that they are to have.
 type Steps = Vec<(SessId, u8)>;
 
 pub struct Director {
@@ -92,16 +92,17 @@
     ask_at: f64,
 }
 
-fn blend(old: &mut f64, new: f64, part: f64) {
-    *old += part * (new - *old);
+/// A wait that doubles with each time before, up to the longest bar.
+fn backoff(first: f64, times: i32) -> f64 {
+    BAR.1.min(first * f64::from(1 << times.min(8)))
 }
 
 impl Director {
     pub fn new(terms: &Terms, seed: u64, now: f64) -> Self {
         let figures = Figures::new(terms);
         let mut ledger = Ledger { keep: DRIFT, ..Ledger::default() };
-        for _ in 0..figures.racks {
-            ledger.grow(if figures.rack_uplink > 0.0 { figures.rack_uplink } else { f64::MAX / 4.0 });
+        for r in 0..figures.racks {
+            ledger.clear(r, if figures.rack_uplink > 0.0 { figures.rack_uplink } else { f64::MAX / 4.0 });
         }
         if !figures.uplinks_told {
             // Nothing is told of uplinks: each counts as wide until delivery falls short.
@@ -277,10 +278,10 @@
     /// crowd the others add as much in the same moment.
     fn left_under(&self, now: f64, l: usize, fill: f64, warmth: f64) -> f64 {
         let (f, then) = (&self.figures, self.ledger.read_at[l]);
-        let unseen = (f.directors - 1.0) / f.directors;
         if l < f.racks && !f.uplinks_told {
             return fill * self.ledger.size[l] - self.asked(l);
         }
+        let unseen = (f.directors - 1.0) / f.directors;
         let stale = ((now - then) * STALE.0).min(STALE.1) * unseen;
         let added = CROWD * (self.ledger.own[l] - self.ledger.own_at(l, then)).max(0.0) * (f.directors - 1.0);
         (fill - stale) * self.ledger.size[l] * warmth - self.asked(l) - added
@@ -406,9 +407,7 @@
         let n = &mut self.nodes;
         let gap = now - n.noted_at[i];
         if gap > GAP_SPREAD {
-            let off = (gap - n.gap_mean[i]).abs();
-            blend(&mut n.gap_dev[i], off, MEMORY);
-            blend(&mut n.gap_mean[i], gap, MEMORY);
+            track(&mut n.gap_mean[i], &mut n.gap_dev[i], gap, MEMORY);
         }
         n.noted_at[i] = now;
         self.fleet_noted = self.fleet_noted.max(now);
@@ -432,7 +431,7 @@
     fn failed(&mut self, now: f64, i: usize) {
         let n = &mut self.nodes;
         if now >= n.barred_until[i] {
-            n.barred_until[i] = now + BAR.1.min(BAR.0 * f64::from(1 << n.strikes[i].min(8)));
+            n.barred_until[i] = now + backoff(BAR.0, n.strikes[i]);
             n.strikes[i] += 1;
         }
         n.cold_since[i] = f64::INFINITY;
@@ -455,8 +454,9 @@
     fn watch(&mut self, now: f64, listed: &[usize]) {
         let silent: Vec<usize> = listed.iter().copied().filter(|&i| self.silent(now, i)).collect();
         let watched = listed.iter().filter(|&&i| self.nodes.streams[i] >= 1.0).count();
-        for i in silent.iter().copied().filter(|_| silent.len() * 2 <= watched) {
-            if self.nodes.cold_until[i] < f64::INFINITY {
+        let unusual = silent.len() * 2 <= watched;
+        for i in silent {
+            if unusual && self.nodes.cold_until[i] < f64::INFINITY {
                 self.failed(now, i);
             }
         }
@@ -486,9 +486,7 @@
         s.stage = Stage::Playing { since: now };
         s.changed_at = f64::NEG_INFINITY;
         let i = s.node;
-        let off = (p.took - self.setup_mean).abs();
-        blend(&mut self.setup_dev, off, MEMORY);
-        blend(&mut self.setup_mean, p.took, MEMORY);
+        track(&mut self.setup_mean, &mut self.setup_dev, p.took, MEMORY);
         let starts = &mut self.nodes.starts[i];
         *starts = (starts.0 + p.took, starts.1 + 1.0);
         if self.nodes.streams[i] <= 1.0 || self.nodes.noted_at[i] == f64::INFINITY {
@@ -509,15 +507,15 @@
                     // for a node that fails fast looks empty and would draw every session.
                     self.heard(now, i);
                     let first = if e.how == Ending::Erred { BAR.0 } else { BAR_FULL };
-                    let longer = f64::from(1 << self.nodes.turned_away[i].min(8));
-                    self.nodes.shunned_until[i] = now + BAR.1.min(first * longer);
+                    self.nodes.shunned_until[i] = now + backoff(first, self.nodes.turned_away[i]);
                     self.nodes.turned_away[i] += 1;
                 }
                 Ending::Broken => {
                     // Its process died, so what the others had there is gone too.
                     self.failed(now, i);
-                    (self.ledger.others[self.figures.racks + i], self.nodes.other_streams[i]) = (0.0, 0.0);
-                    self.ledger.read_at[self.figures.racks + i] = now;
+                    let l = self.link(i);
+                    (self.ledger.others[l], self.nodes.other_streams[i]) = (0.0, 0.0);
+                    self.ledger.read_at[l] = now;
                 }
                 Ending::Unreachable => self.failed(now, i),
                 Ending::TimedOut => {
@@ -766,8 +764,7 @@
                 }
                 // A session that moves already pays for its change only once.
                 let switch = if rung == s.rung { group.switch / self.life } else { 0.0 };
-                let density = group.density(low + 1, low, if up { -switch } else { switch });
-                let kb = group.kb[low as usize + 1] - group.kb[low as usize];
+                let (kb, density) = group.step(low, if up { -switch } else { switch });
                 allows(moved, kb, density).then_some((k, if up { -density } else { density }, kb))
             });
             let Some((k, _, kb)) = step.min_by(|a, b| a.1.total_cmp(&b.1)) else { break };
@@ -791,9 +788,8 @@
             self.ask_at = f64::INFINITY;
         }
         let listed = self.listed();
-        let racks = self.figures.racks;
         self.fade(now, &listed);
-        (0..racks).chain(listed.iter().map(|&i| racks + i)).for_each(|l| self.relieve(now, l, orders));
+        self.links(&listed).into_iter().for_each(|l| self.relieve(now, l, orders));
         self.watch(now, &listed);
         listed.iter().for_each(|&i| self.rise(now, i, orders));
         if now >= self.next_step {
@@ -810,7 +806,7 @@
     /// there no other comes, so it would lock us out for good. A last good one must not invite more either.
     fn fade(&mut self, now: f64, listed: &[usize]) {
         let racks = self.figures.racks;
-        for l in (0..racks).chain(listed.iter().map(|&i| racks + i)) {
+        for l in self.links(listed) {
             let (size, age) = (self.ledger.size[l], now - self.ledger.read_at[l]);
             if l < racks && !self.figures.uplinks_told {
                 // Not while any of its nodes falls short: it would be tried again in the midst of the sag.
--- a/crates/kelpdoor/src/figures.rs
+++ b/crates/kelpdoor/src/figures.rs
@@ -17,14 +17,14 @@
 }
 
 impl Group {
-    /// Utility lost for each kB by going from rung `from` to the lower `to`; `switch` counts a change's cost.
-    pub fn density(&self, from: u8, to: u8, switch: f64) -> f64 {
-        let (f, t) = (from as usize, to as usize);
-        (self.earns[f] - self.earns[t] + switch) / (self.kb[f] - self.kb[t]).max(1e-9)
+    /// What the step above rung `low` takes, and its utility for each kB; `switch` counts a change's cost.
+    pub fn step(&self, low: u8, switch: f64) -> (f64, f64) {
+        let (f, t) = (low as usize + 1, low as usize);
+        let kb = self.kb[f] - self.kb[t];
+        (kb, (self.earns[f] - self.earns[t] + switch) / kb.max(1e-9))
     }
 }
 
-/// The figures that decisions use, derived once from the terms.
 pub struct Figures {
     pub me: u64,
     pub directors: f64,
--- a/crates/kelpdoor/src/round.rs
+++ b/crates/kelpdoor/src/round.rs
@@ -75,7 +75,6 @@
 pub struct Ended {
     pub sess: SessId,
     pub node: NodeId,
-    pub setup: u8,
     pub how: Ending,
     /// Nothing more is owed to the viewer.
     pub closed: bool,
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -5,6 +5,17 @@
 use crate::ids::NodeId;
 use crate::round::{NewSession, Phase};
 
+/// Replaces that part of a running figure by a new one.
+pub fn blend(old: &mut f64, new: f64, part: f64) {
+    *old += part * (new - *old);
+}
+
+/// Takes a new figure into a running mean and the deviation from it.
+pub fn track(mean: &mut f64, dev: &mut f64, new: f64, part: f64) {
+    blend(dev, (new - *mean).abs(), part);
+    blend(mean, new, part);
+}
+
 /// Sets entry `i`, which may be the next one after the last.
 fn put<T>(all: &mut Vec<T>, i: usize, value: T) {
     if i == all.len() {
@@ -81,12 +92,7 @@
 }
 
 impl Ledger {
-    pub fn grow(&mut self, listed: f64) {
-        let l = self.size.len();
-        self.clear(l, listed);
-    }
-
-    /// A link of which nothing is known but its listed size.
+    /// A link, known or the next one, of which nothing is known but its listed size.
     pub fn clear(&mut self, l: usize, listed: f64) {
         put(&mut self.size, l, listed);
         put(&mut self.listed, l, listed);
@@ -121,7 +127,7 @@
         }
         let others = full * self.size[l] - self.own_at(l, then);
         let trust = if self.read_at[l] == f64::NEG_INFINITY { 1.0 } else { trust };
-        self.others[l] += trust * (others - self.others[l]);
+        blend(&mut self.others[l], others, trust);
         self.read_at[l] = then;
         if then > self.rose_at[l] {
             self.spent[l] = 0.0;
--- a/crates/kelpdoor/tests/helper/mod.rs
+++ b/crates/kelpdoor/tests/helper/mod.rs
@@ -174,7 +174,7 @@
     pub fn ends_at(&mut self, sess: u64, node: u32, how: Ending, streams: Option<f64>) {
         let (sess, node) = (SessId(sess), NodeId(node));
         let load = LoadReport { streams, ..LoadReport::default() };
-        self.round(|r| r.ended.push(Ended { sess, node, setup: 0, how, closed: false, load }));
+        self.round(|r| r.ended.push(Ended { sess, node, how, closed: false, load }));
     }
 
     pub fn plays(&mut self, sess: u64) {
