Rise by chance into the part of the room that our load is of all

Cause: one director in as many as there are rose at a time, so with 60 to 240 of them sessions stepped down 6 to 7 times a minute and up 0.1 to 0.2 times: rungs only fell. Now each director takes the part of the room that its load is of all asked there, and a step larger than that is drawn. It gives about a third with three alike directors, and holds whatever the number. Could harm where one director's sessions earn least: its part is by load, not by need.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -10,6 +10,7 @@
 //!   5. own zone first, where crossing zones has a price
 //!   6. fading: what was last heard drifts to a common load where no news comes
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 
 use fastrand::Rng;
@@ -863,13 +864,16 @@
         least + self.rng.f64() * (most - least)
     }
 
-    /// What of the room left on a link is ours to use until news shows what the others did with theirs.
+    /// What of the room left on a link is ours to use until news shows what the others did with theirs: all
+    /// who hold sessions there hear of the same room, each uses the part that its load is of all.
     fn our_part(&self, l: usize, room: f64) -> f64 {
-        (room + self.ledger.spent[l]) / self.figures.directors - self.ledger.spent[l]
+        let part = (self.ledger.own[l] / self.asked(l).max(1e-9)).clamp(1.0 / self.figures.directors, 1.0);
+        (room + self.ledger.spent[l]) * part - self.ledger.spent[l]
     }
 
     /// After a random quiet wait, our sessions at a node rise where that earns most, into our part of the
-    /// room, or one director in so many into half of it; on an old reading only where none are ever told.
+    /// room; a step larger than that is drawn, by the part of it that is ours, so that all directors together
+    /// use the room. On an old reading only where none are ever told.
     fn rise(&mut self, now: f64, i: usize, orders: &mut impl Orders) {
         let (l, r) = (self.link(i), self.rack(i));
         let stale = now - self.ledger.read_at[l] > RISE_READING && self.figures.told_every > 0.0;
@@ -879,19 +883,19 @@
         self.nodes.rise_at[i] = now + self.rise_wait();
         let (link, uplink) = self.room(now, i, RISE_FILL);
         let (whole, ours) = (link.min(uplink), self.our_part(l, link).min(self.our_part(r, uplink)));
-        // An uplink's room is also that of its other nodes, at each of which every director has a chance.
-        let nodes = self.listed().into_iter().filter(|&o| uplink < link && self.rack(o) == r).count().max(1);
-        let lucky = self.rng.f64() * self.figures.directors * (nodes as f64) < 1.0;
+        let (chance, drawn) = (self.rng.f64(), Cell::new(false));
         let of = |s: &Sess| s.node == i && now - s.changed_at > RISE_GAP;
         let (rises, kb) = self.walk(of, true, |used, kb, gain| {
-            let left = if used == 0.0 && lucky { ours.max(whole / 2.0) } else { ours };
-            gain > 0.0 && (used + kb) * (1.0 + RATE_SPREAD) <= left.min(whole)
+            drawn.set(drawn.get() || gain > 0.0);
+            let fits = |kb: f64, room: f64| (used + kb) * (1.0 + RATE_SPREAD) <= room;
+            gain > 0.0 && fits(kb, whole) && fits(chance * kb, ours)
         });
-        let used = kb * (1.0 + RATE_SPREAD);
         for (sess, rung) in rises {
             self.set_rung(now, sess, rung, orders);
         }
-        for l in [l, r].into_iter().filter(|_| used > 0.0) {
+        // A lost draw uses the part up too.
+        let used = if kb > 0.0 { kb * (1.0 + RATE_SPREAD) } else { ours.max(0.0) };
+        for l in [l, r].into_iter().filter(|_| drawn.get()) {
             (self.ledger.spent[l], self.ledger.rose_at[l]) = (self.ledger.spent[l] + used, now);
         }
     }
