Keep a node listed as cold to its slots after a director's restart; fill new nodes by guess

Cause: a restarted director took a node that its cached list named as cold for merely doubtful, whose gap holds one director to half the budget; 18 restarted within 2 s. Now a listed start keeps its slots, and the gap under doubt grows with the directors. What else it guards against: any start of many directors at once. Harm: for 5 s after its start a large fleet's director sends each node one SETUP at most.

A just started node was taken for empty by all directors until each had read it, 1.8 of its link where 0.6 was thought; its load now drifts to the common one at once.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -207,7 +207,10 @@
         }
         if cached && self.started + COLD_FRESH > n.cold_until[i] {
             // A cached list may miss a restart; take the node for just started until lists have caught up.
-            n.cold_since[i] = f64::INFINITY;
+            // One that is listed as cold stays just that, or directors that restart together would rush it.
+            if now >= n.cold_until[i] {
+                n.cold_since[i] = f64::INFINITY;
+            }
             n.cold_until[i] = self.started + COLD_FRESH;
         }
         let l = f.racks + i;
@@ -586,12 +589,13 @@
 
     /// Whether a node that may be cold takes a SETUP of ours now. All directors share a clock and know how
     /// many they are, so each has slots of its own and no window can hold more than its budget. Under want of
-    /// news alone, as after our own start, a gap that keeps one director to half the budget is enough.
+    /// news alone, as after our own start, a gap that grows with the directors is enough: a SETUP each when
+    /// many restart together, as few of their sessions meet at one node that also just started.
     fn cold_takes(&self, now: f64, i: usize) -> bool {
         let (f, last) = (&self.figures, self.nodes.cold_sent[i]);
         let budget = COLD_USE * f.cold_budget * self.nodes.places[i] * self.warmth(now, i);
         if self.doubted(i) {
-            return now - last >= 2.0 * f.fall_window / budget.max(1e-3);
+            return now - last >= (f.directors - 1.0).max(2.0) * f.fall_window / budget.max(1e-3);
         }
         let few = budget < 2.0;
         let slot = (if few { COLD_SLOT.0 * f.fall_window } else { f.fall_window / (budget.floor() - 1.0) })
@@ -816,7 +820,10 @@
                 }
                 let most = self.ledger.listed[l] * SIZE_RANGE.1;
                 self.ledger.size[l] = (size * (1.0 + UPLINK_REGROW * BEAT)).min(most);
-            } else if age < f64::INFINITY && age > RISE_READING {
+            } else if age > RISE_READING && age < f64::INFINITY
+                || l >= racks && now < self.nodes.cold_until[l - racks]
+            {
+                // At once where a node just started: all directors hear of it and fill it.
                 let common = (UNREAD * size - self.ledger.own[l]).max(0.0);
                 blend(&mut self.ledger.others[l], common, BEAT / DRIFT);
             }
