Judge unread links and others' adding by the fleet's mean; never reply busy on a guess

Cause: with hundreds of directors 'each other one adds as much as we' makes any link look full after one SETUP and any other link 0.6 full, however full the fleet is. Now one other counts as we do here (titles draw us together), each of the rest as our mean over the fleet; a link never read, or read long ago, is as full as the readings of late; and a holder whose link was not read of late takes the lowest rung rather than a busy reply. Guards also against any rise of load that is seen elsewhere first. Harm: low starts in quiet times, which rises have to mend.

--- a/crates/kelpdoor/src/books.rs
+++ b/crates/kelpdoor/src/books.rs
@@ -27,7 +27,12 @@
     }
 
     pub(crate) fn link(&self, i: usize) -> usize {
-        self.figures.racks + i
+        self.figures.racks + 1 + i
+    }
+
+    /// Where the ledger counts the fleet as a whole.
+    pub(crate) fn fleet(&self) -> usize {
+        self.figures.racks
     }
 
     /// All uplinks, then the links of the given nodes.
@@ -44,6 +49,7 @@
         let (l, r) = (self.link(i), self.rack(i));
         self.ledger.add(now, l, kb);
         self.ledger.add(now, r, kb);
+        self.ledger.add(now, self.fleet(), kb);
     }
 
     /// Counts a session in at its node: rate, place and seat.
--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -36,8 +36,8 @@
 const RISE_FILL: f64 = 0.80; // of a link; under FILL, so that arrivals find room after rises
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
 const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; fuller, sessions step down, to where none is short
-const UNREAD: f64 = 0.6; // of a link; how full one counts at least before it was read, a common load
-const CROWD: f64 = 0.5; // of what we add; each other director adds about so much unseen, as leans differ
+const UNREAD: f64 = 0.6; // of a link; how full one counts before anything was read, a common load
+const CROWD: f64 = 0.5; // of what others would add by our own adding; a part of it ends unseen
 const RATE_SPREAD: f64 = 0.2; // of a rate; true rates lie off the ladder by up to a quarter, by title
 const STALE: (f64, f64) = (0.01, 0.12); // of a link a second, and at most; an old reading loses value
 const TRUST_REPORT: f64 = 0.4; // weight of a report against the account; reports are noisy and old
@@ -87,6 +87,7 @@
     setup_mean: f64,
     setup_dev: f64,
     life: f64,
+    common: f64,
     taken: VecDeque<f64>,
     further: VecDeque<f64>,
     pub(crate) seats: BTreeMap<(TitleId, u8), u32>,
@@ -102,7 +103,7 @@
     pub fn new(terms: &Terms, seed: u64, now: f64) -> Self {
         let figures = Figures::new(terms);
         let mut ledger = Ledger { keep: DRIFT, ..Ledger::default() };
-        for r in 0..figures.racks {
+        for r in 0..=figures.racks {
             ledger.clear(r, if figures.rack_uplink > 0.0 { figures.rack_uplink } else { f64::MAX / 4.0 });
         }
         if !figures.uplinks_told {
@@ -124,6 +125,7 @@
             setup_mean: SETUP_TIME,
             setup_dev: SETUP_TIME / 4.0,
             life: LIFE,
+            common: UNREAD,
             taken: VecDeque::new(),
             further: VecDeque::new(),
             seats: BTreeMap::new(),
@@ -201,8 +203,8 @@
             n.other_streams[i] = 0.0;
             if n.cold_until[i] > now {
                 // Just started, so it carries nothing of the others' yet.
-                self.ledger.others[f.racks + i] = 0.0;
-                self.ledger.read_at[f.racks + i] = now;
+                self.ledger.others[f.racks + 1 + i] = 0.0;
+                self.ledger.read_at[f.racks + 1 + i] = now;
             }
         }
         if cached && self.started + COLD_FRESH > n.cold_until[i] {
@@ -213,7 +215,7 @@
             }
             n.cold_until[i] = self.started + COLD_FRESH;
         }
-        let l = f.racks + i;
+        let l = f.racks + 1 + i;
         if known.is_none() {
             self.ledger.size[l] = f.link_unit * n.size[i];
         }
@@ -225,9 +227,10 @@
         1000.0 * self.nodes.size[i] / listed.iter().map(|&j| self.nodes.size[j]).sum::<f64>()
     }
 
-    /// Brings the shares back to 1000 within floor and cap, after nodes came or went.
+    /// Brings the fleet's size up to date, and the shares back to 1000 within floor and cap, after nodes came or went.
     fn reshare(&mut self) {
-        let listed = self.listed();
+        let (listed, fleet) = (self.listed(), self.fleet());
+        self.ledger.size[fleet] = listed.iter().map(|&i| self.ledger.size[self.link(i)]).sum();
         for i in 0..self.nodes.id.len() {
             if !listed.contains(&i) {
                 self.nodes.share[i] = 0.0;
@@ -272,12 +275,21 @@
             return if read > 0.0 { asked * all / read } else { 0.0 };
         }
         if self.ledger.read_at[l] == f64::NEG_INFINITY {
-            // Never read: as much from each of the others, and fairly full at least.
-            return (self.ledger.own[l] * f.directors).max(UNREAD * self.ledger.size[l]);
+            // Never read: as full as the rest of the fleet at least.
+            let (own, fleet) = (self.ledger.own[l], self.ledger.own[self.fleet()]);
+            return (own + self.by_others(l, own, fleet)).max(self.common * self.ledger.size[l]);
         }
         (self.ledger.own[l] + self.ledger.others[l]).max(0.0)
     }
 
+    /// What all others would have on a link, going by ours: one of them as much as we, for titles draw us all
+    /// to the same nodes, each of the rest our mean over the fleet, since with many each holds little anywhere.
+    fn by_others(&self, l: usize, here: f64, fleet: f64) -> f64 {
+        let others = self.figures.directors - 1.0;
+        let mean = fleet * self.ledger.size[l] / self.ledger.size[self.fleet()].max(1e-9);
+        here * others.min(1.0) + mean * (others - 1.0).max(0.0)
+    }
+
     /// kB a second left under `fill` of a link, less for an old reading, and for what we added since it: in a
     /// crowd the others add as much in the same moment.
     fn left_under(&self, now: f64, l: usize, fill: f64, warmth: f64) -> f64 {
@@ -287,7 +299,8 @@
         }
         let unseen = (f.directors - 1.0) / f.directors;
         let stale = ((now - then) * STALE.0).min(STALE.1) * unseen;
-        let added = CROWD * (self.ledger.own[l] - self.ledger.own_at(l, then)).max(0.0) * (f.directors - 1.0);
+        let since = |l: usize| (self.ledger.own[l] - self.ledger.own_at(l, then)).max(0.0);
+        let added = CROWD * self.by_others(l, since(l), since(self.fleet()));
         (fill - stale) * self.ledger.size[l] * warmth - self.asked(l) - added
     }
 
@@ -339,6 +352,7 @@
                     self.ledger.read(self.rack(i), asked, then, TRUST_READING);
                 } else {
                     self.ledger.read(self.link(i), asked, then, TRUST_READING);
+                    blend(&mut self.common, asked, MEMORY);
                     if !fresh {
                         self.noted(now, i);
                     }
@@ -699,7 +713,9 @@
             let room = link.min(uplink);
             let rung =
                 (group.floor..=best).rev().find(|&r| group.kb[r as usize] * (1.0 + RATE_SPREAD) <= room);
-            rung.map_or(-1, i16::from)
+            // A guess is no ground for a busy reply.
+            let blind = self.ledger.read_at[self.link(i)] < now - RISE_READING;
+            rung.map_or(if blind { group.floor.into() } else { -1 }, i16::from)
         };
         let holders = self.holders(now, s);
         let mut offers: Vec<_> = holders.iter().map(|&i| (i, fits(i), Vec::new())).collect();
@@ -821,10 +837,10 @@
                 let most = self.ledger.listed[l] * SIZE_RANGE.1;
                 self.ledger.size[l] = (size * (1.0 + UPLINK_REGROW * BEAT)).min(most);
             } else if age > RISE_READING && age < f64::INFINITY
-                || l >= racks && now < self.nodes.cold_until[l - racks]
+                || l > racks && now < self.nodes.cold_until[l - racks - 1]
             {
                 // At once where a node just started: all directors hear of it and fill it.
-                let common = (UNREAD * size - self.ledger.own[l]).max(0.0);
+                let common = (self.common * size - self.ledger.own[l]).max(0.0);
                 blend(&mut self.ledger.others[l], common, BEAT / DRIFT);
             }
         }
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -74,7 +74,7 @@
     }
 }
 
-/// Links and uplinks in parallel arrays: racks first, then nodes.
+/// Links and uplinks in parallel arrays: racks first, then the fleet, then nodes.
 #[derive(Default)]
 pub struct Ledger {
     /// s; how long own changes are remembered.
