Use half of the room that a reading at our own set-up shows

Such a reading comes to this director alone and is of now, so the room need not be shared by part; half is left for whoever sets up next. Could harm where many set up at one node at once: each sees the others that came before it only.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -49,6 +49,7 @@
 const REPORT_AGE: f64 = 0.4; // s; age of a load report on arrival, by typical refresh and way
 const FRESH_READING: f64 = 0.15; // s; so soon after a session began a reading is of now, later ones are old
 const SETTLE: f64 = 0.8; // s; notes are smoothed: for so long after step-downs they show the old shortage
+const ALONE: f64 = 0.5; // of the room read at a set-up of ours; the rest is for who sets up next
 const RISE_WAIT: (f64, f64) = (0.5, 2.0); // s; the random quiet wait before a rise, about a note's time
 const RISE_GAP: f64 = 6.0; // s; a session keeps its rung for so long at least, to be worth its change
 const RISE_READING: f64 = 6.0; // s; an older reading is no ground to rise or blame: two notes were missed
@@ -351,7 +352,11 @@
                 if matches!(reading, Reading::Uplink { .. }) {
                     self.ledger.read(self.rack(i), asked, then, TRUST_READING);
                 } else {
-                    self.ledger.read(self.link(i), asked, then, TRUST_READING);
+                    let l = self.link(i);
+                    self.ledger.read(l, asked, then, TRUST_READING);
+                    if fresh {
+                        self.ledger.alone_at[l] = then;
+                    }
                     blend(&mut self.common, asked, MEMORY);
                     if !fresh {
                         self.noted(now, i);
@@ -890,7 +895,9 @@
     /// What of the room left on a link is ours to use until news shows what the others did with theirs: all
     /// who hold sessions there hear of the same room, each uses the part that its load is of all.
     fn our_part(&self, l: usize, room: f64) -> f64 {
-        let part = (self.ledger.own[l] / self.asked(l).max(1e-9)).clamp(1.0 / self.figures.directors, 1.0);
+        // But a reading at a set-up comes to us alone.
+        let alone = self.ledger.alone_at[l] == self.ledger.read_at[l];
+        let part = if alone { ALONE } else { (self.ledger.own[l] / self.asked(l).max(1e-9)).min(1.0) };
         (room + self.ledger.spent[l]) * part - self.ledger.spent[l]
     }
 
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -84,6 +84,8 @@
     pub own: Vec<f64>,
     pub others: Vec<f64>,
     pub read_at: Vec<f64>,
+    /// When a reading at a set-up, which no other director hears, was last taken.
+    pub alone_at: Vec<f64>,
     pub eased_at: Vec<f64>,
     /// What our rises took since the last reading that shows the others', and when the last of them was.
     pub spent: Vec<f64>,
@@ -99,6 +101,7 @@
         put(&mut self.own, l, 0.0);
         put(&mut self.others, l, 0.0);
         put(&mut self.read_at, l, f64::NEG_INFINITY);
+        put(&mut self.alone_at, l, f64::NAN);
         put(&mut self.eased_at, l, f64::NEG_INFINITY);
         put(&mut self.spent, l, 0.0);
         put(&mut self.rose_at, l, f64::NEG_INFINITY);
