--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -349,14 +349,13 @@
                 let asked = asked.min(FULLEST);
                 let fresh = now - since < FRESH_READING;
                 let then = if fresh { now } else { now - self.figures.seen_after };
-                if matches!(reading, Reading::Uplink { .. }) {
-                    self.ledger.read(self.rack(i), asked, then, TRUST_READING);
-                } else {
-                    let l = self.link(i);
-                    self.ledger.read(l, asked, then, TRUST_READING);
-                    if fresh {
-                        self.ledger.alone_at[l] = then;
-                    }
+                let uplink = matches!(reading, Reading::Uplink { .. });
+                let l = if uplink { self.rack(i) } else { self.link(i) };
+                self.ledger.read(l, asked, then, TRUST_READING);
+                if fresh {
+                    self.ledger.alone_at[l] = then;
+                }
+                if !uplink {
                     blend(&mut self.common, asked, MEMORY);
                     if !fresh {
                         self.noted(now, i);
