Draw for a rise once a reading; fill uplinks to 0.88 by rises, links to 0.80

A lost draw marked the link as risen on, so that readings, which are late, never counted as new and the part stayed used up; it now uses up the whole part until a reading shows what became of it. An uplink carries ten times a link's sessions, whose true rates even out: rises fill it to 0.88.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -32,8 +32,8 @@
 const LEARN_RATE: f64 = 0.05; // weight for each payoff above the mean; slow, as payoffs are noisy
 const MEMORY: f64 = 0.1; // part of a running mean that a new figure replaces; about ten figures' memory
 const SETTLED: f64 = 0.5; // payoff; mean surprise under this after PAST steps: the actor has settled
-const FILL: f64 = 0.90; // of a link; set-ups fill this much, the rest is for what others send unseen
-const RISE_FILL: f64 = 0.80; // of a link; under FILL, so that arrivals find room after rises
+const FILL: (f64, f64) = (0.90, 0.90); // of a link; set-ups fill this much, the rest is for what others send unseen
+const RISE_FILL: (f64, f64) = (0.80, 0.88); // of a link, an uplink; under FILL, so that arrivals find room
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
 const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; fuller, sessions step down, to where none is short
 const UNREAD: f64 = 0.6; // of a link; how full one counts before anything was read, a common load
@@ -49,7 +49,7 @@
 const REPORT_AGE: f64 = 0.4; // s; age of a load report on arrival, by typical refresh and way
 const FRESH_READING: f64 = 0.15; // s; so soon after a session began a reading is of now, later ones are old
 const SETTLE: f64 = 0.8; // s; notes are smoothed: for so long after step-downs they show the old shortage
-const ALONE: f64 = 0.5; // of the room read at a set-up of ours; the rest is for who sets up next
+const ALONE: f64 = 0.4; // of the room read at a set-up of ours; the rest is for who sets up next
 const RISE_WAIT: (f64, f64) = (0.5, 2.0); // s; the random quiet wait before a rise, about a note's time
 const RISE_GAP: f64 = 6.0; // s; a session keeps its rung for so long at least, to be worth its change
 const RISE_READING: f64 = 6.0; // s; an older reading is no ground to rise or blame: two notes were missed
@@ -305,11 +305,15 @@
         (fill - stale) * self.ledger.size[l] * warmth - self.asked(l) - added
     }
 
-    fn room(&self, now: f64, i: usize, fill: f64) -> (f64, f64) {
+    fn room(&self, now: f64, i: usize, fill: (f64, f64)) -> (f64, f64) {
         // A node that is taken for just started only for want of news counts as warm here: its link is read.
-        let link =
-            self.left_under(now, self.link(i), fill, if self.doubted(i) { 1.0 } else { self.warmth(now, i) });
-        (link, self.left_under(now, self.rack(i), fill, 1.0))
+        let link = self.left_under(
+            now,
+            self.link(i),
+            fill.0,
+            if self.doubted(i) { 1.0 } else { self.warmth(now, i) },
+        );
+        (link, self.left_under(now, self.rack(i), fill.1, 1.0))
     }
 
     fn load_read(&mut self, now: f64, i: usize, load: &LoadReport) {
@@ -418,7 +422,7 @@
         let (short, all) = ours.fold((0, 0), |(short, all), i| {
             let (l, share) = (self.link(i), self.nodes.delivered[i]);
             let recent = now - self.ledger.read_at[l] < RISE_READING;
-            let unexplained = self.asked(l) / self.ledger.size[l] * share < FILL;
+            let unexplained = self.asked(l) / self.ledger.size[l] * share < FILL.0;
             (short + i32::from(share < SHORT && recent && unexplained), all + 1)
         });
         short >= 2 && short * 2 > all
@@ -896,7 +900,7 @@
     fn our_part(&self, l: usize, room: f64) -> f64 {
         // But a reading at a set-up comes to us alone.
         let alone = self.ledger.alone_at[l] == self.ledger.read_at[l];
-        let part = if alone { ALONE } else { (self.ledger.own[l] / self.asked(l).max(1e-9)).min(1.0) };
+        let part = (self.ledger.own[l] / self.asked(l).max(1e-9)).clamp(if alone { ALONE } else { 0.0 }, 1.0);
         (room + self.ledger.spent[l]) * part - self.ledger.spent[l]
     }
 
@@ -912,6 +916,9 @@
         self.nodes.rise_at[i] = now + self.rise_wait();
         let (link, uplink) = self.room(now, i, RISE_FILL);
         let (whole, ours) = (link.min(uplink), self.our_part(l, link).min(self.our_part(r, uplink)));
+        if ours <= 0.0 {
+            return;
+        }
         let (chance, drawn) = (self.rng.f64(), Cell::new(false));
         let of = |s: &Sess| s.node == i && now - s.changed_at > RISE_GAP;
         let (rises, kb) = self.walk(of, true, |used, kb, gain| {
@@ -923,7 +930,7 @@
             self.set_rung(now, sess, rung, orders);
         }
         // A lost draw uses the part up too.
-        let used = if kb > 0.0 { kb * (1.0 + RATE_SPREAD) } else { ours.max(0.0) };
+        let used = if kb > 0.0 { kb * (1.0 + RATE_SPREAD) } else { whole };
         for l in [l, r].into_iter().filter(|_| drawn.get()) {
             (self.ledger.spent[l], self.ledger.rose_at[l]) = (self.ledger.spent[l] + used, now);
         }
