Do not count others' adding twice on links never read

For a link never read the account already counts what others may have there, by our own load; then the same was added once more as adding since the reading.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -300,8 +300,10 @@
         }
         let unseen = (f.directors - 1.0) / f.directors;
         let stale = ((now - then) * STALE.0).min(STALE.1) * unseen;
+        // For a link never read the account counts all that others may have there.
         let since = |l: usize| (self.ledger.own[l] - self.ledger.own_at(l, then)).max(0.0);
-        let added = CROWD * self.by_others(l, since(l), since(self.fleet()));
+        let crowd = if then > f64::NEG_INFINITY { CROWD } else { 0.0 };
+        let added = crowd * self.by_others(l, since(l), since(self.fleet()));
         (fill - stale) * self.ledger.size[l] * warmth - self.asked(l) - added
     }
 
