Draw a first step-down by three times its need, all further ones as before

Cause: a director with one session on a link stepped it down whole however small its part of the gap, so all together cleared the link and rose again. Holds whatever makes a link short; harm where a shortage is small and lasts: it goes in two or three notes instead of one.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -36,6 +36,7 @@
 const RISE_FILL: (f64, f64) = (0.80, 0.88); // of a link, an uplink; under FILL, so that arrivals find room
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
 const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; fuller, sessions step down, to where none is short
+const DRAWN: f64 = 3.0; // times the need; a larger step-down is drawn for, so most of a real shortage goes
 const UNREAD: f64 = 0.6; // of a link; how full one counts before anything was read, a common load
 const CROWD: f64 = 0.5; // of what others would add by our own adding; a part of it ends unseen
 const RATE_SPREAD: f64 = 0.2; // of a rate; true rates lie off the ladder by up to a quarter, by title
@@ -875,21 +876,25 @@
         if self.ledger.read_at[l] <= self.ledger.eased_at[l] + heard {
             return;
         }
+        let chance = self.rng.f64();
         let need = self.ledger.own[l] * (asked - RELIEF.1 * self.ledger.size[l]) / asked;
         let at = |i: usize| {
             if l < racks { self.rack(i) == l } else { self.link(i) == l }
         };
-        let (plan, _) = self.walk(|s| at(s.node), false, |freed, _, _| freed < need);
-        if plan.is_empty() {
-            return;
-        }
+        // A first step far larger than the need is drawn: with many directors each holds little there, and all
+        // rounding up would clear the link. More than the need is drawn for, as shortage costs more than slack.
+        let (plan, _) = self.walk(
+            |s| at(s.node),
+            false,
+            |freed, kb, _| if freed == 0.0 { chance * kb < DRAWN * need } else { freed < need },
+        );
+        self.ledger.eased_at[l] = now;
         for (sess, rung) in plan {
             let i = self.sess[&sess].node;
             let wait = self.rise_wait();
             self.nodes.rise_at[i] = now + wait;
             self.set_rung(now, sess, rung, orders);
         }
-        self.ledger.eased_at[l] = now;
     }
 
     fn rise_wait(&mut self) -> f64 {
