--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -89,7 +89,7 @@
     setup_mean: f64,
     setup_dev: f64,
     life: f64,
-    common: f64,
+    common: [f64; 2],
     taken: VecDeque<f64>,
     further: VecDeque<f64>,
     pub(crate) seats: BTreeMap<(TitleId, u8), u32>,
@@ -127,7 +127,7 @@
             setup_mean: SETUP_TIME,
             setup_dev: SETUP_TIME / 4.0,
             life: LIFE,
-            common: UNREAD,
+            common: [UNREAD; 2],
             taken: VecDeque::new(),
             further: VecDeque::new(),
             seats: BTreeMap::new(),
@@ -279,11 +279,16 @@
         if self.ledger.read_at[l] == f64::NEG_INFINITY {
             // Never read: as full as the rest of the fleet at least.
             let (own, fleet) = (self.ledger.own[l], self.ledger.own[self.fleet()]);
-            return (own + self.by_others(l, own, fleet)).max(self.common * self.ledger.size[l]);
+            return (own + self.by_others(l, own, fleet)).max(self.common(l) * self.ledger.size[l]);
         }
         (self.ledger.own[l] + self.ledger.others[l]).max(0.0)
     }
 
+    /// How full links, or uplinks, were of late as far as we read them.
+    fn common(&self, l: usize) -> f64 {
+        self.common[usize::from(l < self.figures.racks)]
+    }
+
     /// What all others would have on a link, going by ours: one of them as much as we, for titles draw us all
     /// to the same nodes, each of the rest our mean over the fleet, since with many each holds little anywhere.
     fn by_others(&self, l: usize, here: f64, fleet: f64) -> f64 {
@@ -362,11 +367,9 @@
                 if fresh {
                     self.ledger.alone_at[l] = then;
                 }
-                if !uplink {
-                    blend(&mut self.common, asked, MEMORY);
-                    if !fresh {
-                        self.noted(now, i);
-                    }
+                blend(&mut self.common[usize::from(uplink)], asked, MEMORY);
+                if !uplink && !fresh {
+                    self.noted(now, i);
                 }
             }
             Reading::Delivered { node, share } => self.delivered(now, node, share),
@@ -851,7 +854,7 @@
                 || l > racks && now < self.nodes.cold_until[l - racks - 1]
             {
                 // At once where a node just started: all directors hear of it and fill it.
-                let common = (self.common * size - self.ledger.own[l]).max(0.0);
+                let common = (self.common(l) * size - self.ledger.own[l]).max(0.0);
                 blend(&mut self.ledger.others[l], common, BEAT / DRIFT);
             }
         }
