--- a/crates/kelpdoor/src/figures.rs
+++ b/crates/kelpdoor/src/figures.rs
@@ -30,6 +30,8 @@
     pub directors: f64,
     pub zone: u16,
     pub groups: Vec<Group>,
+    /// Utility for each kB of a lowest rung, mean over groups.
+    pub first_earns: f64,
     pub places: Vec<f64>,
     pub cells: u16,
     pub racks: usize,
@@ -66,11 +68,14 @@
                 switch: terms.switch_cost * g.utility,
             }
         };
+        let groups: Vec<Group> = terms.groups.iter().map(group).collect();
+        let first = groups.iter().map(|g| g.earns[0] / g.kb[0].max(1e-9));
         Figures {
             me: terms.me.into(),
             directors: terms.directors.max(terms.me + 1).into(),
             zone: terms.zone,
-            groups: terms.groups.iter().map(group).collect(),
+            first_earns: first.sum::<f64>() / groups.len().max(1) as f64,
+            groups,
             places: terms.places_by_kind.clone(),
             cells: terms.cells.max(1),
             racks: terms.racks.max(1).into(),
