--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -36,7 +36,7 @@
 const RISE_FILL: (f64, f64) = (0.80, 0.88); // of a link, an uplink; under FILL, so that arrivals find room
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
 const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; fuller, sessions step down, to where none is short
-const PRICE: f64 = 0.85; // of a link
+const YIELD: f64 = 0.78; // of a link; with many directors, steps that earn little yield from here on
 const DRAWN: f64 = 3.0; // times the need; a larger step-down is drawn for, so most of a real shortage goes
 const UNREAD: f64 = 0.6; // of a link; how full one counts before anything was read, a common load
 const CROWD: f64 = 0.5; // of what others would add by our own adding; a part of it ends unseen
@@ -872,8 +872,10 @@
     fn relieve(&mut self, now: f64, l: usize, orders: &mut impl Orders) {
         let asked = self.asked(l);
         let racks = self.figures.racks;
+        // Few directors can squeeze their own sessions instead.
         let full = asked / self.ledger.size[l];
-        if full <= PRICE || self.ledger.own[l] <= 0.0 {
+        let from = RELIEF.0 - (RELIEF.0 - YIELD) * (1.0 - 2.0 / self.figures.directors).max(0.0).powi(3);
+        if full <= from || self.ledger.own[l] <= 0.0 {
             return;
         }
         // Only on news; for an uplink, which all share, on such that shows what the others did about it.
@@ -882,9 +884,12 @@
             return;
         }
         let chance = self.rng.f64();
-        let over = full > RELIEF.0;
-        let need = self.ledger.own[l] * (full - if over { RELIEF.1 } else { PRICE }) / full;
-        let (most, drawn) = if over { (f64::INFINITY, DRAWN) } else { ((full - PRICE) / (RELIEF.0 - PRICE) * self.figures.first_earns, 1.0) };
+        let (target, most, drawn) = if full > RELIEF.0 {
+            (RELIEF.1, f64::INFINITY, DRAWN)
+        } else {
+            (from, (full - from) / (RELIEF.0 - from) * self.figures.first_earns, 1.0)
+        };
+        let need = self.ledger.own[l] * (full - target) / full;
         let at = |i: usize| {
             if l < racks { self.rack(i) == l } else { self.link(i) == l }
         };
@@ -893,7 +898,9 @@
         let (plan, _) = self.walk(
             |s| at(s.node),
             false,
-            |freed, kb, loss| loss <= most && if freed == 0.0 { chance * kb < drawn * need } else { freed < need },
+            |freed, kb, loss| {
+                loss <= most && if freed == 0.0 { chance * kb < drawn * need } else { freed < need }
+            },
         );
         self.ledger.eased_at[l] = now;
         for (sess, rung) in plan {
