Index nodes by rack, keep sums, and visit only the nodes that are held

Now nodes are indexed by rack and given-up indices kept, at each list; a beat relieves and rises only where this director holds sessions.

--- a/crates/kelpdoor/src/books.rs
+++ b/crates/kelpdoor/src/books.rs
@@ -1,9 +1,11 @@
 //! A director's bookkeeping: what is counted where. Nothing is decided here.
 
+use std::collections::BTreeSet;
+
 use crate::decide::Director;
 use crate::ids::{NodeId, SessId};
-use crate::round::Phase;
-use crate::state::{Nodes, Sess};
+use crate::round::{Listed, NewSession, Phase};
+use crate::state::{Nodes, Sess, Stage};
 
 impl Director {
     /// A node's share in thousandths; 0 for one that is not listed.
@@ -18,10 +20,6 @@
         i
     }
 
-    pub(crate) fn listed(&self) -> Vec<usize> {
-        self.nodes.index.values().copied().filter(|&i| self.nodes.phase[i] != Phase::Gone).collect()
-    }
-
     pub(crate) fn rack(&self, i: usize) -> usize {
         self.nodes.cell[i] as usize % self.figures.racks
     }
@@ -35,9 +33,74 @@
         self.figures.racks
     }
 
-    /// All uplinks, then the links of the given nodes.
-    pub(crate) fn links(&self, nodes: &[usize]) -> Vec<usize> {
-        (0..self.figures.racks).chain(nodes.iter().map(|&i| self.link(i))).collect()
+    /// Listed nodes with sessions of ours.
+    pub(crate) fn held(&self) -> Vec<usize> {
+        self.nodes.listed.iter().copied().filter(|&i| self.nodes.streams[i] >= 1.0).collect()
+    }
+
+    /// The uplinks, then the links, of the given nodes.
+    pub(crate) fn held_links(&self, held: &[usize]) -> Vec<usize> {
+        let racks: BTreeSet<usize> = held.iter().map(|&i| self.rack(i)).collect();
+        racks.into_iter().chain(held.iter().map(|&i| self.link(i))).collect()
+    }
+
+    /// Indexes the nodes that are listed now, also by rack, and sums their sizes.
+    pub(crate) fn relist(&mut self) {
+        let Nodes { index, phase, .. } = &self.nodes;
+        let listed: Vec<usize> = index.values().copied().filter(|&i| phase[i] != Phase::Gone).collect();
+        let mut by_rack = vec![Vec::new(); self.figures.racks];
+        listed.iter().for_each(|&i| by_rack[self.rack(i)].push(i));
+        self.nodes.size_sum = listed.iter().map(|&i| self.nodes.size[i]).sum();
+        let fleet = self.fleet();
+        self.ledger.size[fleet] = listed.iter().map(|&i| self.ledger.size[self.link(i)]).sum();
+        (self.nodes.listed, self.nodes.by_rack) = (listed, by_rack);
+    }
+
+    /// Copies what a line of the list tells of a node that has an index.
+    pub(crate) fn copy_line(&mut self, i: usize, line: &Listed, new: bool) {
+        let (n, f) = (&mut self.nodes, &self.figures);
+        n.zone[i] = line.zone;
+        n.cell[i] = line.cell;
+        n.size[i] = line.size.max(1e-3);
+        n.places[i] = f.places.get(line.kind as usize).copied().unwrap_or(f64::MAX);
+        let (l, size) = (f.racks + 1 + i, f.link_unit * n.size[i]);
+        if new {
+            self.ledger.size[l] = size;
+        }
+        self.ledger.listed[l] = size;
+    }
+
+    /// Link-size share of a node, in thousandths.
+    pub(crate) fn base_share(&self, i: usize) -> f64 {
+        1000.0 * self.nodes.size[i] / self.nodes.size_sum
+    }
+
+    /// Nothing of the others' is at a node as of now.
+    pub(crate) fn emptied(&mut self, now: f64, i: usize) {
+        let l = self.link(i);
+        (self.ledger.others[l], self.ledger.read_at[l]) = (0.0, now);
+        self.nodes.other_streams[i] = 0.0;
+    }
+
+    /// Whether a node is taken for just started only for want of news.
+    pub(crate) fn doubted(&self, i: usize) -> bool {
+        self.nodes.cold_since[i] == f64::INFINITY && self.nodes.cold_until[i] < f64::INFINITY
+    }
+
+    /// How full links, or uplinks, were of late as far as we read them.
+    pub(crate) fn common(&self, l: usize) -> f64 {
+        self.common[usize::from(l < self.figures.racks)]
+    }
+
+    /// Takes in a session that was under way at our start.
+    pub(crate) fn adopt(&mut self, now: f64, ask: &NewSession, node: NodeId) {
+        let i = self.nodes.index.get(&node).copied().unwrap_or_else(|| self.new_node(node));
+        let mut sess = Sess::new(ask, now, self.figures.groups[ask.group.0 as usize].floor, 0.0);
+        (sess.stage, sess.node) = (Stage::Playing { since: f64::NEG_INFINITY }, i);
+        sess.changed_at = f64::NEG_INFINITY;
+        self.sess.insert(ask.sess, sess);
+        self.hold(now, ask.sess);
+        self.nodes.noted_at[i] = now + self.figures.seen_after;
     }
 
     fn rate(&self, s: &Sess) -> f64 {
@@ -86,7 +149,13 @@
 
     /// Gives up the index of each node that is gone and holds nothing of ours.
     pub(crate) fn forget_gone(&mut self) {
-        let Nodes { index, phase, streams, .. } = &mut self.nodes;
-        index.retain(|_, i| phase[*i] != Phase::Gone || streams[*i] > 0.5);
+        let Nodes { index, phase, streams, free, .. } = &mut self.nodes;
+        index.retain(|_, i| {
+            let keep = phase[*i] != Phase::Gone || streams[*i] > 0.5;
+            if !keep {
+                free.push(*i);
+            }
+            keep
+        });
     }
 }
--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -11,7 +11,7 @@
 //!   6. fading: what was last heard drifts to a common load where no news comes
 
 use std::cell::Cell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use fastrand::Rng;
 
@@ -90,7 +90,7 @@
     setup_mean: f64,
     setup_dev: f64,
     life: f64,
-    common: [f64; 2],
+    pub(crate) common: [f64; 2],
     taken: VecDeque<f64>,
     further: VecDeque<f64>,
     pub(crate) seats: BTreeMap<(TitleId, u8), u32>,
@@ -113,10 +113,11 @@
             // Nothing is told of uplinks: each counts as wide until delivery falls short.
             ledger.size.iter_mut().for_each(|size| *size *= SIZE_RANGE.1);
         }
+        let nodes = Nodes { by_rack: vec![Vec::new(); figures.racks], ..Nodes::default() };
         Director {
             figures,
             rng: Rng::with_seed(seed),
-            nodes: Nodes::default(),
+            nodes,
             ledger,
             sess: BTreeMap::new(),
             actor: Actor { surprise: 1.0, ..Actor::default() },
@@ -165,31 +166,27 @@
             ListChange::Unanswered => return self.ask_at = now + BEAT + self.rng.f64(),
         };
         if whole {
-            for i in 0..self.nodes.id.len() {
-                if !lines.iter().any(|l| l.node == self.nodes.id[i]) {
+            let named: BTreeSet<NodeId> = lines.iter().map(|l| l.node).collect();
+            let gone = |id: &NodeId| !named.contains(id);
+            (0..self.nodes.id.len()).for_each(|i| {
+                if gone(&self.nodes.id[i]) {
                     self.nodes.phase[i] = Phase::Gone;
                 }
-            }
-        }
-        for line in lines {
-            self.line(now, line, cached);
+            });
         }
+        lines.iter().for_each(|line| self.line(now, line, cached));
+        self.relist();
         self.reshare();
     }
 
     fn line(&mut self, now: f64, line: &Listed, cached: bool) {
-        let f = &self.figures;
         let known = self.nodes.index.get(&line.node).copied();
         if known.is_none() && line.phase == Phase::Gone {
             return;
         }
-        let places = f.places.get(line.kind as usize).copied().unwrap_or(f64::MAX);
         let i = known.unwrap_or_else(|| self.new_node(line.node));
+        self.copy_line(i, line, known.is_none());
         let (n, f) = (&mut self.nodes, &self.figures);
-        n.zone[i] = line.zone;
-        n.cell[i] = line.cell;
-        n.size[i] = line.size.max(1e-3);
-        n.places[i] = places;
         // Listed again with the old start, it never stopped: only the list had lost it.
         let back = n.phase[i] == Phase::Gone && line.phase == Phase::Ready && line.up_since == 0.0;
         n.phase[i] = line.phase;
@@ -203,13 +200,12 @@
             n.barred_until[i] = f64::NEG_INFINITY;
             n.strikes[i] = 0;
             n.noted_at[i] = f64::INFINITY;
-            n.other_streams[i] = 0.0;
             if n.cold_until[i] > now {
                 // Just started, so it carries nothing of the others' yet.
-                self.ledger.others[f.racks + 1 + i] = 0.0;
-                self.ledger.read_at[f.racks + 1 + i] = now;
+                self.emptied(now, i);
             }
         }
+        let n = &mut self.nodes;
         if cached && self.started + COLD_FRESH > n.cold_until[i] {
             // A cached list may miss a restart; take the node for just started until lists have caught up.
             // One that is listed as cold stays just that, or directors that restart together would rush it.
@@ -218,33 +214,26 @@
             }
             n.cold_until[i] = self.started + COLD_FRESH;
         }
-        let l = f.racks + 1 + i;
-        if known.is_none() {
-            self.ledger.size[l] = f.link_unit * n.size[i];
-        }
-        self.ledger.listed[l] = f.link_unit * n.size[i];
-    }
-
-    /// Link-size share of a node, in thousandths.
-    fn base_share(&self, listed: &[usize], i: usize) -> f64 {
-        1000.0 * self.nodes.size[i] / listed.iter().map(|&j| self.nodes.size[j]).sum::<f64>()
     }
 
-    /// Brings the fleet's size up to date, and the shares back to 1000 within floor and cap, after nodes came or went.
+    /// Brings the shares back to 1000 within floor and cap, after nodes came or went.
     fn reshare(&mut self) {
-        let (listed, fleet) = (self.listed(), self.fleet());
-        self.ledger.size[fleet] = listed.iter().map(|&i| self.ledger.size[self.link(i)]).sum();
         for i in 0..self.nodes.id.len() {
-            if !listed.contains(&i) {
-                self.nodes.share[i] = 0.0;
-            } else if self.nodes.share[i] == 0.0 {
-                self.nodes.share[i] = self.base_share(&listed, i);
-            }
+            let (base, gone) = (self.base_share(i), self.nodes.phase[i] == Phase::Gone);
+            let share = &mut self.nodes.share[i];
+            *share = if gone {
+                0.0
+            } else if *share == 0.0 {
+                base
+            } else {
+                *share
+            };
         }
+        let listed = self.nodes.listed.clone();
         for _ in 0..PAST {
             let sum: f64 = listed.iter().map(|&i| self.nodes.share[i]).sum();
             for &i in &listed {
-                let base = self.base_share(&listed, i);
+                let base = self.base_share(i);
                 let share = self.nodes.share[i] * 1000.0 / sum;
                 self.nodes.share[i] = share.clamp(SHARES.0 * base, SHARES.1 * base);
             }
@@ -267,8 +256,7 @@
         if l < f.racks && !f.uplinks_told {
             // No figure of its own: its nodes', those never read taken to be as full as the rest.
             let (mut asked, mut read, mut all) = (0.0, 0.0, 0.0);
-            for i in self.listed().into_iter().filter(|&i| self.rack(i) == l) {
-                let link = self.link(i);
+            for link in self.nodes.by_rack[l].iter().map(|&i| self.link(i)) {
                 all += self.ledger.size[link];
                 if self.ledger.read_at[link] > f64::NEG_INFINITY {
                     asked += self.asked(link);
@@ -285,11 +273,6 @@
         (self.ledger.own[l] + self.ledger.others[l]).max(0.0)
     }
 
-    /// How full links, or uplinks, were of late as far as we read them.
-    fn common(&self, l: usize) -> f64 {
-        self.common[usize::from(l < self.figures.racks)]
-    }
-
     /// What all others would have on a link, going by ours: one of them as much as we, for titles draw us all
     /// to the same nodes, each of the rest our mean over the fleet, since with many each holds little anywhere.
     fn by_others(&self, l: usize, here: f64, fleet: f64) -> f64 {
@@ -425,7 +408,7 @@
     /// Whether a rack's nodes fall short together, as far as we see them and though their links were read of
     /// late and are not full: one alone, or one whose link may explain it, is no sign of its uplink.
     fn rack_short(&self, now: f64, r: usize) -> bool {
-        let ours = self.listed().into_iter().filter(|&i| self.rack(i) == r && self.nodes.streams[i] >= 1.0);
+        let ours = self.nodes.by_rack[r].iter().copied().filter(|&i| self.nodes.streams[i] >= 1.0);
         let (short, all) = ours.fold((0, 0), |(short, all), i| {
             let (l, share) = (self.link(i), self.nodes.delivered[i]);
             let recent = now - self.ledger.read_at[l] < RISE_READING;
@@ -484,10 +467,9 @@
 
     /// Bars each silent node but for a trial SETUP now and then, whose answer clears it. Where more than half
     /// of the nodes fall silent the notes stay out, so none is barred: never blind for want of notes.
-    fn watch(&mut self, now: f64, listed: &[usize]) {
-        let silent: Vec<usize> = listed.iter().copied().filter(|&i| self.silent(now, i)).collect();
-        let watched = listed.iter().filter(|&&i| self.nodes.streams[i] >= 1.0).count();
-        let unusual = silent.len() * 2 <= watched;
+    fn watch(&mut self, now: f64, held: &[usize]) {
+        let silent: Vec<usize> = held.iter().copied().filter(|&i| self.silent(now, i)).collect();
+        let unusual = silent.len() * 2 <= held.len();
         for i in silent {
             if unusual && self.nodes.cold_until[i] < f64::INFINITY {
                 self.failed(now, i);
@@ -495,17 +477,6 @@
         }
     }
 
-    fn adopt(&mut self, now: f64, ask: &NewSession, node: NodeId) {
-        let i = self.nodes.index.get(&node).copied().unwrap_or_else(|| self.new_node(node));
-        let group = ask.group.0 as usize;
-        let mut sess = Sess::new(ask, now, self.figures.groups[group].floor, 0.0);
-        (sess.stage, sess.node) = (Stage::Playing { since: f64::NEG_INFINITY }, i);
-        sess.changed_at = f64::NEG_INFINITY;
-        self.sess.insert(ask.sess, sess);
-        self.hold(now, ask.sess);
-        self.nodes.noted_at[i] = now + self.figures.seen_after;
-    }
-
     fn take(&mut self, now: f64, ask: &NewSession, orders: &mut impl Orders) {
         self.taken.push_back(now);
         let group = &self.figures.groups[ask.group.0 as usize];
@@ -524,6 +495,7 @@
         *starts = (starts.0 + p.took, starts.1 + 1.0);
         if self.nodes.streams[i] <= 1.0 || self.nodes.noted_at[i] == f64::INFINITY {
             self.nodes.noted_at[i] = now + self.figures.seen_after;
+            self.nodes.rise_at[i] = now + self.rng.f64() * RISE_WAIT.1;
         }
         self.nodes.turned_away[i] = 0;
         self.heard(now, i);
@@ -546,9 +518,7 @@
                 Ending::Broken => {
                     // Its process died, so what the others had there is gone too.
                     self.failed(now, i);
-                    let l = self.link(i);
-                    (self.ledger.others[l], self.nodes.other_streams[i]) = (0.0, 0.0);
-                    self.ledger.read_at[l] = now;
+                    self.emptied(now, i);
                 }
                 Ending::Unreachable => self.failed(now, i),
                 Ending::TimedOut => {
@@ -634,11 +604,6 @@
         mine && (last / slot).floor() != turn
     }
 
-    /// Whether a node is taken for just started only for want of news.
-    fn doubted(&self, i: usize) -> bool {
-        self.nodes.cold_since[i] == f64::INFINITY && self.nodes.cold_until[i] < f64::INFINITY
-    }
-
     /// Nodes that may take this session now.
     fn holders(&self, now: f64, s: &Sess) -> Vec<usize> {
         let (n, f) = (&self.nodes, &self.figures);
@@ -659,7 +624,7 @@
                 && (now >= n.cold_until[i] || self.cold_takes(now, i))
                 && reach
         };
-        self.listed().into_iter().filter(fits).collect()
+        self.nodes.listed.iter().copied().filter(fits).collect()
     }
 
     /// Places a session that is owed an answer, or gives it up at once.
@@ -823,11 +788,11 @@
             orders.subscribe(true);
             self.ask_at = f64::INFINITY;
         }
-        let listed = self.listed();
-        self.fade(now, &listed);
-        self.links(&listed).into_iter().for_each(|l| self.relieve(now, l, orders));
-        self.watch(now, &listed);
-        listed.iter().for_each(|&i| self.rise(now, i, orders));
+        self.fade(now);
+        let held = self.held();
+        self.held_links(&held).into_iter().for_each(|l| self.relieve(now, l, orders));
+        self.watch(now, &held);
+        held.iter().for_each(|&i| self.rise(now, i, orders));
         if now >= self.next_step {
             self.next_step = now + STEP;
             self.step();
@@ -840,13 +805,14 @@
 
     /// Lets what was last heard fade where no news comes. A last bad word must not hold on: without sessions
     /// there no other comes, so it would lock us out for good. A last good one must not invite more either.
-    fn fade(&mut self, now: f64, listed: &[usize]) {
+    fn fade(&mut self, now: f64) {
         let racks = self.figures.racks;
-        for l in self.links(listed) {
+        let listed = self.nodes.listed.clone();
+        for l in (0..racks).chain(listed.iter().map(|&i| racks + 1 + i)) {
             let (size, age) = (self.ledger.size[l], now - self.ledger.read_at[l]);
             if l < racks && !self.figures.uplinks_told {
                 // Not while any of its nodes falls short: it would be tried again in the midst of the sag.
-                if listed.iter().any(|&i| self.rack(i) == l && self.nodes.delivered[i] < SHORT) {
+                if self.nodes.by_rack[l].iter().any(|&i| self.nodes.delivered[i] < SHORT) {
                     continue;
                 }
                 let most = self.ledger.listed[l] * SIZE_RANGE.1;
@@ -859,7 +825,7 @@
                 blend(&mut self.ledger.others[l], common, BEAT / DRIFT);
             }
         }
-        for &i in listed {
+        for i in listed {
             if now - self.nodes.delivered_at[i] > SHORT_HOLDS {
                 self.nodes.delivered[i] = 1.0;
             }
@@ -959,7 +925,7 @@
 
     /// A step of the shares: learn from the last, then keep or raise one node at the worst one's cost.
     fn step(&mut self) {
-        let listed = self.listed();
+        let listed = self.nodes.listed.clone();
         let mut payoff = 0.0;
         for &i in &listed {
             let l = self.link(i);
@@ -970,23 +936,14 @@
             // Start-up time, stall ratio and stalls per 100 s, weights 1 each.
             let pain = sum / count.max(1.0) + n.missing[i] / STEP + n.shortages[i] * 100.0 / watched;
             payoff -= pain / listed.len() as f64;
-            n.starts[i] = (0.0, 0.0);
-            n.missing[i] = 0.0;
-            n.shortages[i] = 0.0;
-            for (past, new) in [(&mut n.past_load[i], load), (&mut n.past_pain[i], pain)] {
-                past.push_back(new);
-                if past.len() > PAST {
-                    past.pop_front();
-                }
-            }
+            n.remember(i, load, pain, PAST);
         }
         self.actor.learn(payoff);
         let pain = |i: usize| self.nodes.past_pain[i].back().copied().unwrap_or(0.0);
-        let floors: Vec<f64> =
-            (0..self.nodes.id.len()).map(|i| SHARES.0 * self.base_share(&listed, i)).collect();
+        let over_floor = |me: &Self, i: usize| me.nodes.share[i] - SHARES.0 * me.base_share(i);
         let mut ranked = listed.clone();
         ranked.sort_by(|&a, &b| pain(b).total_cmp(&pain(a)).then(self.nodes.id[a].cmp(&self.nodes.id[b])));
-        let worst = ranked.into_iter().find(|&i| self.nodes.share[i] > floors[i] + 1e-9);
+        let worst = ranked.into_iter().find(|&i| over_floor(self, i) > 1e-9);
         let raises = if self.actor.settled() { &RAISES[..] } else { &RAISES[..1] };
         let choices: Vec<(usize, f64)> =
             listed.iter().flat_map(|&i| raises.iter().map(move |&a| (i, a))).collect();
@@ -1002,9 +959,8 @@
         if to == from {
             return;
         }
-        let cap = SHARES.1 * self.base_share(&listed, to) - self.nodes.share[to];
-        let by =
-            (by * 3.0 / listed.len() as f64).min(self.nodes.share[from] - floors[from]).min(cap).max(0.0);
+        let cap = SHARES.1 * self.base_share(to) - self.nodes.share[to];
+        let by = (by * 3.0 / listed.len() as f64).min(over_floor(self, from)).min(cap).max(0.0);
         self.nodes.share[to] += by;
         self.nodes.share[from] -= by;
     }
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -147,6 +147,12 @@
 #[derive(Default)]
 pub struct Nodes {
     pub index: BTreeMap<NodeId, usize>,
+    /// Indices given up by nodes that are gone.
+    pub free: Vec<usize>,
+    /// Nodes listed now, by id; the same by rack; and the sum of their sizes.
+    pub listed: Vec<usize>,
+    pub by_rack: Vec<Vec<usize>>,
+    pub size_sum: f64,
     pub id: Vec<NodeId>,
     pub zone: Vec<u16>,
     pub cell: Vec<u16>,
@@ -181,8 +187,7 @@
 impl Nodes {
     /// The index of a node not known so far, with everything about it unknown.
     pub fn add(&mut self, id: NodeId) -> usize {
-        let free = (0..self.id.len()).find(|&i| !self.index.values().any(|&used| used == i));
-        let i = free.unwrap_or(self.id.len());
+        let i = self.free.pop().unwrap_or(self.id.len());
         self.index.insert(id, i);
         put(&mut self.id, i, id);
         put(&mut self.zone, i, 0);
@@ -214,6 +219,17 @@
         put(&mut self.past_pain, i, VecDeque::new());
         i
     }
+
+    /// Takes a step's load and quality figure into a node's past of so many steps, and counts anew.
+    pub fn remember(&mut self, i: usize, load: f64, pain: f64, steps: usize) {
+        (self.starts[i], self.missing[i], self.shortages[i]) = ((0.0, 0.0), 0.0, 0.0);
+        for (past, new) in [(&mut self.past_load[i], load), (&mut self.past_pain[i], pain)] {
+            past.push_back(new);
+            if past.len() > steps {
+                past.pop_front();
+            }
+        }
+    }
 }
 
 /// Features of a raise: load and quality of its node, last and on average.
