Raises shrink no further than for 16 nodes, so that shares move at full size

With 3 over the nodes or 16, whichever is fewer, a raise is up to half a mean share of a large fleet.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -28,6 +28,7 @@
 const STEP: f64 = 2.0; // s; a step of the shares, the design's own start value
 const PAST: usize = 20; // steps; loads and quality figures kept for each node, the paper's k
 const RAISES: [f64; 3] = [1.0, 5.0, 10.0]; // thousandths for three nodes; the paper's, scaled by 3/m
+const FEW: f64 = 16.0; // nodes; with more, raises shrink no further, or shares would not move in a day
 const SHARES: (f64, f64) = (0.2, 2.0); // of a link-size share; floor, to forget no node, and the design's cap
 const LEARN_RATE: f64 = 0.05; // weight for each payoff above the mean; slow, as payoffs are noisy
 const MEMORY: f64 = 0.1; // part of a running mean that a new figure replaces; about ten figures' memory
@@ -960,7 +961,7 @@
             return;
         }
         let cap = SHARES.1 * self.base_share(to) - self.nodes.share[to];
-        let by = (by * 3.0 / listed.len() as f64).min(over_floor(self, from)).min(cap).max(0.0);
+        let by = (by * 3.0 / FEW.min(listed.len() as f64)).min(over_floor(self, from)).min(cap).max(0.0);
         self.nodes.share[to] += by;
         self.nodes.share[from] -= by;
     }
