--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -496,7 +496,8 @@
         *starts = (starts.0 + p.took, starts.1 + 1.0);
         if self.nodes.streams[i] <= 1.0 || self.nodes.noted_at[i] == f64::INFINITY {
             self.nodes.noted_at[i] = now + self.figures.seen_after;
-            self.nodes.rise_at[i] = now + self.rng.f64() * RISE_WAIT.1;
+            // Nobody else acts on what we read at a set-up, so the first wait is short.
+            self.nodes.rise_at[i] = now + self.rng.f64() * RISE_WAIT.0;
         }
         self.nodes.turned_away[i] = 0;
         self.heard(now, i);
