Take what comes in after our own pause for that much older

A director that stands still finds all that came meanwhile: a reading at a set-up up to 2 s old counted as of now and ours alone, set-up times and note gaps held the pause. Rounds are asked for each beat, so a longer gap is our own: readings count as that much older, no times are learned from that round; the list and all answers are heard before anything is sent, as before. Holds also on a slow machine and when the clock jumps ahead; harm: one good reading a pause is believed less.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -87,6 +87,8 @@
     next_beat: f64,
     woken_for: f64,
     started: f64,
+    last_round: f64,
+    pause: f64,
     fleet_noted: f64,
     setup_mean: f64,
     setup_dev: f64,
@@ -126,6 +128,8 @@
             next_beat: now,
             woken_for: f64::NEG_INFINITY,
             started: now,
+            last_round: now,
+            pause: 0.0,
             fleet_noted: f64::NEG_INFINITY,
             setup_mean: SETUP_TIME,
             setup_dev: SETUP_TIME / 4.0,
@@ -139,6 +143,9 @@
     }
 
     pub fn round(&mut self, now: f64, round: &Round, orders: &mut impl Orders) {
+        // We ask for a round each beat, so a longer gap is a pause of our own: what came in is that much older.
+        self.pause = (now - self.last_round - BEAT).max(0.0);
+        self.last_round = now;
         round.list_changes.iter().for_each(|change| self.list(now, change));
         round.handed_over.iter().for_each(|(ask, node)| self.adopt(now, ask, *node));
         round.playing.iter().for_each(|playing| self.plays(now, playing));
@@ -344,8 +351,8 @@
                     _ => f64::NEG_INFINITY,
                 };
                 let asked = asked.min(FULLEST);
-                let fresh = now - since < FRESH_READING;
-                let then = if fresh { now } else { now - self.figures.seen_after };
+                let fresh = now - since + self.pause < FRESH_READING;
+                let then = if fresh { now } else { now - self.figures.seen_after - self.pause };
                 let uplink = matches!(reading, Reading::Uplink { .. });
                 let l = if uplink { self.rack(i) } else { self.link(i) };
                 self.ledger.read(l, asked, then, TRUST_READING);
@@ -372,7 +379,7 @@
     fn delivered(&mut self, now: f64, node: NodeId, share: f64) {
         let share = share.max(1.0 / FULLEST);
         let Some(&i) = self.nodes.index.get(&node) else { return };
-        let (l, r, then) = (self.link(i), self.rack(i), now - self.figures.seen_after);
+        let (l, r, then) = (self.link(i), self.rack(i), now - self.figures.seen_after - self.pause);
         let short = share < SHORT;
         if short && self.nodes.delivered[i] >= SHORT {
             self.nodes.shortages[i] += 1.0;
@@ -421,9 +428,10 @@
 
     /// A periodic note of a node came in.
     fn noted(&mut self, now: f64, i: usize) {
+        let pause = self.pause;
         let n = &mut self.nodes;
         let gap = now - n.noted_at[i];
-        if gap > GAP_SPREAD {
+        if gap > GAP_SPREAD && pause < BEAT {
             track(&mut n.gap_mean[i], &mut n.gap_dev[i], gap, MEMORY);
         }
         n.noted_at[i] = now;
@@ -491,7 +499,9 @@
         s.stage = Stage::Playing { since: now };
         s.changed_at = f64::NEG_INFINITY;
         let i = s.node;
-        track(&mut self.setup_mean, &mut self.setup_dev, p.took, MEMORY);
+        if self.pause < BEAT {
+            track(&mut self.setup_mean, &mut self.setup_dev, p.took, MEMORY);
+        }
         let starts = &mut self.nodes.starts[i];
         *starts = (starts.0 + p.took, starts.1 + 1.0);
         if self.nodes.streams[i] <= 1.0 || self.nodes.noted_at[i] == f64::INFINITY {
