--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -33,7 +33,7 @@
 const LEARN_RATE: f64 = 0.05; // weight for each payoff above the mean; slow, as payoffs are noisy
 const MEMORY: f64 = 0.1; // part of a running mean that a new figure replaces; about ten figures' memory
 const SETTLED: f64 = 0.5; // payoff; mean surprise under this after PAST steps: the actor has settled
-const FILL: (f64, f64) = (0.90, 0.90); // of a link; set-ups fill this much, the rest is for what others send unseen
+const FILL: (f64, f64) = (0.90, 0.90); // of a link, an uplink, by set-ups; the rest is for what comes unseen
 const RISE_FILL: (f64, f64) = (0.80, 0.88); // of a link, an uplink; under FILL, so that arrivals find room
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
 const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; fuller, sessions step down, to where none is short
@@ -175,12 +175,9 @@
         };
         if whole {
             let named: BTreeSet<NodeId> = lines.iter().map(|l| l.node).collect();
-            let gone = |id: &NodeId| !named.contains(id);
-            (0..self.nodes.id.len()).for_each(|i| {
-                if gone(&self.nodes.id[i]) {
-                    self.nodes.phase[i] = Phase::Gone;
-                }
-            });
+            for (id, phase) in self.nodes.id.iter().zip(&mut self.nodes.phase) {
+                *phase = if named.contains(id) { *phase } else { Phase::Gone };
+            }
         }
         lines.iter().for_each(|line| self.line(now, line, cached));
         self.relist();
@@ -228,14 +225,8 @@
     fn reshare(&mut self) {
         for i in 0..self.nodes.id.len() {
             let (base, gone) = (self.base_share(i), self.nodes.phase[i] == Phase::Gone);
-            let share = &mut self.nodes.share[i];
-            *share = if gone {
-                0.0
-            } else if *share == 0.0 {
-                base
-            } else {
-                *share
-            };
+            let kept = if self.nodes.share[i] == 0.0 { base } else { self.nodes.share[i] };
+            self.nodes.share[i] = if gone { 0.0 } else { kept };
         }
         let listed = self.nodes.listed.clone();
         for _ in 0..PAST {
@@ -248,42 +239,9 @@
         }
     }
 
-    /// How warm a node is thought to be, as a part of its capacity.
-    fn warmth(&self, now: f64, i: usize) -> f64 {
-        let f = &self.figures;
-        if now >= self.nodes.cold_until[i] {
-            return 1.0;
-        }
-        let part = ((now - self.nodes.cold_since[i]) / f.warm_within.max(1e-3)).clamp(0.0, 1.0);
-        (f.cold_from + (1.0 - f.cold_from) * part).min(1.0)
-    }
-
-    /// What is asked of a link or uplink by our account.
-    fn asked(&self, l: usize) -> f64 {
-        let f = &self.figures;
-        if l < f.racks && !f.uplinks_told {
-            // No figure of its own: its nodes', those never read taken to be as full as the rest.
-            let (mut asked, mut read, mut all) = (0.0, 0.0, 0.0);
-            for link in self.nodes.by_rack[l].iter().map(|&i| self.link(i)) {
-                all += self.ledger.size[link];
-                if self.ledger.read_at[link] > f64::NEG_INFINITY {
-                    asked += self.asked(link);
-                    read += self.ledger.size[link];
-                }
-            }
-            return if read > 0.0 { asked * all / read } else { 0.0 };
-        }
-        if self.ledger.read_at[l] == f64::NEG_INFINITY {
-            // Never read: as full as the rest of the fleet at least.
-            let (own, fleet) = (self.ledger.own[l], self.ledger.own[self.fleet()]);
-            return (own + self.by_others(l, own, fleet)).max(self.common(l) * self.ledger.size[l]);
-        }
-        (self.ledger.own[l] + self.ledger.others[l]).max(0.0)
-    }
-
     /// What all others would have on a link, going by ours: one of them as much as we, for titles draw us all
     /// to the same nodes, each of the rest our mean over the fleet, since with many each holds little anywhere.
-    fn by_others(&self, l: usize, here: f64, fleet: f64) -> f64 {
+    pub(crate) fn by_others(&self, l: usize, here: f64, fleet: f64) -> f64 {
         let others = self.figures.directors - 1.0;
         let mean = fleet * self.ledger.size[l] / self.ledger.size[self.fleet()].max(1e-9);
         here * others.min(1.0) + mean * (others - 1.0).max(0.0)
@@ -307,12 +265,8 @@
 
     fn room(&self, now: f64, i: usize, fill: (f64, f64)) -> (f64, f64) {
         // A node that is taken for just started only for want of news counts as warm here: its link is read.
-        let link = self.left_under(
-            now,
-            self.link(i),
-            fill.0,
-            if self.doubted(i) { 1.0 } else { self.warmth(now, i) },
-        );
+        let warmth = if self.doubted(i) { 1.0 } else { self.warmth(now, i) };
+        let link = self.left_under(now, self.link(i), fill.0, warmth);
         (link, self.left_under(now, self.rack(i), fill.1, 1.0))
     }
 
@@ -428,10 +382,9 @@
 
     /// A periodic note of a node came in.
     fn noted(&mut self, now: f64, i: usize) {
-        let pause = self.pause;
         let n = &mut self.nodes;
         let gap = now - n.noted_at[i];
-        if gap > GAP_SPREAD && pause < BEAT {
+        if gap > GAP_SPREAD && self.pause < BEAT {
             track(&mut n.gap_mean[i], &mut n.gap_dev[i], gap, MEMORY);
         }
         n.noted_at[i] = now;
