Keep traces of what size changed

Small tests for each failure found at size: a listed cold node after a director's restart, rises by chance, early yields, no busy reply on a guess, a reading after our own pause, shares in a large fleet.

--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -4,8 +4,9 @@
 
 use expect_test::{Expect, expect};
 use helper::{Desk, line, terms, viewer};
+use kelpdoor::Director;
 use kelpdoor::ids::NodeId;
-use kelpdoor::round::{Ending, ListChange, Phase};
+use kelpdoor::round::{Ending, ListChange, Phase, Playing, Reading};
 use kelpdoor::terms::{FurtherBudget, GroupTerms, Reach, Repeat, Terms};
 
 fn check(desk: &Desk, kept: Expect) {
@@ -551,3 +552,136 @@
     });
     check(&desk, expect![[""]]);
 }
+
+#[test]
+fn a_restarted_director_keeps_a_node_listed_as_cold_to_its_slots() {
+    // Node 0 started 2 s before this director did, node 1 long ago; a third of a hundred directors restart.
+    let first_round = |me| {
+        let mut desk = Desk::new(&terms());
+        desk.director = Director::new(&Terms { me, directors: 100, ..terms() }, 42, 100.0);
+        let lines = vec![line(0, Phase::Ready, 98.0), line(1, Phase::Ready, 0.0)];
+        desk.round(|r| r.list_changes.push(ListChange::Cached(lines)));
+        desk.run_to(100.5);
+        (1..=4).for_each(|sess| desk.asks(sess, 2));
+        desk.trace.sent.iter().map(|sent| sent.1.0).collect::<Vec<_>>()
+    };
+    let sent: Vec<u32> = (0..33).flat_map(first_round).collect();
+    let to = |node| sent.iter().filter(|&&n| n == node).count();
+    expect![[r#"
+        (
+            1,
+            33,
+        )
+    "#]]
+    .assert_debug_eq(&(to(0), to(1)));
+}
+
+/// Desks of as many directors as stated, each with one session of that rung on node 0, of all that is asked.
+fn alike(directors: u32, rung: u8, asked: f64) -> Vec<Desk> {
+    let desk = |me: u32| {
+        let mut desk = Desk::new(&Terms { me, directors, ..terms() });
+        desk.director = Director::new(&Terms { me, directors, ..terms() }, u64::from(me), 90.0);
+        desk.round(|r| r.list_changes.push(ListChange::Cached(vec![line(0, Phase::Ready, 0.0)])));
+        desk.hand_over(1, 0, rung);
+        desk.run_to(108.0);
+        desk.full(1, 0, asked);
+        desk.run_to(110.6);
+        desk
+    };
+    (0..directors).map(desk).collect()
+}
+
+fn steps(desks: &[Desk], rung: u8) -> usize {
+    desks.iter().filter(|d| d.trace.text.contains(&format!("sess 1 rung {rung}"))).count()
+}
+
+#[test]
+fn many_directors_use_a_room_by_chance_and_not_each_whole() {
+    // Twelve sessions at the lowest rung ask 0.48 of the link: some rise, not all and not none.
+    let desks = alike(12, 0, 0.48);
+    expect![[r#"
+        (
+            5,
+            0,
+        )
+    "#]]
+    .assert_debug_eq(&(steps(&desks, 1), steps(&desks, 2)));
+}
+
+#[test]
+fn steps_that_earn_least_yield_early_with_many_directors_only() {
+    // At 0.95 of the link: of forty directors some step down from the top rung, of three none.
+    let (many, few) = (alike(40, 2, 0.95), alike(3, 2, 0.95));
+    expect![[r#"
+        (
+            11,
+            0,
+        )
+    "#]]
+    .assert_debug_eq(&(steps(&many, 1), steps(&few, 1)));
+}
+
+#[test]
+fn a_guess_is_no_ground_for_a_busy_reply() {
+    // All that this director reads is full; node 5 was never read, so it takes the lowest rung.
+    let mut desk = Desk::new(&Terms { directors: 200, ..terms() });
+    for node in 0..5 {
+        desk.hand_over(u64::from(node), node, 0);
+    }
+    for _ in 0..10 {
+        (0..5).for_each(|node| desk.full(u64::from(node), node, 1.02));
+    }
+    desk.asks(9, 6);
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 9 rung 0
+        100.0 sess 9 SETUP at 5, wait 0.45
+    "#]],
+    );
+}
+
+#[test]
+fn after_a_pause_of_our_own_a_reading_at_a_setup_is_old() {
+    // The session plays and its node is read in one round; only without a pause before it is that of now.
+    let rises = |pause: f64| {
+        let mut desk = Desk::new(&Terms { directors: 200, ..terms() });
+        desk.asks(1, 1);
+        desk.now += pause;
+        let playing = Playing { sess: viewer(1, 1).sess, node: NodeId(0), took: 0.05 };
+        let read = Reading::Link { sess: playing.sess, node: NodeId(0), asked: 0.15 };
+        desk.round(|r| {
+            r.playing.push(playing);
+            r.readings.push(read);
+        });
+        desk.run_to(desk.now + 0.6);
+        desk.trace.text
+    };
+    expect![[r#"
+        [
+            3,
+            2,
+        ]
+    "#]]
+    .assert_debug_eq(&[0.1, 2.0].map(rises).map(|t| t.lines().count()));
+}
+
+#[test]
+fn shares_move_in_a_large_fleet() {
+    let mut desk = Desk::new(&terms());
+    let lines = (0..200).map(|n| line(n, Phase::Ready, 0.0)).collect();
+    desk.round(|r| r.list_changes.push(ListChange::Whole(lines)));
+    desk.hand_over(1, 3, 1);
+    let before = desk.director.share(NodeId(3));
+    for _ in 0..40 {
+        desk.run_to(desk.now + 1.0);
+        desk.delivered(3, 0.6);
+    }
+    expect![[r#"
+        [
+            "10.00",
+            "1.94",
+        ]
+    "#]]
+    .assert_debug_eq(&[before, desk.director.share(NodeId(3))].map(|s| format!("{s:.2}")));
+}
