Let a reading drift to the common load the sooner the more directors hear it

A reading now drifts after 6 s times 3 over the directors. Holds also where a crowd meets few nodes; harm: an empty link is believed less than it is.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -773,6 +773,8 @@
     fn fade(&mut self, now: f64) {
         let racks = self.figures.racks;
         let listed = self.nodes.listed.clone();
+        // All who hear a reading act on it: the more they are, the sooner it drifts.
+        let told = RISE_READING * 3.0 / self.figures.directors.max(3.0);
         for l in (0..racks).chain(listed.iter().map(|&i| racks + 1 + i)) {
             let (size, age) = (self.ledger.size[l], now - self.ledger.read_at[l]);
             if l < racks && !self.figures.uplinks_told {
@@ -782,7 +784,7 @@
                 }
                 let most = self.ledger.listed[l] * SIZE_RANGE.1;
                 self.ledger.size[l] = (size * (1.0 + UPLINK_REGROW * BEAT)).min(most);
-            } else if age > RISE_READING && age < f64::INFINITY
+            } else if age > told && age < f64::INFINITY
                 || l > racks && now < self.nodes.cold_until[l - racks - 1]
             {
                 // At once where a node just started: all directors hear of it and fill it.
