--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -773,8 +773,8 @@
     fn fade(&mut self, now: f64) {
         let racks = self.figures.racks;
         let listed = self.nodes.listed.clone();
-        // All who hear a reading act on it: the more they are, the sooner it drifts.
-        let told = RISE_READING * 3.0 / self.figures.directors.max(3.0);
+        // All who hear a reading act on it: the more they are, the sooner and, to a limit, faster it drifts.
+        let many = (self.figures.directors / 3.0).max(1.0);
         for l in (0..racks).chain(listed.iter().map(|&i| racks + 1 + i)) {
             let (size, age) = (self.ledger.size[l], now - self.ledger.read_at[l]);
             if l < racks && !self.figures.uplinks_told {
@@ -784,12 +784,12 @@
                 }
                 let most = self.ledger.listed[l] * SIZE_RANGE.1;
                 self.ledger.size[l] = (size * (1.0 + UPLINK_REGROW * BEAT)).min(most);
-            } else if age > told && age < f64::INFINITY
+            } else if age > RISE_READING / many && age < f64::INFINITY
                 || l > racks && now < self.nodes.cold_until[l - racks - 1]
             {
                 // At once where a node just started: all directors hear of it and fill it.
                 let common = (self.common(l) * size - self.ledger.own[l]).max(0.0);
-                blend(&mut self.ledger.others[l], common, BEAT / DRIFT);
+                blend(&mut self.ledger.others[l], common, many.min(2.0) * BEAT / DRIFT);
             }
         }
         for i in listed {
