--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -5,10 +5,12 @@
 //! (Zhang et al.) as docs/design.md trims it. Beside it stand these mechanisms:
 //!   1. health: a node is barred while its silence is unusual, and after failures for a growing while
 //!   2. cold pace: slots for SETUPs to a node that may have started lately, shared out over all directors
-//!   3. squeeze: a new session may take room from steps that earn less for each kB
+//!   3. squeeze: a new session may take room from steps that earn less for each kB; with many directors, who
+//!      hold little of a link each, such steps yield by chance before it is over
 //!   4. further SETUPs: time-outs that leave time for another, within cap, budget and time left
 //!   5. own zone first, where crossing zones has a price
-//!   6. fading: what was last heard drifts to a common load where no news comes
+//!   6. fading: what was last heard drifts to the common load as it ages, and a link never read stands at it;
+//!      after a pause of our own all news is that much older
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -143,7 +145,7 @@
     }
 
     pub fn round(&mut self, now: f64, round: &Round, orders: &mut impl Orders) {
-        // We ask for a round each beat, so a longer gap is a pause of our own: what came in is that much older.
+        // We ask for a round each beat: a longer gap is a pause of our own, and all that came in older by it.
         self.pause = (now - self.last_round - BEAT).max(0.0);
         self.last_round = now;
         round.list_changes.iter().for_each(|change| self.list(now, change));
@@ -240,7 +242,7 @@
     }
 
     /// What all others would have on a link, going by ours: one of them as much as we, for titles draw us all
-    /// to the same nodes, each of the rest our mean over the fleet, since with many each holds little anywhere.
+    /// to the same nodes, each of the rest our mean over the fleet, as with many each holds little anywhere.
     pub(crate) fn by_others(&self, l: usize, here: f64, fleet: f64) -> f64 {
         let others = self.figures.directors - 1.0;
         let mean = fleet * self.ledger.size[l] / self.ledger.size[self.fleet()].max(1e-9);
@@ -826,8 +828,8 @@
         let at = |i: usize| {
             if l < racks { self.rack(i) == l } else { self.link(i) == l }
         };
-        // A first step far larger than the need is drawn: with many directors each holds little there, and all
-        // rounding up would clear the link. More than the need is drawn for, as shortage costs more than slack.
+        // A first step far larger than the need is drawn: many directors hold little there each, and all that
+        // rounding up would clear the link. More than the need is drawn for: shortage costs more than slack.
         let (plan, _) = self.walk(
             |s| at(s.node),
             false,
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -143,7 +143,7 @@
     }
 }
 
-/// What is known of media nodes, in parallel arrays under a dense index; indices of gone nodes are used again.
+/// What is known of media nodes, in parallel arrays under a dense index; those of gone nodes are used again.
 #[derive(Default)]
 pub struct Nodes {
     pub index: BTreeMap<NodeId, usize>,
@@ -174,7 +174,7 @@
     pub other_streams: Vec<f64>,
     pub rise_at: Vec<f64>,
     pub share: Vec<f64>,
-    /// This step's start-up times (sum, count), short delivery (sum), shortages begun, and the share last delivered.
+    /// This step's start-up times (sum, count), short delivery (sum), shortages begun; share last delivered.
     pub starts: Vec<(f64, f64)>,
     pub missing: Vec<f64>,
     pub shortages: Vec<f64>,
