--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -40,6 +40,8 @@
 const SHORT: f64 = 0.98; // of a rate; under this share viewers see stalls
 const RELIEF: (f64, f64) = (1.03, 0.97); // of a link; fuller, sessions step down, to where none is short
 const YIELD: f64 = 0.78; // of a link; with many directors, steps that earn little yield from here on
+const PAIR: f64 = 2.0; // directors; so few or fewer squeeze instead, and do not yield before a link is over
+const FADES: i32 = 3; // power; yielding hardly acts with three or four directors and nearly whole with sixty
 const DRAWN: f64 = 3.0; // times the need; a larger step-down is drawn for, so most of a real shortage goes
 const UNREAD: f64 = 0.6; // of a link; how full one counts before anything was read, a common load
 const CROWD: f64 = 0.5; // of what others would add by our own adding; a part of it ends unseen
@@ -61,6 +63,8 @@
 const LIFE: f64 = 20.0; // s; first guess of a session's remaining length, then learned
 const SQUEEZE_GAIN: f64 = 1.3; // times; a step earns so much more than those it displaces, as accounts err
 const DRIFT: f64 = 8.0; // s; an old reading drifts to a common load, own changes are remembered as long
+const ALIKE: f64 = 3.0; // directors; with more, a reading drifts the sooner, for all who hear it act on it
+const FASTER: f64 = 2.0; // times the pace of DRIFT at most, reached at six directors; more was not tried
 const SHORT_HOLDS: f64 = 3.0; // s; notes of a shortage come each second, so after three missed it is over
 const FULLEST: f64 = 10.0; // times; a link that gives nothing reads as this full, so that it can recover
 const UNUSUAL: f64 = 4.0; // deviations of a node's note gaps; a longer silence is unusual
@@ -776,7 +780,7 @@
         let racks = self.figures.racks;
         let listed = self.nodes.listed.clone();
         // All who hear a reading act on it: the more they are, the sooner and, to a limit, faster it drifts.
-        let many = (self.figures.directors / 3.0).max(1.0);
+        let many = (self.figures.directors / ALIKE).max(1.0);
         for l in (0..racks).chain(listed.iter().map(|&i| racks + 1 + i)) {
             let (size, age) = (self.ledger.size[l], now - self.ledger.read_at[l]);
             if l < racks && !self.figures.uplinks_told {
@@ -791,7 +795,7 @@
             {
                 // At once where a node just started: all directors hear of it and fill it.
                 let common = (self.common(l) * size - self.ledger.own[l]).max(0.0);
-                blend(&mut self.ledger.others[l], common, many.min(2.0) * BEAT / DRIFT);
+                blend(&mut self.ledger.others[l], common, many.min(FASTER) * BEAT / DRIFT);
             }
         }
         for i in listed {
@@ -809,7 +813,7 @@
         let racks = self.figures.racks;
         // Few directors can squeeze their own sessions instead.
         let full = asked / self.ledger.size[l];
-        let from = RELIEF.0 - (RELIEF.0 - YIELD) * (1.0 - 2.0 / self.figures.directors).max(0.0).powi(3);
+        let from = RELIEF.0 - (RELIEF.0 - YIELD) * (1.0 - PAIR / self.figures.directors).max(0.0).powi(FADES);
         if full <= from || self.ledger.own[l] <= 0.0 {
             return;
         }
