--- /dev/null
+++ b/crates/kelpdoor-director/src/clock.rs
@@ -0,0 +1,84 @@
+//! The decisions' clock: wall time at the start, monotonic from there, slewed gently towards wall time, so that
+//! directors' slots for cold nodes stay in common. A step of the wall clock, a suspended process and a slow round
+//! are told apart: the first shows in wall time alone, the others in both.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Of elapsed time; the fastest that the clock runs off its rate. 1 s of error goes within some 200 s.
+const SLEW: f64 = 0.005;
+/// s; wall time further off than this was stepped, which is reported.
+const STEP: f64 = 1.0;
+
+/// The arithmetic alone, with both times passed in.
+#[derive(Clone, Copy, Debug)]
+pub struct Slew {
+    mono: f64,
+    now: f64,
+    offset: f64,
+}
+
+impl Slew {
+    /// `mono` and `wall` are seconds read at the same moment.
+    pub fn new(mono: f64, wall: f64) -> Self {
+        Slew { mono, now: wall, offset: 0.0 }
+    }
+
+    /// The time now, never less than before, and by how much wall time was stepped since the last call.
+    pub fn now(&mut self, mono: f64, wall: f64) -> (f64, Option<f64>) {
+        let gone = (mono - self.mono).max(0.0);
+        let free = self.now + gone;
+        let off = wall - free;
+        let step = (off - self.offset).abs() > STEP;
+        let stepped = step.then_some(off - self.offset);
+        self.mono = self.mono.max(mono);
+        self.now = free + off.clamp(-SLEW * gone, SLEW * gone);
+        self.offset = wall - self.now;
+        (self.now, stepped)
+    }
+}
+
+/// Reads the machine's clocks.
+pub struct Clock {
+    from: Instant,
+    slew: Slew,
+}
+
+fn wall() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64())
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Clock { from: Instant::now(), slew: Slew::new(0.0, wall()) }
+    }
+}
+
+impl Clock {
+    pub fn now(&mut self) -> (f64, Option<f64>) {
+        self.slew.now(self.from.elapsed().as_secs_f64(), wall())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_stepped_wall_clock_moves_the_time_gently_and_never_back() {
+        let mut clock = Slew::new(0.0, 1000.0);
+        assert_eq!(clock.now(1.0, 1001.0), (1001.0, None));
+        // Stepped back by 10 s: time goes on, a little slower.
+        let (now, stepped) = clock.now(2.0, 992.0);
+        assert!((now - 1001.995).abs() < 1e-9 && stepped == Some(-10.0), "{now} {stepped:?}");
+        let (now, stepped) = clock.now(3.0, 993.0);
+        assert!((now - 1002.99).abs() < 1e-9 && stepped.is_none(), "{now} {stepped:?}");
+        // Monotonic time that stands still moves nothing.
+        assert_eq!(clock.now(3.0, 900.0).0, now);
+    }
+
+    #[test]
+    fn a_suspended_process_is_no_step() {
+        let mut clock = Slew::new(0.0, 1000.0);
+        assert_eq!(clock.now(10.0, 1010.0), (1010.0, None));
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-director/src/lib.rs
@@ -0,0 +1,23 @@
+//! The director as a library: [`Desk`] turns what came in into rounds of the decisions and their orders into
+//! effects, without I/O; [`serve`] owns sockets and timers round it and has no rule of its own. Two directors in
+//! one process share nothing.
+
+mod clock;
+mod desk;
+pub mod effect;
+mod gate;
+pub mod journal;
+mod link;
+mod roster;
+mod session;
+mod shell;
+mod store;
+mod timers;
+
+pub use clock::{Clock, Slew};
+pub use desk::{Counts, Desk};
+pub use effect::{Effect, Input, NodeWord};
+pub use gate::{Gate, Pass};
+pub use roster::{FromRoster, MAX_LINE, Phase, RosterFault, RosterList, RosterNode, RosterTitle, ToRoster};
+pub use shell::{Running, ServeOptions, serve};
+pub use store::{StoreFault, load_list, save_list};
--- /dev/null
+++ b/crates/kelpdoor-director/src/shell.rs
@@ -0,0 +1,671 @@
+//! The shell: sockets, timers and files round a [`Desk`]. It decides nothing: it stamps what comes in, calls the
+//! desk once a batch, and carries out what the desk says.
+
+use std::collections::HashMap;
+use std::fs::File;
+use std::io::{self, BufWriter, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_util::{SinkExt, StreamExt};
+use kelpdoor_api::{ErrorCode, FromPlayer, MAX_MESSAGE, SUBPROTOCOL, ToPlayer};
+use kelpdoor_script::Deployment;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{sleep, sleep_until, timeout};
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::handshake::server::{ErrorResponse, Request, Response};
+use tokio_tungstenite::tungstenite::http::{HeaderValue, StatusCode, header};
+use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
+use tokio_tungstenite::tungstenite::protocol::{CloseFrame, Message, WebSocketConfig};
+use tokio_tungstenite::tungstenite::{Error as WsError, error::CapacityError};
+
+use crate::clock::Clock;
+use crate::desk::{Counts, Desk};
+use crate::effect::{Effect, Input, NodeWord};
+use crate::gate::{Gate, Pass};
+use crate::journal;
+use crate::roster::{FromRoster, MAX_LINE, ToRoster};
+use crate::store::{load_list, save_list};
+
+/// Inputs waiting for the desk at most; readers wait beyond it, and so do their peers.
+const INPUTS: usize = 8192;
+/// Inputs taken into one round at most.
+const BATCH: usize = 4096;
+/// Rounds follow each other no faster than this under load.
+const ROUND_GAP: Duration = Duration::from_millis(2);
+/// A gap between rounds longer than this is a pause of the process: what came meanwhile is read first.
+const PAUSE: Duration = Duration::from_millis(500);
+/// How long readers get for that.
+const CATCH_UP: Duration = Duration::from_millis(20);
+/// A handshake takes no longer.
+const HANDSHAKE: Duration = Duration::from_secs(5);
+/// Sockets get so long to take their last words at the end.
+const LAST_WORDS: Duration = Duration::from_secs(1);
+/// Wait before the roster is connected again, at first and at most.
+const ROSTER_WAIT: (f64, f64) = (0.1, 5.0);
+
+/// How a director is started.
+pub struct ServeOptions {
+    pub deployment: Deployment,
+    /// Where all inputs and effects are written, for a replay.
+    pub journal: Option<PathBuf>,
+}
+
+/// A director at work.
+pub struct Running {
+    pub address: SocketAddr,
+    inputs: mpsc::Sender<Input>,
+    counts: watch::Receiver<Counts>,
+    task: JoinHandle<()>,
+}
+
+impl Running {
+    /// Takes no new sessions from now on; [`ended`](Self::ended) comes when all taken ones are answered.
+    pub async fn shut_down(&self) {
+        let _ = self.inputs.send(Input::ShutDown).await;
+    }
+
+    pub fn counts(&self) -> Counts {
+        *self.counts.borrow()
+    }
+
+    /// Waits for the end.
+    pub async fn ended(self) {
+        let _ = self.task.await;
+    }
+
+    /// Ends at once; what is owed stays owed.
+    pub fn abort(&self) {
+        self.task.abort();
+    }
+}
+
+/// A queue to a socket with a bound in bytes.
+struct Outbox<T> {
+    to: mpsc::UnboundedSender<T>,
+    queued: Arc<AtomicUsize>,
+    /// Dropped, it ends the socket's task at once.
+    hold: Option<oneshot::Sender<()>>,
+}
+
+impl<T> Outbox<T> {
+    /// Whether it fits.
+    fn put(&self, item: T, bytes: usize, most: usize) -> bool {
+        let before = self.queued.fetch_add(bytes, Ordering::Relaxed);
+        before + bytes <= most && self.to.send(item).is_ok()
+    }
+}
+
+enum Out {
+    Text(String),
+    Close(CloseCode, &'static str),
+}
+
+enum ToSocks {
+    Opened(u64, Outbox<Out>),
+    Lost(u64),
+}
+
+/// Binds, starts all tasks, and returns the address.
+///
+/// # Errors
+/// Where the address cannot be bound or the journal not be written.
+pub async fn serve(options: ServeOptions) -> io::Result<Running> {
+    let book = Arc::new(options.deployment);
+    let listener = TcpListener::bind(book.director.listen).await?;
+    let address = listener.local_addr()?;
+    let seed = book.director.seed.unwrap_or_else(|| fastrand::u64(..));
+    let journal = options.journal.map(File::create).transpose()?.map(BufWriter::new);
+    let (inputs, input) = mpsc::channel(INPUTS);
+    let (socks, sock) = mpsc::unbounded_channel();
+    let (ask, asked) = mpsc::unbounded_channel();
+    let (tell, counts) = watch::channel(Counts::default());
+    let mut tasks = JoinSet::new();
+    tasks.spawn(accept(listener, book.clone(), inputs.clone(), socks));
+    tasks.spawn(follow(book.clone(), inputs.clone(), asked));
+    let shell = Shell {
+        book: book.clone(),
+        clock: Clock::default(),
+        inputs: inputs.clone(),
+        ask,
+        socks: HashMap::new(),
+        links: HashMap::new(),
+        journal,
+        tell,
+        tasks,
+    };
+    let task = tokio::spawn(shell.run(input, sock, seed));
+    Ok(Running { address, inputs, counts, task })
+}
+
+struct Shell {
+    book: Arc<Deployment>,
+    clock: Clock,
+    inputs: mpsc::Sender<Input>,
+    ask: mpsc::UnboundedSender<ToRoster>,
+    socks: HashMap<u64, Outbox<Out>>,
+    links: HashMap<(u32, u64), Outbox<Vec<u8>>>,
+    journal: Option<BufWriter<File>>,
+    tell: watch::Sender<Counts>,
+    /// Ended with the shell.
+    tasks: JoinSet<()>,
+}
+
+impl Shell {
+    fn now(&mut self) -> f64 {
+        let (now, stepped) = self.clock.now();
+        if let Some(by) = stepped {
+            tracing::warn!(by, "the wall clock was stepped; our time goes on and is slewed towards it");
+        }
+        now
+    }
+
+    fn keep(&mut self, line: &journal::Line) {
+        if let Some(to) = &mut self.journal
+            && let Err(e) = journal::write(to, line)
+        {
+            tracing::error!(%e, "the journal cannot be written and ends here");
+            self.journal = None;
+        }
+    }
+
+    fn take(&mut self, desk: &mut Desk, now: f64, input: Input) {
+        if self.journal.is_some() {
+            self.keep(&journal::Line::Took { now, input: input.clone() });
+        }
+        if let Input::Node { node, link, word: NodeWord::Lost | NodeWord::Unreached } = &input {
+            self.links.remove(&(*node, *link));
+        }
+        desk.take(now, input);
+    }
+
+    async fn run(
+        mut self, mut input: mpsc::Receiver<Input>, mut sock: mpsc::UnboundedReceiver<ToSocks>, seed: u64,
+    ) {
+        let now = self.now();
+        let mut desk = Desk::new(&self.book, seed, now);
+        self.keep(&journal::Line::Start { seed, now });
+        if let Some(path) = &self.book.roster.cache {
+            match load_list(path) {
+                Ok(Some(list)) => {
+                    tracing::info!(nodes = list.nodes.len(), "starting from the kept list");
+                    self.take(&mut desk, now, Input::Cached(list));
+                }
+                Ok(None) => {}
+                Err(e) => tracing::warn!(%e, "the kept list is not used"),
+            }
+        }
+        let mut last = Instant::now();
+        let mut told = Instant::now();
+        loop {
+            let wait = (desk.wake_at() - self.now()).clamp(0.0, 3600.0);
+            let due = tokio::time::Instant::now() + Duration::from_secs_f64(wait);
+            let first = tokio::select! {
+                biased;
+                Some(news) = sock.recv() => {
+                    self.socket(news);
+                    continue;
+                }
+                Some(first) = input.recv() => Some(first),
+                () = sleep_until(due) => None,
+            };
+            let gap = last.elapsed();
+            if gap > PAUSE + Duration::from_secs_f64(wait) {
+                tracing::warn!(seconds = gap.as_secs_f64(), "stood still; reading what came meanwhile first");
+                sleep(CATCH_UP).await;
+            } else if first.is_some() && gap < ROUND_GAP {
+                sleep(ROUND_GAP - gap).await;
+            }
+            while let Ok(news) = sock.try_recv() {
+                self.socket(news);
+            }
+            let now = self.now();
+            if let Some(first) = first {
+                self.take(&mut desk, now, first);
+            }
+            for _ in 0..BATCH {
+                let Ok(next) = input.try_recv() else { break };
+                self.take(&mut desk, now, next);
+            }
+            let mut effects = Vec::new();
+            desk.round(now, &mut |e| effects.push(e));
+            last = Instant::now();
+            if self.journal.is_some() {
+                self.keep(&journal::Line::Round { now, effects: effects.clone() });
+            }
+            if self.carry_out(effects) {
+                break;
+            }
+            if told.elapsed() > Duration::from_millis(100) {
+                told = last;
+                let _ = self.tell.send(desk.counts());
+            }
+        }
+        if let Some(mut to) = self.journal.take() {
+            let _ = to.flush();
+        }
+        self.last_words(input, sock).await;
+    }
+
+    fn socket(&mut self, news: ToSocks) {
+        match news {
+            ToSocks::Opened(sock, outbox) => {
+                self.socks.insert(sock, outbox);
+            }
+            ToSocks::Lost(sock) => {
+                self.socks.remove(&sock);
+            }
+        }
+    }
+
+    /// Whether the desk is done.
+    fn carry_out(&mut self, effects: Vec<Effect>) -> bool {
+        let mut done = false;
+        for effect in effects {
+            match effect {
+                Effect::Player { sock, message } => self.tell_player(sock, &message),
+                Effect::Dial { node, link, address } => self.dial(node, link, address),
+                Effect::Node { node, link, bytes } => {
+                    let most = self.book.node_links.queued_bytes;
+                    let len = bytes.len();
+                    if self.links.get(&(node, link)).is_some_and(|l| !l.put(bytes, len, most)) {
+                        tracing::warn!(node, "the node does not read; closing its link");
+                        self.hang_up(node, link);
+                        self.say_lost(node, link);
+                    }
+                }
+                Effect::HangUp { node, link } => self.hang_up(node, link),
+                Effect::AskRoster(ask) => {
+                    let _ = self.ask.send(ask);
+                }
+                Effect::SaveList(list) => {
+                    if let Some(path) = self.book.roster.cache.clone() {
+                        self.tasks.spawn_blocking(move || {
+                            if let Err(e) = save_list(&path, &list) {
+                                tracing::error!(%e, "the list cannot be kept");
+                            }
+                        });
+                    }
+                }
+                Effect::Note { sess, text } => tracing::info!(sess, "{text}"),
+                Effect::Fault(why) => tracing::error!(%why, "the decisions report a fault"),
+                Effect::Done => done = true,
+            }
+        }
+        while self.tasks.try_join_next().is_some() {}
+        done
+    }
+
+    fn tell_player(&mut self, sock: u64, message: &ToPlayer) {
+        tracing::debug!(sock, key = message.key().map(|k| k.0.as_str()), ?message, "to the player");
+        let text = message.text();
+        let len = text.len();
+        let most = self.book.players.queued_bytes;
+        if self.socks.get(&sock).is_some_and(|s| !s.put(Out::Text(text), len, most)) {
+            tracing::info!(sock, "the player does not read; closing its socket");
+            self.socks.remove(&sock);
+            self.say(Input::SocketLost { sock });
+        }
+    }
+
+    /// Puts an input of our own in line, whatever the bound.
+    fn say(&mut self, input: Input) {
+        if let Err(mpsc::error::TrySendError::Full(input)) = self.inputs.try_send(input) {
+            let to = self.inputs.clone();
+            self.tasks.spawn(async move {
+                let _ = to.send(input).await;
+            });
+        }
+    }
+
+    fn say_lost(&mut self, node: u32, link: u64) {
+        self.say(Input::Node { node, link, word: NodeWord::Lost });
+    }
+
+    fn dial(&mut self, node: u32, link: u64, address: SocketAddr) {
+        let (to, from) = mpsc::unbounded_channel();
+        let queued = Arc::new(AtomicUsize::new(0));
+        let (hold, held) = oneshot::channel();
+        let talk = talk(node, link, address, from, queued.clone(), self.inputs.clone());
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = talk => {}
+                _ = held => {}
+            }
+        });
+        self.links.insert((node, link), Outbox { to, queued, hold: Some(hold) });
+    }
+
+    fn hang_up(&mut self, node: u32, link: u64) {
+        self.links.remove(&(node, link));
+    }
+
+    /// Lets sockets take what is queued, a close frame behind it, and links likewise.
+    async fn last_words(
+        mut self, mut input: mpsc::Receiver<Input>, mut sock: mpsc::UnboundedReceiver<ToSocks>,
+    ) {
+        let mut open = self.socks.len() + self.links.len();
+        for sock in self.socks.values() {
+            let _ = sock.to.send(Out::Close(CloseCode::Away, "shutting down"));
+        }
+        // A link's writer ends when nothing can be queued any more.
+        let _holds: Vec<_> = self.links.drain().map(|(_, link)| link.hold).collect();
+        let ends = async {
+            while open > 0 {
+                tokio::select! {
+                    Some(news) = sock.recv() => open -= usize::from(matches!(news, ToSocks::Lost(_))),
+                    Some(news) = input.recv() => {
+                        open -= usize::from(matches!(news, Input::Node { word: NodeWord::Lost, .. }));
+                    }
+                    else => return,
+                }
+            }
+        };
+        let _ = timeout(LAST_WORDS, ends).await;
+    }
+}
+
+/// One connection to a node, from connecting to its end.
+async fn talk(
+    node: u32, link: u64, address: SocketAddr, mut from: mpsc::UnboundedReceiver<Vec<u8>>,
+    queued: Arc<AtomicUsize>, to: mpsc::Sender<Input>,
+) {
+    let say = |word| to.send(Input::Node { node, link, word });
+    let stream = match TcpStream::connect(address).await {
+        Ok(stream) => stream,
+        Err(e) => {
+            tracing::info!(node, %e, "not connected");
+            let _ = say(NodeWord::Unreached).await;
+            return;
+        }
+    };
+    let _ = stream.set_nodelay(true);
+    let (mut read, mut write) = stream.into_split();
+    if say(NodeWord::Up).await.is_err() {
+        return;
+    }
+    let reader = async {
+        let mut buf = Vec::with_capacity(4096);
+        loop {
+            match kelpdoor_rtsp::parse(&buf) {
+                Ok(Some((message, len))) => {
+                    buf.drain(..len);
+                    if say(NodeWord::Said(message)).await.is_err() {
+                        return "the director ends".to_owned();
+                    }
+                    continue;
+                }
+                Ok(None) => {}
+                Err(e) => return e.to_string(),
+            }
+            match read.read_buf(&mut buf).await {
+                Ok(0) => return "closed by the node".to_owned(),
+                Ok(_) => {}
+                Err(e) => return e.to_string(),
+            }
+        }
+    };
+    let writer = async {
+        while let Some(bytes) = from.recv().await {
+            if let Err(e) = write.write_all(&bytes).await {
+                return e.to_string();
+            }
+            queued.fetch_sub(bytes.len(), Ordering::Relaxed);
+        }
+        let _ = write.shutdown().await;
+        "hung up".to_owned()
+    };
+    let why = tokio::select! {
+        why = reader => why,
+        why = writer => why,
+    };
+    tracing::info!(node, %why, "link lost");
+    let _ = say(NodeWord::Lost).await;
+}
+
+async fn accept(
+    listener: TcpListener, book: Arc<Deployment>, inputs: mpsc::Sender<Input>,
+    socks: mpsc::UnboundedSender<ToSocks>,
+) {
+    let room = Arc::new(Semaphore::new(book.players.sockets));
+    let mut tasks = JoinSet::new();
+    let mut next = 1u64;
+    loop {
+        while tasks.try_join_next().is_some() {}
+        let mut stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                // Out of descriptors, mostly: those at hand go on.
+                tracing::warn!(%e, "a connection was not accepted");
+                sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let Ok(permit) = room.clone().try_acquire_owned() else {
+            tasks.spawn(async move {
+                let full = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n";
+                let _ = timeout(HANDSHAKE, stream.write_all(full)).await;
+            });
+            continue;
+        };
+        let (sock, book, inputs, socks) = (next, book.clone(), inputs.clone(), socks.clone());
+        next += 1;
+        tasks.spawn(async move {
+            let _ = stream.set_nodelay(true);
+            match timeout(HANDSHAKE, greet(stream)).await {
+                Ok(Ok(ws)) => attend(sock, ws, &book, &inputs, &socks).await,
+                Ok(Err(e)) => tracing::info!(sock, %e, "handshake refused"),
+                Err(_) => tracing::info!(sock, "handshake not finished in time"),
+            }
+            drop(permit);
+        });
+    }
+}
+
+/// The WebSocket handshake; a client that does not name our subprotocol is refused with 400.
+async fn greet(stream: TcpStream) -> Result<WebSocketStream<TcpStream>, WsError> {
+    #[expect(clippy::result_large_err, reason = "the library's own signature")]
+    let check = |request: &Request, mut response: Response| -> Result<Response, ErrorResponse> {
+        let offered = request.headers().get_all(header::SEC_WEBSOCKET_PROTOCOL);
+        let ours = offered
+            .iter()
+            .filter_map(|v| v.to_str().ok())
+            .any(|v| v.split(',').any(|p| p.trim() == SUBPROTOCOL));
+        if !ours {
+            let mut refusal = ErrorResponse::new(Some(format!("the subprotocol is {SUBPROTOCOL}\n")));
+            *refusal.status_mut() = StatusCode::BAD_REQUEST;
+            return Err(refusal);
+        }
+        let name = HeaderValue::from_static(SUBPROTOCOL);
+        response.headers_mut().insert(header::SEC_WEBSOCKET_PROTOCOL, name);
+        Ok(response)
+    };
+    let limits = WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE))
+        .max_frame_size(Some(MAX_MESSAGE))
+        .read_buffer_size(1024)
+        .write_buffer_size(0)
+        .max_write_buffer_size(1 << 20);
+    tokio_tungstenite::accept_hdr_async_with_config(stream, check, Some(limits)).await
+}
+
+/// A player's socket, to its end.
+async fn attend(
+    sock: u64, ws: WebSocketStream<TcpStream>, book: &Deployment, inputs: &mpsc::Sender<Input>,
+    socks: &mpsc::UnboundedSender<ToSocks>,
+) {
+    let (mut sink, mut stream) = ws.split();
+    let (to, mut from) = mpsc::unbounded_channel();
+    let queued = Arc::new(AtomicUsize::new(0));
+    let own = Outbox { to: to.clone(), queued: queued.clone(), hold: None };
+    let limit = book.players.queued_bytes;
+    let idle = Duration::from_secs_f64(book.players.idle);
+    let (hold, mut held) = oneshot::channel();
+    if socks.send(ToSocks::Opened(sock, Outbox { to, queued: queued.clone(), hold: Some(hold) })).is_err() {
+        return;
+    }
+    let started = Instant::now();
+    let reader = async {
+        let mut gate = Gate::new(book.players.messages_a_second, 0.0);
+        loop {
+            let message = match timeout(idle, stream.next()).await {
+                Err(_) => return Some((CloseCode::Policy, "nothing came for too long")),
+                Ok(None | Some(Ok(Message::Close(_)))) => return None,
+                Ok(Some(Err(WsError::Capacity(CapacityError::MessageTooLong { .. })))) => {
+                    return Some((CloseCode::Size, "message too long"));
+                }
+                Ok(Some(Err(WsError::Protocol(_)))) => return Some((CloseCode::Protocol, "protocol error")),
+                Ok(Some(Err(WsError::Utf8(_)))) => return Some((CloseCode::Invalid, "not UTF-8")),
+                Ok(Some(Err(_))) => return None,
+                Ok(Some(Ok(message))) => message,
+            };
+            let error = |code, what: String| {
+                let text = ToPlayer::Error { key: None, code, message: what }.text();
+                let len = text.len();
+                own.put(Out::Text(text), len, limit)
+            };
+            match gate.pass(started.elapsed().as_secs_f64()) {
+                Pass::Taken => {}
+                Pass::Closed => return Some((CloseCode::Policy, "too many messages")),
+                Pass::Refused => {
+                    if !error(ErrorCode::TooFast, "too many messages a second".to_owned()) {
+                        return Some((CloseCode::Policy, "too many messages"));
+                    }
+                    continue;
+                }
+            }
+            match message {
+                Message::Text(text) => match FromPlayer::read(text.as_str()) {
+                    Ok(message) => {
+                        if inputs.send(Input::Player { sock, message }).await.is_err() {
+                            return None;
+                        }
+                    }
+                    Err(fault) => {
+                        if !error(ErrorCode::BadMessage, fault.to_string()) {
+                            return Some((CloseCode::Again, "the player does not read"));
+                        }
+                    }
+                },
+                Message::Binary(_) => return Some((CloseCode::Unsupported, "text messages only")),
+                _ => {}
+            }
+        }
+    };
+    let writer = async {
+        let mut ping = tokio::time::interval(idle / 3);
+        ping.tick().await;
+        loop {
+            let sent = tokio::select! {
+                out = from.recv() => match out {
+                    None => return,
+                    Some(Out::Text(text)) => {
+                        let len = text.len();
+                        let sent = sink.send(Message::text(text)).await;
+                        queued.fetch_sub(len, Ordering::Relaxed);
+                        sent
+                    }
+                    Some(Out::Close(code, why)) => {
+                        let frame = CloseFrame { code, reason: why.into() };
+                        let _ = sink.send(Message::Close(Some(frame))).await;
+                        return;
+                    }
+                },
+                _ = ping.tick() => sink.send(Message::Ping(Default::default())).await,
+            };
+            if sent.is_err() {
+                return;
+            }
+        }
+    };
+    let why = tokio::select! {
+        why = reader => why,
+        () = writer => None,
+        _ = &mut held => Some((CloseCode::Again, "the player does not read")),
+    };
+    let _ = socks.send(ToSocks::Lost(sock));
+    let _ = inputs.send(Input::SocketLost { sock }).await;
+    if let Some((code, why)) = why {
+        tracing::info!(sock, why, "closing the socket");
+        let frame = CloseFrame { code, reason: why.into() };
+        let _ = timeout(Duration::from_millis(200), sink.send(Message::Close(Some(frame)))).await;
+    }
+}
+
+/// Follows the roster's feed, connecting again whenever it breaks.
+async fn follow(
+    book: Arc<Deployment>, inputs: mpsc::Sender<Input>, mut asked: mpsc::UnboundedReceiver<ToRoster>,
+) {
+    let mut wait = ROSTER_WAIT.0;
+    loop {
+        let why = match TcpStream::connect(book.roster.address).await {
+            Err(e) => e.to_string(),
+            Ok(stream) => {
+                let _ = stream.set_nodelay(true);
+                wait = ROSTER_WAIT.0;
+                read_roster(stream, &book, &inputs, &mut asked).await
+            }
+        };
+        tracing::warn!(%why, "the roster's feed broke; the last good list stands");
+        if inputs.send(Input::Roster(FromRoster::Failed)).await.is_err() {
+            return;
+        }
+        sleep(Duration::from_secs_f64(wait * (0.5 + fastrand::f64()))).await;
+        wait = (wait * 2.0).min(ROSTER_WAIT.1);
+        while asked.try_recv().is_ok() {}
+    }
+}
+
+async fn read_roster(
+    stream: TcpStream, book: &Deployment, inputs: &mpsc::Sender<Input>,
+    asked: &mut mpsc::UnboundedReceiver<ToRoster>,
+) -> String {
+    let (read, mut write) = stream.into_split();
+    let hello = ToRoster::Hello { director: book.director.me };
+    let mut first = serde_json::to_string(&hello).expect("plain data");
+    first.push('\n');
+    if let Err(e) = write.write_all(first.as_bytes()).await {
+        return e.to_string();
+    }
+    let reader = async {
+        let mut lines = BufReader::new(read);
+        let mut line = Vec::new();
+        loop {
+            line.clear();
+            match (&mut lines).take(MAX_LINE as u64).read_until(b'\n', &mut line).await {
+                Ok(0) => return "closed by the roster".to_owned(),
+                Err(e) => return e.to_string(),
+                Ok(_) if !line.ends_with(b"\n") => return "a line too long or cut short".to_owned(),
+                Ok(_) => {}
+            }
+            match serde_json::from_slice::<FromRoster>(&line) {
+                Err(e) => tracing::warn!(%e, "a line of the roster is passed over"),
+                Ok(message) => {
+                    if inputs.send(Input::Roster(message)).await.is_err() {
+                        return "the director ends".to_owned();
+                    }
+                }
+            }
+        }
+    };
+    let writer = async {
+        while let Some(ask) = asked.recv().await {
+            let mut text = serde_json::to_string(&ask).expect("plain data");
+            text.push('\n');
+            if let Err(e) = write.write_all(text.as_bytes()).await {
+                return e.to_string();
+            }
+        }
+        "the director ends".to_owned()
+    };
+    tokio::select! {
+        why = reader => why,
+        why = writer => why,
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-lab/scripts/bad-day.star
@@ -0,0 +1,32 @@
+# The default bad day: three directors, sixteen nodes in four racks and two rooms, 300 players.
+day(seconds = 60, directors = 3, nodes = 16, racks = 4, zones = ["east", "west"], players = 270, class_of = 30,
+    class_at = 12, watch = 14, roster_lag = 1, seed = 1)
+
+# Two nodes die and come back cold, one goes silent.
+crash(at = 6, nodes = [2, 9], lasts = 6)
+vanish(at = 20, nodes = [5], lasts = 7)
+
+# A drain in the midst of the class's burst.
+drain(at = 12.4, nodes = [7, 8], lasts = 6)
+
+# A rack's uplink sags while a neighbour takes a part of two links.
+rack_sag(at = 16, racks = [1], lasts = 9, factor = 0.4)
+neighbour(at = 18, nodes = [10, 11], lasts = 8, factor = 0.5)
+
+# A director is killed and restarted from its kept list, another stands still.
+balancer_roll(at = 25, directors = [1], notice = 1.5)
+balancer_stall(at = 30, directors = [2], lasts = 3)
+
+# News comes late, and then nodes are replaced one by one.
+discovery_stale(at = 33, lasts = 9, factor = 3)
+report_late(at = 35, lasts = 6, factor = 2)
+deploy(at = 36, nodes = [0, 3, 12], lasts = 9, notice = 1.5)
+
+# One ages until it dies; two are taken away with little notice; a crowd wants one title.
+ageing(at = 38, nodes = [6], lasts = 8)
+preempt(at = 42, nodes = [13, 14], notice = 1, lasts = 5)
+hot_key(at = 44, title = "title-03", players = 25, lasts = 1)
+
+# A room is lost while a director restarts.
+zone_loss(at = 48, zone = "west", lasts = 4)
+balancer_roll(at = 49, directors = [0], notice = 1)
--- /dev/null
+++ b/crates/kelpdoor-lab/src/day.rs
@@ -0,0 +1,288 @@
+//! A bad day: players come, troubles happen, and everything that crosses a socket is recorded.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use fastrand::Rng;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::fleet::{Fold, World, settings};
+use crate::player::{Wish, play};
+use crate::record::{Recorder, What};
+use crate::trouble::{Kind, Script, Trouble};
+
+/// The default bad day.
+pub const DEFAULT: &str = include_str!("../scripts/bad-day.star");
+/// A short one.
+pub const SHORT: &str = include_str!("../scripts/short-day.star");
+
+fn draw_wish(script: &Script, rng: &mut Rng, player: u32, title: Option<&str>) -> Wish {
+    let size = &script.size;
+    let draw = rng.f64();
+    let (group, scale, timeout) = match draw {
+        d if d < 0.25 => ("lecture", 1.0, 3.0),
+        d if d < 0.65 => ("story", 0.8, 3.0),
+        d if d < 0.9 => ("reading", 1.2, 4.0),
+        _ => ("paid", 1.0, 3.0),
+    };
+    let group = if title.is_some() { "lecture" } else { group };
+    // Some titles are wanted far more than others.
+    let any = format!("title-{:02}", (40.0 * rng.f64().powi(2)) as u32);
+    Wish {
+        player,
+        zone: size.zones[rng.usize(..size.zones.len())].clone(),
+        group: group.to_owned(),
+        title: title.map_or(any, str::to_owned),
+        best_rung: if rng.f64() < 0.2 { 2 } else { 4 },
+        seconds: size.watch * scale * (0.6 + 0.8 * rng.f64()),
+        setup_timeout: timeout,
+        retries: rng.f64() < 0.25,
+        second_socket: rng.f64() < 0.4,
+    }
+}
+
+/// Who comes when, by the script's seed.
+fn arrivals(script: &Script) -> Vec<(f64, Wish)> {
+    let size = &script.size;
+    let mut rng = Rng::with_seed(size.seed ^ 0x5eed);
+    let mut all = Vec::new();
+    let span = (size.seconds - size.watch * 0.5).max(1.0);
+    for player in 0..size.players {
+        all.push((rng.f64() * span, draw_wish(script, &mut rng, player, None)));
+    }
+    let mut next = size.players;
+    let mut crowd = |at: f64, n: u32, title: &str, rng: &mut Rng, within: f64| {
+        for _ in 0..n {
+            all.push((at + within * rng.f64(), draw_wish(script, rng, next, Some(title))));
+            next += 1;
+        }
+    };
+    crowd(size.class_at, size.class_of, "title-07", &mut rng, 1.0);
+    for (_, t) in script.troubles.iter().filter(|(k, _)| *k == Kind::HotKey) {
+        let title = if t.title.is_empty() { "title-11" } else { &t.title };
+        crowd(t.at, t.players, title, &mut rng, t.lasts.max(0.1));
+    }
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    all
+}
+
+struct Stage {
+    world: Arc<World>,
+    fold: Arc<Mutex<Fold>>,
+    script: Arc<Script>,
+}
+
+async fn pause(seconds: f64) {
+    sleep(Duration::from_secs_f64(seconds)).await;
+}
+
+impl Stage {
+    async fn each_back(&self, nodes: &[u32], wait: f64) {
+        pause(wait).await;
+        for &id in nodes {
+            if let Err(e) = self.world.nodes.restart(id).await {
+                tracing::error!(id, %e, "a node could not be started again");
+            }
+        }
+    }
+
+    async fn act(&self, kind: Kind, t: &Trouble) {
+        let nodes = &self.world.nodes;
+        let text = format!("{kind:?} {}", serde_json::to_string(t).unwrap_or_default());
+        self.world.recorder.put(What::Trouble { text });
+        match kind {
+            Kind::Crash => {
+                t.nodes.iter().for_each(|&id| nodes.kill(id, "crash"));
+                self.each_back(&t.nodes, t.lasts).await;
+            }
+            Kind::Vanish => {
+                t.nodes.iter().for_each(|&id| nodes.silence(id));
+                pause(t.lasts).await;
+                t.nodes.iter().for_each(|&id| nodes.kill(id, "restart after silence"));
+                self.each_back(&t.nodes, 0.2).await;
+            }
+            Kind::Slow => {
+                self.links(&t.nodes, t.factor);
+                pause(t.lasts).await;
+                self.links(&t.nodes, 1.0);
+            }
+            Kind::Neighbour => {
+                let end = Instant::now() + Duration::from_secs_f64(t.lasts);
+                while Instant::now() < end {
+                    self.links(&t.nodes, t.factor);
+                    pause(1.5).await;
+                    self.links(&t.nodes, 1.0);
+                    pause(1.0).await;
+                }
+            }
+            Kind::RackSag => {
+                self.uplinks(&t.racks, t.factor);
+                pause(t.lasts).await;
+                self.uplinks(&t.racks, 1.0);
+            }
+            Kind::Ageing => {
+                for step in 1..=8 {
+                    nodes.with_fleet(|f| {
+                        for id in &t.nodes {
+                            if let Some(n) = f.nodes.get_mut(id) {
+                                n.setup_factor = f64::from(1 << step);
+                            }
+                        }
+                    });
+                    pause(t.lasts / 8.0).await;
+                }
+                t.nodes.iter().for_each(|&id| nodes.kill(id, "died of age"));
+                self.each_back(&t.nodes, 3.0).await;
+            }
+            Kind::Deploy => {
+                for &id in &t.nodes {
+                    nodes.drain(id, true);
+                    pause(t.notice).await;
+                    nodes.kill(id, "deploy");
+                    pause(0.3).await;
+                    self.each_back(&[id], 0.0).await;
+                    pause((t.lasts / t.nodes.len() as f64 - t.notice - 0.3).max(0.0)).await;
+                }
+            }
+            Kind::DiscoveryStale => {
+                let usual = self.script.size.roster_lag;
+                self.world.roster.lag(usual + t.factor);
+                pause(t.lasts).await;
+                self.world.roster.lag(usual);
+            }
+            Kind::ReportLate => {
+                nodes.telling(|x| x.extra += t.factor);
+                pause(t.lasts).await;
+                nodes.telling(|x| x.extra -= t.factor);
+            }
+            Kind::BalancerRoll => {
+                for &d in &t.directors {
+                    self.fold.lock().await.kill(d as usize).await;
+                    pause(t.notice).await;
+                    if let Err(e) = self.fold.lock().await.start(d as usize).await {
+                        tracing::error!(d, %e, "a director could not be started again");
+                    }
+                }
+            }
+            Kind::BalancerStall => {
+                for &d in &t.directors {
+                    self.fold.lock().await.stall(d as usize, true);
+                }
+                pause(t.lasts).await;
+                for &d in &t.directors {
+                    self.fold.lock().await.stall(d as usize, false);
+                }
+            }
+            Kind::ZoneLoss => {
+                let size = &self.script.size;
+                let zones = size.zones.len() as u32;
+                let here = |id: &u32| size.zones[(id * zones / size.nodes) as usize] == t.zone;
+                let ids: Vec<u32> = (0..size.nodes).filter(here).collect();
+                ids.iter().for_each(|&id| nodes.kill(id, "its room was lost"));
+                self.each_back(&ids, t.lasts).await;
+            }
+            Kind::HotKey => {}
+            Kind::Preempt => {
+                t.nodes.iter().for_each(|&id| nodes.drain(id, true));
+                pause(t.notice).await;
+                t.nodes.iter().for_each(|&id| nodes.kill(id, "taken away"));
+                self.each_back(&t.nodes, t.lasts).await;
+            }
+            Kind::Drain => {
+                t.nodes.iter().for_each(|&id| nodes.drain(id, true));
+                pause(t.lasts).await;
+                t.nodes.iter().for_each(|&id| nodes.drain(id, false));
+            }
+        }
+    }
+
+    fn links(&self, nodes: &[u32], factor: f64) {
+        self.world.nodes.with_fleet(|f| {
+            for id in nodes {
+                if let Some(n) = f.nodes.get_mut(id) {
+                    n.link_factor = factor;
+                }
+            }
+        });
+    }
+
+    fn uplinks(&self, racks: &[u16], factor: f64) {
+        self.world.nodes.with_fleet(|f| {
+            for &r in racks {
+                f.uplink_factor[usize::from(r)] = factor;
+            }
+        });
+    }
+}
+
+/// What a day left behind.
+pub struct DayOver {
+    pub record: PathBuf,
+    /// Whether each director ended well when asked to.
+    pub ended_well: bool,
+    pub journals: Vec<(PathBuf, PathBuf)>,
+}
+
+/// Plays a script to its end. `tick` is told how far the day is, in seconds.
+///
+/// # Errors
+/// Where stand-ins or directors cannot be started, or the record not be written.
+pub async fn run(script: &Script, dir: &Path, journal: bool, mut tick: impl FnMut(f64)) -> Result<DayOver> {
+    let record = dir.join("record.zst");
+    let (recorder, file) = Recorder::to_file(&record)?;
+    let size = &script.size;
+    let shared = settings(size, "");
+    let world = Arc::new(World::start(size, &shared, recorder.clone()).await?);
+    let mut fold = Fold::new(size, &shared, &world, dir, journal);
+    for d in 0..size.directors as usize {
+        fold.start(d).await?;
+    }
+    let directors = fold.directors.clone();
+    let fold = Arc::new(Mutex::new(fold));
+    let script = Arc::new(script.clone());
+    let started = Instant::now();
+    let mut troubles = JoinSet::new();
+    for (kind, t) in script.troubles.clone() {
+        let stage = Stage { world: world.clone(), fold: fold.clone(), script: script.clone() };
+        troubles.spawn(async move {
+            sleep_until(started + Duration::from_secs_f64(t.at)).await;
+            stage.act(kind, &t).await;
+        });
+    }
+    let mut players = JoinSet::new();
+    for (at, wish) in arrivals(&script) {
+        let (directors, recorder) = (directors.clone(), recorder.clone());
+        let seed = script.size.seed ^ (u64::from(wish.player) << 20);
+        players.spawn(async move {
+            sleep_until(started + Duration::from_secs_f64(at)).await;
+            play(wish, directors, recorder, seed).await;
+        });
+    }
+    let end = started + Duration::from_secs_f64(script.size.seconds);
+    while Instant::now() < end {
+        sleep(Duration::from_millis(200)).await;
+        tick(started.elapsed().as_secs_f64());
+    }
+    let mut ended_well = true;
+    {
+        // What is still under trouble ends with the day.
+        troubles.shutdown().await;
+        let mut fold = fold.lock().await;
+        for d in 0..script.size.directors as usize {
+            fold.stall(d, false);
+            ended_well &= fold.end(d).await?;
+        }
+    }
+    players.shutdown().await;
+    let journals = {
+        let fold = fold.lock().await;
+        (0..script.size.directors as usize).map(|d| (fold.script_path(d), fold.journal_path(d))).collect()
+    };
+    // Stand-ins run on in tasks of this runtime; what they still put is of no interest.
+    file.finish()?;
+    Ok(DayOver { record, ended_well, journals })
+}
--- /dev/null
+++ b/crates/kelpdoor-lab/src/fluid.rs
@@ -0,0 +1,279 @@
+//! Links and uplinks as fluids: sessions on one that is asked for more than it gives all get the same share of
+//! their rates. Nodes with places, warm-up and the fall of one pushed over. No sockets; time passed in.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use kelpdoor_rtsp::{Asked, Load};
+
+/// s; how fast the share that a node tells of follows the true one.
+const SMOOTH: f64 = 0.5;
+/// s; a load report is refreshed so often.
+const REFRESH: f64 = 0.3;
+
+/// What all nodes have in common.
+#[derive(Clone, Debug)]
+pub struct FleetTerms {
+    pub ladder: Vec<f64>,
+    /// Scale of each group's rates, by name.
+    pub scales: BTreeMap<String, f64>,
+    pub cold_from: f64,
+    pub warm_within: f64,
+    pub tip_multiple: f64,
+    pub fall_window: f64,
+    pub uplinks_told: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Stream {
+    pub node: u32,
+    pub conn: u64,
+    pub pipe: String,
+    pub key: String,
+    pub title: String,
+    pub group: String,
+    pub rung: u8,
+    pub playing: bool,
+    pub began: f64,
+    pub played: f64,
+    pub asked_kb: f64,
+    pub got_kb: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Node {
+    pub up: bool,
+    pub silent: bool,
+    pub draining: bool,
+    pub started: f64,
+    pub rack: usize,
+    pub places: f64,
+    pub link_kb: f64,
+    /// Multiplies the link, and the time of a set-up.
+    pub link_factor: f64,
+    pub setup_factor: f64,
+    pub share: f64,
+    pub setups: VecDeque<f64>,
+    pub reported: Load,
+    pub reported_at: f64,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Verdict {
+    /// Set up after so many seconds.
+    Goes(f64),
+    Full,
+    /// Pushed over by too many SETUPs while cold.
+    Falls,
+}
+
+#[derive(Debug)]
+pub struct Fleet {
+    pub terms: FleetTerms,
+    pub nodes: BTreeMap<u32, Node>,
+    pub uplinks: Vec<f64>,
+    pub uplink_factor: Vec<f64>,
+    /// By the node's id for it.
+    pub streams: BTreeMap<String, Stream>,
+    asked_node: BTreeMap<u32, f64>,
+    asked_rack: Vec<f64>,
+    at: f64,
+}
+
+/// True rates lie off the ladder by up to a fifth, by title.
+pub fn title_factor(title: &str) -> f64 {
+    0.85 + f64::from(crc(title) % 301) / 1000.0
+}
+
+fn crc(text: &str) -> u32 {
+    text.bytes().fold(2_166_136_261u32, |h, b| (h ^ u32::from(b)).wrapping_mul(16_777_619))
+}
+
+impl Fleet {
+    pub fn new(terms: FleetTerms, uplinks: Vec<f64>, now: f64) -> Self {
+        let racks = uplinks.len();
+        Fleet {
+            terms,
+            nodes: BTreeMap::new(),
+            uplinks,
+            uplink_factor: vec![1.0; racks],
+            streams: BTreeMap::new(),
+            asked_node: BTreeMap::new(),
+            asked_rack: vec![0.0; racks],
+            at: now,
+        }
+    }
+
+    /// kB a second.
+    pub fn rate(&self, s: &Stream) -> f64 {
+        let scale = self.terms.scales.get(&s.group).copied().unwrap_or(1.0);
+        let top = self.terms.ladder.len() - 1;
+        self.terms.ladder[usize::from(s.rung).min(top)] * scale * title_factor(&s.title)
+    }
+
+    pub fn count(&self, node: u32) -> usize {
+        self.streams.values().filter(|s| s.node == node).count()
+    }
+
+    /// What is asked over what is given: of the node's link and of its rack's uplink.
+    pub fn asked(&self, node: u32) -> Asked {
+        let Some(n) = self.nodes.get(&node) else { return Asked::default() };
+        let link = self.asked_node.get(&node).copied().unwrap_or(0.0) / (n.link_kb * n.link_factor).max(1e-9);
+        let uplink = self.asked_rack[n.rack] / (self.uplinks[n.rack] * self.uplink_factor[n.rack]).max(1e-9);
+        Asked { link: Some(link), uplink: self.terms.uplinks_told.then_some(uplink) }
+    }
+
+    fn share_now(&self, node: u32) -> f64 {
+        let Some(n) = self.nodes.get(&node).filter(|n| n.up && !n.silent) else { return 0.0 };
+        let link = self.asked_node.get(&node).copied().unwrap_or(0.0) / (n.link_kb * n.link_factor).max(1e-9);
+        let uplink = self.asked_rack[n.rack] / (self.uplinks[n.rack] * self.uplink_factor[n.rack]).max(1e-9);
+        1.0 / link.max(uplink).max(1.0)
+    }
+
+    /// Lets time pass: what was delivered since, then sums, shares and reports as they are now.
+    pub fn tick(&mut self, now: f64) {
+        let dt = (now - self.at).max(0.0);
+        self.at = now;
+        let shares: BTreeMap<u32, f64> = self.nodes.keys().map(|&n| (n, self.share_now(n))).collect();
+        let rates: Vec<f64> = self.streams.values().map(|s| self.rate(s)).collect();
+        self.asked_node.clear();
+        self.asked_rack.iter_mut().for_each(|a| *a = 0.0);
+        for (s, rate) in self.streams.values_mut().zip(rates) {
+            if s.playing {
+                let share = shares.get(&s.node).copied().unwrap_or(0.0);
+                s.played += dt;
+                s.asked_kb += rate * dt;
+                s.got_kb += rate * dt * share;
+            }
+            *self.asked_node.entry(s.node).or_default() += rate;
+            if let Some(n) = self.nodes.get(&s.node) {
+                self.asked_rack[n.rack] += rate;
+            }
+        }
+        let mut reports = Vec::new();
+        for (&id, n) in &self.nodes {
+            if now - n.reported_at >= REFRESH {
+                let asked = self.asked(id);
+                let streams = Some(self.count(id) as f64);
+                reports.push((id, Load { streams, link: asked.link, uplink: asked.uplink }));
+            }
+        }
+        for (id, load) in reports {
+            if let Some(n) = self.nodes.get_mut(&id) {
+                (n.reported, n.reported_at) = (load, now);
+            }
+        }
+        let shares: BTreeMap<u32, f64> = self.nodes.keys().map(|&n| (n, self.share_now(n))).collect();
+        for (id, n) in &mut self.nodes {
+            n.share += (shares[id] - n.share) * (dt / SMOOTH).min(1.0);
+        }
+    }
+
+    /// The share of its capacity that a node has warmed to.
+    pub fn warmth(&self, node: u32, now: f64) -> f64 {
+        let t = &self.terms;
+        let age = (now - self.nodes[&node].started) / t.warm_within;
+        (t.cold_from + (1.0 - t.cold_from) * age).min(1.0)
+    }
+
+    /// A SETUP came to a node.
+    pub fn setup(&mut self, now: f64, node: u32) -> Verdict {
+        let (warmth, held) = (self.warmth(node, now), self.count(node) as f64);
+        let (window, tip, warm) = (self.terms.fall_window, self.terms.tip_multiple, self.terms.warm_within);
+        let Some(n) = self.nodes.get_mut(&node) else { return Verdict::Full };
+        n.setups.push_back(now);
+        while n.setups.front().is_some_and(|t| *t < now - window) {
+            n.setups.pop_front();
+        }
+        let cold = now < n.started + warm;
+        if cold && n.setups.len() as f64 > (tip * window * warmth * n.places / warm).max(1.0) {
+            return Verdict::Falls;
+        }
+        if held + 1.0 > n.places || n.draining {
+            return Verdict::Full;
+        }
+        Verdict::Goes((0.01 + 0.04 * held / n.places.max(1.0)) * n.setup_factor / warmth.max(0.2))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fleet() -> Fleet {
+        let terms = FleetTerms {
+            ladder: vec![100.0, 200.0],
+            scales: BTreeMap::new(),
+            cold_from: 0.5,
+            warm_within: 10.0,
+            tip_multiple: 2.0,
+            fall_window: 1.0,
+            uplinks_told: true,
+        };
+        let mut fleet = Fleet::new(terms, vec![300.0], 0.0);
+        for id in 0..2 {
+            let node = Node {
+                up: true,
+                silent: false,
+                draining: false,
+                started: -100.0,
+                rack: 0,
+                places: 10.0,
+                link_kb: 200.0,
+                link_factor: 1.0,
+                setup_factor: 1.0,
+                share: 1.0,
+                setups: VecDeque::new(),
+                reported: Load::default(),
+                reported_at: -1.0,
+            };
+            fleet.nodes.insert(id, node);
+        }
+        fleet
+    }
+
+    fn stream(node: u32, rung: u8) -> Stream {
+        Stream {
+            node,
+            conn: 0,
+            pipe: String::new(),
+            key: String::new(),
+            title: "t".into(),
+            group: "g".into(),
+            rung,
+            playing: true,
+            began: 0.0,
+            played: 0.0,
+            asked_kb: 0.0,
+            got_kb: 0.0,
+        }
+    }
+
+    #[test]
+    fn an_overfull_link_and_an_overfull_uplink_give_equal_shares() {
+        let mut fleet = fleet();
+        let by = title_factor("t");
+        fleet.streams.insert("a".into(), stream(0, 1));
+        fleet.streams.insert("b".into(), stream(0, 0));
+        fleet.tick(0.0);
+        fleet.tick(1.0);
+        let got = |f: &Fleet, k: &str| f.streams[k].got_kb / f.streams[k].asked_kb;
+        let share = (200.0 / (300.0 * by)).min(1.0);
+        assert!((got(&fleet, "a") - share).abs() < 1e-9 && (got(&fleet, "b") - share).abs() < 1e-9);
+        fleet.streams.insert("c".into(), stream(1, 1));
+        fleet.uplink_factor[0] = 0.1;
+        fleet.tick(1.0);
+        let before = fleet.streams["c"].got_kb;
+        fleet.tick(2.0);
+        let uplink = 30.0 / (500.0 * by);
+        assert!((fleet.streams["c"].got_kb - before - 200.0 * by * uplink).abs() < 1e-6);
+    }
+
+    #[test]
+    fn a_cold_node_falls_when_pushed() {
+        let mut fleet = fleet();
+        fleet.nodes.get_mut(&0).unwrap().started = 0.0;
+        // 2 x 1 s x 0.5 warm x 10 places / 10 s = 1 a window.
+        assert!(matches!(fleet.setup(0.1, 0), Verdict::Goes(_)));
+        assert_eq!(fleet.setup(0.2, 0), Verdict::Falls);
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-lab/src/lib.rs
@@ -0,0 +1,12 @@
+//! The lab: stand-ins for nodes, roster and players, trouble scripts, the record of what crossed the sockets, and
+//! the checker of the six rules. The daemon does not need it.
+
+pub mod check;
+pub mod day;
+pub mod fleet;
+pub mod fluid;
+pub mod node;
+pub mod player;
+pub mod record;
+pub mod roster;
+pub mod trouble;
--- /dev/null
+++ b/crates/kelpdoor-lab/src/main.rs
@@ -0,0 +1,196 @@
+//! The lab's command line.
+
+use std::io::IsTerminal;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use anyhow::{Context, Result, bail};
+use clap::{Parser, Subcommand};
+use comfy_table::Table;
+use indicatif::{ProgressBar, ProgressStyle};
+use kelpdoor_lab::check::{Verdict, check};
+use kelpdoor_lab::day;
+use kelpdoor_lab::fleet::{Fold, World, settings};
+use kelpdoor_lab::record::{self, Recorder};
+use kelpdoor_lab::trouble::Script;
+
+#[derive(Parser)]
+#[command(name = "kelpdoor-lab", version, about = "Stand-ins, bad days and their checker for kelpdoor")]
+struct Arguments {
+    #[command(subcommand)]
+    what: Act,
+}
+
+#[derive(Subcommand)]
+enum Act {
+    /// Start stand-ins and two directors, print where they listen, and stay until interrupted.
+    Up,
+    /// Play a bad day against real directors and judge the six rules. Exit 1 if one broke.
+    BadDay {
+        /// A trouble script; the default day where absent.
+        script: Option<PathBuf>,
+        /// The short day.
+        #[arg(long, conflicts_with = "script")]
+        short: bool,
+        /// Another seed than the script's; several days with seeds from there on.
+        #[arg(long)]
+        seed: Option<u64>,
+        #[arg(long, default_value_t = 1)]
+        days: u64,
+        /// Keep record, logs and settings there.
+        #[arg(long)]
+        keep: Option<PathBuf>,
+    },
+    /// Judge a record again.
+    Check { record: PathBuf },
+}
+
+fn script_of(path: Option<&Path>, short: bool) -> Result<Script> {
+    let read = match path {
+        Some(path) => Script::read(path),
+        None if short => Script::run("short-day.star", day::SHORT),
+        None => Script::run("bad-day.star", day::DEFAULT),
+    };
+    read.map_err(|faults| {
+        anyhow::anyhow!(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
+    })
+}
+
+fn part(sorted: &[f64], part: f64) -> f64 {
+    let at = (sorted.len() as f64 * part) as usize;
+    sorted.get(at.min(sorted.len().saturating_sub(1))).copied().unwrap_or(0.0)
+}
+
+fn show(v: &Verdict) {
+    let mut table = Table::new();
+    let rows = [
+        ("viewers", v.wishes.to_string()),
+        ("sessions asked for", v.starts.to_string()),
+        ("playing, busy, failed", format!("{}, {}, {}", v.playing, v.busy, v.failed)),
+        ("no answer in time, director down or stalled", v.excused.to_string()),
+        ("SETUPs, of them further", format!("{}, {}", v.setups, v.further)),
+        ("rung changes", v.rung_changes.to_string()),
+        ("start time, median and 99 in 100", {
+            format!("{:.0} ms, {:.0} ms", 1e3 * part(&v.start_times, 0.5), 1e3 * part(&v.start_times, 0.99))
+        }),
+        ("most of a cold node's limit used", format!("{:.0} %", 100.0 * v.cold_use)),
+        ("cold nodes pushed over", v.falls.to_string()),
+        ("service", format!("{:.3}", v.service)),
+    ];
+    for (name, value) in rows {
+        table.add_row([name, &value]);
+    }
+    println!("{table}");
+    let mut rules = Table::new();
+    rules.set_header(["rule", "", "broken"]);
+    let names = [
+        "one final answer in time",
+        "no double set-up",
+        "nothing new to drained nodes",
+        "cold nodes not pushed",
+        "floors and seats",
+        "budget for further SETUPs",
+    ];
+    for (k, name) in names.iter().enumerate() {
+        let count = v.broken.iter().filter(|b| usize::from(b.rule) == k + 1).count();
+        rules.add_row([(k + 1).to_string(), (*name).to_owned(), count.to_string()]);
+    }
+    println!("{rules}");
+    for b in v.broken.iter().take(20) {
+        println!("rule {} broken, line {} of the record: {}", b.rule, b.line, b.what);
+    }
+}
+
+async fn bad_day(script: Script, keep: Option<PathBuf>) -> Result<bool> {
+    let temporary = tempfile::tempdir()?;
+    let dir = keep.unwrap_or_else(|| temporary.path().to_owned());
+    std::fs::create_dir_all(&dir)?;
+    let bar = if std::io::stderr().is_terminal() {
+        ProgressBar::new(script.size.seconds as u64)
+    } else {
+        ProgressBar::hidden()
+    };
+    bar.set_style(ProgressStyle::with_template("{elapsed} {bar:40} {pos} of {len} s")?);
+    let over = day::run(&script, &dir, false, |t| bar.set_position(t as u64)).await?;
+    bar.finish_and_clear();
+    let verdict = check(&record::read(&over.record)?);
+    show(&verdict);
+    if !over.ended_well {
+        println!("a director did not end well; its log is in {}", dir.display());
+    }
+    Ok(verdict.broken.is_empty() && over.ended_well)
+}
+
+async fn up() -> Result<()> {
+    let dir = tempfile::tempdir()?;
+    let mut script = script_of(None, true)?;
+    script.size.directors = 2;
+    let shared = settings(&script.size, "");
+    let world = World::start(&script.size, &shared, Recorder::none()).await?;
+    let mut fold = Fold::new(&script.size, &shared, &world, dir.path(), false);
+    for d in 0..2 {
+        println!("director {d}: ws://{}/", fold.start(d).await?);
+    }
+    println!(
+        "subprotocol kelpdoor.session.v1; groups lecture, story, reading, paid; titles title-00 to title-39"
+    );
+    println!("settings and logs in {}; Ctrl-C ends", dir.path().display());
+    tokio::signal::ctrl_c().await?;
+    for d in 0..2 {
+        fold.end(d).await?;
+    }
+    Ok(())
+}
+
+async fn act(arguments: Arguments) -> Result<bool> {
+    match arguments.what {
+        Act::Up => up().await.map(|()| true),
+        Act::BadDay { script, short, seed, days, keep } => {
+            let mut script = script_of(script.as_deref(), short)?;
+            script.size.seed = seed.unwrap_or(script.size.seed);
+            let mut good = true;
+            for k in 0..days {
+                if days > 1 {
+                    println!("seed {}", script.size.seed);
+                }
+                let keep = keep.as_ref().map(|d| if days > 1 { d.join(k.to_string()) } else { d.clone() });
+                good &= bad_day(script.clone(), keep).await?;
+                script.size.seed += 1;
+            }
+            Ok(good)
+        }
+        Act::Check { record } => {
+            let lines = record::read(&record).context("reading the record")?;
+            if lines.is_empty() {
+                bail!("{}: an empty record", record.display());
+            }
+            let verdict = check(&lines);
+            show(&verdict);
+            Ok(verdict.broken.is_empty())
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    // The lab starts directors by running itself as the daemon.
+    let mut given = std::env::args_os();
+    let program = given.next().unwrap_or_default();
+    if std::env::args_os().nth(1).is_some_and(|a| a == "director") {
+        return kelpdoord::main(std::iter::once(program).chain(given.skip(1)));
+    }
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("kelpdoor-lab: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(act(Arguments::parse())) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("kelpdoor-lab: {e:#}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-lab/src/node.rs
@@ -0,0 +1,490 @@
+//! Stand-in media nodes on loopback sockets: RTSP as in `docs/node-protocol.md`, over the fluid links.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use anyhow::Result;
+use kelpdoor_director::{Phase, RosterNode};
+use kelpdoor_rtsp::{Message, Method, Request, Response, names, parse, reasons};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{AbortHandle, JoinSet};
+
+use crate::fluid::{Fleet, Node, Stream, Verdict};
+use crate::record::{Recorder, What, now};
+use crate::roster::Roster;
+
+/// How a stand-in is built.
+#[derive(Clone, Debug)]
+pub struct Build {
+    pub id: u32,
+    pub zone: String,
+    pub kind: String,
+    pub cell: u16,
+    pub size: f64,
+    pub places: f64,
+    pub link_kb: f64,
+}
+
+/// How late the nodes tell things, s.
+#[derive(Clone, Copy, Debug)]
+pub struct Telling {
+    pub seen_after: f64,
+    pub told_every: f64,
+    /// More of the same, by trouble.
+    pub extra: f64,
+}
+
+struct Conn {
+    stream: Arc<TcpStream>,
+    out: mpsc::UnboundedSender<Vec<u8>>,
+    task: AbortHandle,
+    cseq: u32,
+    /// Whether it was told of a shortage last, by node.
+    short: bool,
+}
+
+struct Process {
+    task: AbortHandle,
+    conns: BTreeMap<u64, Conn>,
+}
+
+/// A notice: node, connection, the node's id of a stream, and header fields.
+type Told = (u32, u64, String, Fields);
+
+type Fields = Vec<(&'static str, String)>;
+
+struct State {
+    fleet: Fleet,
+    builds: BTreeMap<u32, Build>,
+    processes: BTreeMap<u32, Process>,
+    telling: Telling,
+    next: u64,
+    /// What is to be told, and when.
+    due: BTreeMap<(u64, u64), Told>,
+}
+
+/// All stand-in nodes.
+#[derive(Clone)]
+pub struct Nodes {
+    state: Arc<Mutex<State>>,
+    recorder: Recorder,
+    roster: Roster,
+    /// Falls of cold nodes.
+    fell: watch::Sender<u32>,
+}
+
+impl Nodes {
+    pub fn new(fleet: Fleet, telling: Telling, recorder: Recorder, roster: Roster) -> Self {
+        let state = State {
+            fleet,
+            builds: BTreeMap::new(),
+            processes: BTreeMap::new(),
+            telling,
+            next: 1,
+            due: BTreeMap::new(),
+        };
+        Nodes { state: Arc::new(Mutex::new(state)), recorder, roster, fell: watch::channel(0).0 }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    pub fn with_fleet<T>(&self, act: impl FnOnce(&mut Fleet) -> T) -> T {
+        act(&mut self.lock().fleet)
+    }
+
+    pub fn telling(&self, act: impl FnOnce(&mut Telling)) {
+        act(&mut self.lock().telling);
+    }
+
+    /// Starts a node's process, cold unless `warm`, and lists it.
+    pub async fn start(&self, build: &Build, warm: bool) -> Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let t = now();
+        let started = if warm { 0.0 } else { t };
+        {
+            let mut s = self.lock();
+            let racks = s.fleet.uplinks.len();
+            let node = Node {
+                up: true,
+                silent: false,
+                draining: false,
+                started: if warm { t - 1e6 } else { t },
+                rack: usize::from(build.cell) % racks,
+                places: build.places,
+                link_kb: build.link_kb,
+                link_factor: s.fleet.nodes.get(&build.id).map_or(1.0, |n| n.link_factor),
+                setup_factor: 1.0,
+                share: 1.0,
+                setups: Default::default(),
+                reported: Default::default(),
+                reported_at: 0.0,
+            };
+            s.fleet.nodes.insert(build.id, node);
+            s.builds.insert(build.id, build.clone());
+            let (zone, cell) = (build.zone.clone(), build.cell);
+            self.recorder.put(What::NodeUp { node: build.id, cold: !warm, places: build.places, zone, cell });
+            let task = tokio::spawn(self.clone().serve(build.id, listener)).abort_handle();
+            s.processes.insert(build.id, Process { task, conns: BTreeMap::new() });
+        }
+        self.roster.node(RosterNode {
+            id: build.id,
+            address,
+            zone: build.zone.clone(),
+            kind: build.kind.clone(),
+            cell: build.cell,
+            phase: Phase::Ready,
+            size: build.size,
+            up_since: started,
+        });
+        Ok(address)
+    }
+
+    /// Starts a node again as it was built.
+    pub async fn restart(&self, id: u32) -> Result<()> {
+        let build = self.lock().builds.get(&id).cloned();
+        match build {
+            Some(build) if !self.lock().processes.contains_key(&id) => {
+                self.start(&build, false).await.map(|_| ())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// The process ends: connections are reset, its streams are over. The roster hears of it, late.
+    pub fn kill(&self, id: u32, why: &str) {
+        let mut s = self.lock();
+        let Some(process) = s.processes.remove(&id) else { return };
+        self.recorder.put(What::NodeDown { node: id, why: why.to_owned() });
+        process.task.abort();
+        for conn in process.conns.into_values() {
+            let _ = conn.stream.set_zero_linger();
+            conn.task.abort();
+        }
+        if let Some(n) = s.fleet.nodes.get_mut(&id) {
+            n.up = false;
+        }
+        let over: Vec<String> =
+            s.fleet.streams.iter().filter(|(_, x)| x.node == id).map(|(k, _)| k.clone()).collect();
+        over.iter().for_each(|rtsp| self.over(&mut s, rtsp));
+        drop(s);
+        self.roster.gone(id);
+    }
+
+    /// It answers nothing any more, its connections stay.
+    pub fn silence(&self, id: u32) {
+        if let Some(n) = self.lock().fleet.nodes.get_mut(&id) {
+            n.silent = true;
+        }
+    }
+
+    pub fn drain(&self, id: u32, on: bool) {
+        if let Some(n) = self.lock().fleet.nodes.get_mut(&id) {
+            n.draining = on;
+        }
+        self.roster.phase(id, if on { Phase::Draining } else { Phase::Ready });
+    }
+
+    fn over(&self, s: &mut State, rtsp: &str) {
+        if let Some(x) = s.fleet.streams.remove(rtsp)
+            && x.playing
+        {
+            let share = if x.asked_kb > 0.0 { x.got_kb / x.asked_kb } else { 1.0 };
+            self.recorder.put(What::Stream { node: x.node, key: x.key, seconds: x.played, share });
+        }
+    }
+
+    /// Lets the fluid flow and notices go out, until the task is dropped.
+    pub async fn flow(self) {
+        let mut every = tokio::time::interval(Duration::from_millis(50));
+        let mut told = now();
+        let mut short = now();
+        loop {
+            every.tick().await;
+            let t = now();
+            let mut s = self.lock();
+            s.fleet.tick(t);
+            if t - short >= 1.0 {
+                short = t;
+                self.tell_short(&mut s, t);
+            }
+            if s.telling.told_every > 0.0 && t - told >= s.telling.told_every {
+                told = t;
+                self.tell_load(&mut s, t);
+            }
+            let later = s.due.split_off(&((t * 1e6) as u64, u64::MAX));
+            let due = std::mem::replace(&mut s.due, later);
+            for (node, conn, rtsp, with) in due.into_values() {
+                self.notice(&mut s, node, conn, &rtsp, with);
+            }
+        }
+    }
+
+    fn later(s: &mut State, t: f64, node: u32, conn: u64, rtsp: &str, with: Fields) {
+        let at = t + s.telling.seen_after + s.telling.extra;
+        s.next += 1;
+        let order = s.next;
+        s.due.insert(((at * 1e6) as u64, order), (node, conn, rtsp.to_owned(), with));
+    }
+
+    /// One stream of each connection that has any at the node.
+    fn one_each(s: &State, node: u32) -> Vec<(u64, String)> {
+        let mut one = BTreeMap::new();
+        for (rtsp, x) in s.fleet.streams.iter().filter(|(_, x)| x.node == node && x.playing) {
+            one.entry(x.conn).or_insert_with(|| rtsp.clone());
+        }
+        one.into_iter().collect()
+    }
+
+    fn tell_short(&self, s: &mut State, t: f64) {
+        let shares: Vec<(u32, f64)> = s.fleet.nodes.iter().map(|(id, n)| (*id, n.share)).collect();
+        for (id, share) in shares {
+            for (conn, rtsp) in Self::one_each(s, id) {
+                let c = s.processes.get_mut(&id).and_then(|p| p.conns.get_mut(&conn));
+                let was = c.map(|c| std::mem::replace(&mut c.short, share < 0.98)).unwrap_or(false);
+                if share < 0.98 || was {
+                    let with = vec![
+                        (names::NOTIFY_REASON, reasons::DELIVERY.to_owned()),
+                        (names::DELIVERED, format!("{share:.3}")),
+                    ];
+                    Self::later(s, t, id, conn, &rtsp, with);
+                }
+            }
+        }
+    }
+
+    fn tell_load(&self, s: &mut State, t: f64) {
+        let ids: Vec<u32> = s.fleet.nodes.keys().copied().collect();
+        for id in ids {
+            let asked = s.fleet.asked(id).to_string();
+            for (conn, rtsp) in Self::one_each(s, id) {
+                let with =
+                    vec![(names::NOTIFY_REASON, reasons::LOAD.to_owned()), (names::ASKED, asked.clone())];
+                Self::later(s, t, id, conn, &rtsp, with);
+            }
+        }
+    }
+
+    fn notice(&self, s: &mut State, node: u32, conn: u64, rtsp: &str, with: Fields) {
+        if s.fleet.nodes.get(&node).is_none_or(|n| n.silent) {
+            return;
+        }
+        let Some(c) = s.processes.get_mut(&node).and_then(|p| p.conns.get_mut(&conn)) else { return };
+        c.cseq += 1;
+        let mut request = Request::new(Method::PlayNotify, format!("rtsp://node-{node}/"), c.cseq)
+            .with(names::SESSION, rtsp);
+        for (name, value) in with {
+            request.headers.put(name, value);
+        }
+        self.send(s, node, conn, &request.into());
+    }
+
+    fn send(&self, s: &mut State, node: u32, conn: u64, message: &Message) {
+        if s.fleet.nodes.get(&node).is_none_or(|n| n.silent) {
+            return;
+        }
+        let Some(c) = s.processes.get(&node).and_then(|p| p.conns.get(&conn)) else { return };
+        let bytes = message.to_bytes();
+        if self.recorder.kept() {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            self.recorder.put(What::Node { node, conn, got: false, text });
+        }
+        let _ = c.out.send(bytes);
+    }
+
+    async fn serve(self, node: u32, listener: TcpListener) {
+        let mut tasks = JoinSet::new();
+        loop {
+            while tasks.try_join_next().is_some() {}
+            let Ok((stream, _)) = listener.accept().await else { return };
+            let _ = stream.set_nodelay(true);
+            let stream = Arc::new(stream);
+            let (out, mut from) = mpsc::unbounded_channel::<Vec<u8>>();
+            let mut s = self.lock();
+            s.next += 1;
+            let conn = s.next;
+            let me = self.clone();
+            let shared = stream.clone();
+            let task = tasks.spawn(async move {
+                let reader = me.read(node, conn, &shared);
+                let writer = async {
+                    while let Some(bytes) = from.recv().await {
+                        let mut rest = &bytes[..];
+                        while !rest.is_empty() {
+                            if shared.writable().await.is_err() {
+                                return;
+                            }
+                            match shared.try_write(rest) {
+                                Ok(n) => rest = &rest[n..],
+                                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                                Err(_) => return,
+                            }
+                        }
+                    }
+                };
+                tokio::select! { () = reader => {}, () = writer => {} }
+                me.closed(node, conn);
+            });
+            if let Some(p) = s.processes.get_mut(&node) {
+                p.conns.insert(conn, Conn { stream, out, task, cseq: 0, short: false });
+            }
+            self.recorder.put(What::NodeConn { node, conn, open: true });
+        }
+    }
+
+    /// The director is gone: its streams are over.
+    fn closed(&self, node: u32, conn: u64) {
+        let mut s = self.lock();
+        if s.processes.get_mut(&node).and_then(|p| p.conns.remove(&conn)).is_none() {
+            return;
+        }
+        self.recorder.put(What::NodeConn { node, conn, open: false });
+        let over: Vec<String> =
+            s.fleet.streams.iter().filter(|(_, x)| x.conn == conn).map(|(k, _)| k.clone()).collect();
+        over.iter().for_each(|rtsp| self.over(&mut s, rtsp));
+    }
+
+    async fn read(&self, node: u32, conn: u64, stream: &TcpStream) {
+        let mut buf = Vec::with_capacity(4096);
+        loop {
+            loop {
+                match parse(&buf) {
+                    Ok(Some((message, len))) => {
+                        if self.recorder.kept() {
+                            let text = String::from_utf8_lossy(&buf[..len]).into_owned();
+                            self.recorder.put(What::Node { node, conn, got: true, text });
+                        }
+                        buf.drain(..len);
+                        if let Message::Request(request) = message {
+                            self.handle(node, conn, request);
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(_) => return,
+                }
+            }
+            if stream.readable().await.is_err() {
+                return;
+            }
+            match stream.try_read_buf(&mut buf) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn handle(&self, node: u32, conn: u64, r: Request) {
+        let t = now();
+        let mut s = self.lock();
+        let Some(n) = s.fleet.nodes.get(&node) else { return };
+        if n.silent {
+            return;
+        }
+        let load = n.reported.to_string();
+        let answer = |status: u16| Response::new(status, r.cseq).with(names::LOAD, &load);
+        let by_pipe = |s: &State| {
+            let pipe = r.headers.get(names::PIPELINED)?;
+            let of = s.fleet.streams.iter().find(|(_, x)| x.conn == conn && x.pipe == pipe)?;
+            Some(of.0.clone())
+        };
+        let named = |s: &State| {
+            let id = r.headers.get(names::SESSION)?;
+            s.fleet.streams.contains_key(id).then(|| id.to_owned())
+        };
+        match r.method {
+            Method::Setup => match s.fleet.setup(t, node) {
+                Verdict::Falls => {
+                    drop(s);
+                    self.fell.send_modify(|n| *n += 1);
+                    self.kill(node, "pushed over while cold");
+                }
+                Verdict::Full => {
+                    let full = answer(453).with(names::RETRY_AFTER, 1);
+                    self.send(&mut s, node, conn, &full.into());
+                }
+                Verdict::Goes(wait) => {
+                    s.next += 1;
+                    let rtsp = format!("{node}-{}", s.next);
+                    let get = |name| r.headers.get(name).unwrap_or("").to_owned();
+                    let stream = Stream {
+                        node,
+                        conn,
+                        pipe: get(names::PIPELINED),
+                        key: get(names::KEY),
+                        title: r.uri.rsplit('/').next().unwrap_or("").to_owned(),
+                        group: get(names::GROUP),
+                        rung: r.headers.read(names::RUNG).unwrap_or(0),
+                        playing: false,
+                        began: t + wait,
+                        played: 0.0,
+                        asked_kb: 0.0,
+                        got_kb: 0.0,
+                    };
+                    s.fleet.streams.insert(rtsp.clone(), stream);
+                    drop(s);
+                    let (me, cseq) = (self.clone(), r.cseq);
+                    tokio::spawn(async move {
+                        tokio::time::sleep(Duration::from_secs_f64(wait)).await;
+                        let mut s = me.lock();
+                        let load =
+                            s.fleet.nodes.get(&node).map(|n| n.reported.to_string()).unwrap_or_default();
+                        let there = s.fleet.streams.contains_key(&rtsp);
+                        let answer = Response::new(if there { 200 } else { 454 }, cseq);
+                        let answer = answer.with(names::SESSION, &rtsp).with(names::LOAD, load);
+                        me.send(&mut s, node, conn, &answer.into());
+                    });
+                }
+            },
+            Method::Play => {
+                let id = by_pipe(&s).or_else(|| named(&s));
+                let Some(id) = id else {
+                    return self.send(&mut s, node, conn, &answer(454).into());
+                };
+                let wait = (s.fleet.streams[&id].began - t).max(0.0);
+                drop(s);
+                let (me, cseq) = (self.clone(), r.cseq);
+                tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_secs_f64(wait + 0.001)).await;
+                    let mut s = me.lock();
+                    let asked = s.fleet.asked(node).to_string();
+                    let there = s.fleet.streams.get_mut(&id).map(|x| x.playing = true).is_some();
+                    let answer = Response::new(if there { 200 } else { 454 }, cseq);
+                    let answer = answer.with(names::SESSION, &id).with(names::ASKED, asked);
+                    me.send(&mut s, node, conn, &answer.into());
+                });
+            }
+            Method::SetParameter => {
+                let rung = r.headers.read(names::RUNG);
+                let status = match (named(&s), rung) {
+                    (Some(id), Some(rung)) => {
+                        if let Some(x) = s.fleet.streams.get_mut(&id) {
+                            x.rung = rung;
+                        }
+                        200
+                    }
+                    (None, _) => 454,
+                    (_, None) => 451,
+                };
+                self.send(&mut s, node, conn, &answer(status).into());
+            }
+            Method::Teardown => {
+                // One node in four does not take a TEARDOWN by the name of a SETUP that is not answered yet.
+                let id = named(&s).or_else(|| by_pipe(&s).filter(|_| !node.is_multiple_of(4)));
+                let status = if id.is_some() { 200 } else { 454 };
+                if let Some(id) = id {
+                    self.over(&mut s, &id);
+                }
+                self.send(&mut s, node, conn, &answer(status).into());
+            }
+            Method::Options | Method::GetParameter => self.send(&mut s, node, conn, &answer(200).into()),
+            Method::PlayNotify => self.send(&mut s, node, conn, &answer(501).into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-lab/src/roster.rs
@@ -0,0 +1,151 @@
+//! A stand-in roster: a feed of JSON lines, served late on purpose.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use anyhow::Result;
+use kelpdoor_director::{FromRoster, Phase, RosterNode, RosterTitle, ToRoster};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::record::{Recorder, What, now};
+
+struct State {
+    /// What became of nodes, and when; the first entries are those of the start.
+    log: Vec<(f64, RosterNode)>,
+    titles: Vec<RosterTitle>,
+    lag: f64,
+}
+
+#[derive(Clone)]
+pub struct Roster {
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<()>,
+    recorder: Recorder,
+}
+
+impl Roster {
+    pub fn new(titles: Vec<RosterTitle>, lag: f64, recorder: Recorder) -> Self {
+        let state = State { log: Vec::new(), titles, lag };
+        Roster { state: Arc::new(Mutex::new(state)), changed: watch::channel(()).0, recorder }
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        let done = act(&mut self.state.lock().unwrap_or_else(|e| e.into_inner()));
+        self.changed.send_replace(());
+        done
+    }
+
+    pub fn node(&self, node: RosterNode) {
+        self.with(|s| s.log.push((now(), node)));
+    }
+
+    /// How late changes are told from now on, s.
+    pub fn lag(&self, lag: f64) {
+        self.with(|s| s.lag = lag);
+    }
+
+    pub fn phase(&self, id: u32, phase: Phase) {
+        self.with(|s| {
+            let last = s.log.iter().rev().find(|(_, n)| n.id == id).map(|(_, n)| n.clone());
+            if let Some(node) = last {
+                s.log.push((now(), RosterNode { phase, ..node }));
+            }
+        });
+    }
+
+    pub fn gone(&self, id: u32) {
+        self.phase(id, Phase::Gone);
+    }
+
+    pub async fn serve(self, listener: TcpListener) {
+        loop {
+            if let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(self.clone().feed(stream));
+            }
+        }
+    }
+
+    pub async fn bind() -> Result<(TcpListener, SocketAddr)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        Ok((listener, address))
+    }
+
+    /// What is due by now of the log from `from` on, and when the next entry is.
+    fn due(&self, from: usize) -> (usize, Option<f64>) {
+        let s = self.state.lock().unwrap_or_else(|e| e.into_inner());
+        let t = now() - s.lag;
+        let due = s.log[from..].iter().take_while(|(at, _)| *at <= t).count();
+        (from + due, s.log.get(from + due).map(|(at, _)| at - t))
+    }
+
+    fn whole(&self, upto: usize) -> FromRoster {
+        let s = self.state.lock().unwrap_or_else(|e| e.into_inner());
+        let mut nodes = std::collections::BTreeMap::new();
+        for (_, n) in &s.log[..upto] {
+            if n.phase == Phase::Gone {
+                nodes.remove(&n.id);
+            } else {
+                nodes.insert(n.id, n.clone());
+            }
+        }
+        FromRoster::Whole {
+            version: upto as u64,
+            nodes: nodes.into_values().collect(),
+            titles: s.titles.clone(),
+        }
+    }
+
+    fn change(&self, from: usize, to: usize) -> FromRoster {
+        let s = self.state.lock().unwrap_or_else(|e| e.into_inner());
+        // The last word on each node.
+        let mut nodes = std::collections::BTreeMap::new();
+        s.log[from..to].iter().for_each(|(_, n)| {
+            nodes.insert(n.id, n.clone());
+        });
+        FromRoster::Change { version: to as u64, nodes: nodes.into_values().collect(), titles: Vec::new() }
+    }
+
+    async fn feed(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let (read, mut write) = stream.into_split();
+        let mut lines = BufReader::new(read).lines();
+        let Ok(Some(first)) = lines.next_line().await else { return };
+        let Ok(ToRoster::Hello { director }) = serde_json::from_str(&first) else { return };
+        let mut changed = self.changed.subscribe();
+        let (mut at, _) = self.due(0);
+        let mut message = Some(self.whole(at));
+        loop {
+            if let Some(message) = message.take() {
+                let Ok(mut text) = serde_json::to_string(&message) else { return };
+                self.recorder.put(What::Roster { director, text: text.clone() });
+                text.push('\n');
+                if write.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            let (due, next) = self.due(at);
+            if due > at {
+                message = Some(self.change(at, due));
+                at = due;
+                continue;
+            }
+            let wait = Duration::from_secs_f64(next.unwrap_or(3600.0).clamp(0.001, 3600.0));
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = tokio::time::sleep(wait) => {}
+                line = lines.next_line() => match line {
+                    Ok(Some(text)) => match serde_json::from_str(&text) {
+                        Ok(ToRoster::Whole) => message = Some(self.whole(at)),
+                        Ok(_) => {}
+                        Err(_) => return,
+                    },
+                    _ => return,
+                },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-lab/src/trouble.rs
@@ -0,0 +1,208 @@
+//! Trouble scripts: what happens to whom and when, in the settings language.
+
+use std::path::Path;
+
+use kelpdoor_script::{Call, Fault, TROUBLE};
+use serde::{Deserialize, Serialize};
+
+/// The day itself: how much of everything.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Size {
+    pub seconds: f64,
+    pub directors: u32,
+    pub nodes: u32,
+    pub racks: u16,
+    pub zones: Vec<String>,
+    /// Players that come one by one over the day.
+    pub players: u32,
+    /// A class that presses play within a second.
+    pub class_of: u32,
+    pub class_at: f64,
+    /// Rough length of a session, s.
+    pub watch: f64,
+    /// How late the roster tells, s.
+    pub roster_lag: f64,
+    pub seed: u64,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Size {
+            seconds: 60.0,
+            directors: 3,
+            nodes: 16,
+            racks: 4,
+            zones: vec!["east".into(), "west".into()],
+            players: 270,
+            class_of: 30,
+            class_at: 12.0,
+            watch: 14.0,
+            roster_lag: 1.0,
+            seed: 1,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    Crash,
+    Vanish,
+    Slow,
+    Neighbour,
+    RackSag,
+    Ageing,
+    Deploy,
+    DiscoveryStale,
+    ReportLate,
+    BalancerRoll,
+    BalancerStall,
+    ZoneLoss,
+    HotKey,
+    Preempt,
+    Drain,
+}
+
+const KINDS: [(&str, Kind); 15] = [
+    ("crash", Kind::Crash),
+    ("vanish", Kind::Vanish),
+    ("slow", Kind::Slow),
+    ("neighbour", Kind::Neighbour),
+    ("rack_sag", Kind::RackSag),
+    ("ageing", Kind::Ageing),
+    ("deploy", Kind::Deploy),
+    ("discovery_stale", Kind::DiscoveryStale),
+    ("report_late", Kind::ReportLate),
+    ("balancer_roll", Kind::BalancerRoll),
+    ("balancer_stall", Kind::BalancerStall),
+    ("zone_loss", Kind::ZoneLoss),
+    ("hot_key", Kind::HotKey),
+    ("preempt", Kind::Preempt),
+    ("drain", Kind::Drain),
+];
+
+/// One trouble. Which fields count depends on its kind; `docs/bad-day.md` has the table.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// s from the start of the day.
+    pub at: f64,
+    /// s; until what died comes back, or what changed is as before.
+    #[serde(default = "lasts")]
+    pub lasts: f64,
+    #[serde(default)]
+    pub nodes: Vec<u32>,
+    #[serde(default)]
+    pub directors: Vec<u32>,
+    #[serde(default)]
+    pub racks: Vec<u16>,
+    #[serde(default)]
+    pub zone: String,
+    /// What is left of a link or uplink; for late news, seconds more.
+    #[serde(default = "half")]
+    pub factor: f64,
+    #[serde(default)]
+    pub title: String,
+    #[serde(default)]
+    pub players: u32,
+    /// s between a drain's notice and the end.
+    #[serde(default = "notice")]
+    pub notice: f64,
+}
+
+fn lasts() -> f64 {
+    8.0
+}
+
+fn half() -> f64 {
+    0.5
+}
+
+fn notice() -> f64 {
+    2.0
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Script {
+    pub size: Size,
+    pub troubles: Vec<(Kind, Trouble)>,
+}
+
+impl Script {
+    /// # Errors
+    /// Every fault found, each with its place.
+    pub fn from_calls(file: &str, calls: &[Call]) -> Result<Self, Vec<Fault>> {
+        let (mut script, mut faults) = (Script::default(), Vec::new());
+        for call in calls.iter().filter(|c| c.word == "day") {
+            match call.to::<Size>(file) {
+                Ok(size) => {
+                    let sane = size.seconds > 0.0 && size.seconds <= 3600.0;
+                    let fleet = (1..=200).contains(&size.nodes) && (1..=20).contains(&size.directors);
+                    let racks = size.racks >= 1 && u32::from(size.racks) <= size.nodes;
+                    let few = size.players <= 20_000 && size.class_of <= 2_000 && !size.zones.is_empty();
+                    if !(sane && fleet && racks && few && size.watch >= 3.0 && size.roster_lag >= 0.0) {
+                        faults.push(call.fault(file, "day: a figure is out of range"));
+                    }
+                    script.size = size;
+                }
+                Err(fault) => faults.push(fault),
+            }
+        }
+        let size = script.size.clone();
+        for call in calls.iter().filter(|c| c.word != "day") {
+            let Some((_, kind)) = KINDS.iter().find(|(word, _)| *word == call.word) else { continue };
+            match call.to::<Trouble>(file) {
+                Ok(t) => {
+                    if let Some(what) = wrong(*kind, &t, &size) {
+                        faults.push(call.fault(file, format!("{}: {what}", call.word)));
+                    }
+                    script.troubles.push((*kind, t));
+                }
+                Err(fault) => faults.push(fault),
+            }
+        }
+        script.troubles.sort_by(|a, b| a.1.at.total_cmp(&b.1.at));
+        if faults.is_empty() { Ok(script) } else { Err(faults) }
+    }
+
+    pub fn run(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        Script::from_calls(file, &kelpdoor_script::run(file, text, TROUBLE)?)
+    }
+
+    pub fn read(path: &Path) -> Result<Self, Vec<Fault>> {
+        Script::from_calls(&path.display().to_string(), &kelpdoor_script::read(path, TROUBLE)?)
+    }
+}
+
+fn wrong(kind: Kind, t: &Trouble, size: &Size) -> Option<String> {
+    let times = [t.at, t.lasts, t.factor, t.notice];
+    if !times.iter().all(|v| v.is_finite() && *v >= 0.0) {
+        return Some("times and factor have to be at least 0".into());
+    }
+    if let Some(n) = t.nodes.iter().find(|n| **n >= size.nodes) {
+        return Some(format!("no node {n}, the day has {}", size.nodes));
+    }
+    if let Some(d) = t.directors.iter().find(|d| **d >= size.directors) {
+        return Some(format!("no director {d}, the day has {}", size.directors));
+    }
+    if let Some(r) = t.racks.iter().find(|r| **r >= size.racks) {
+        return Some(format!("no rack {r}, the day has {}", size.racks));
+    }
+    let needs = |missing: bool, what: &str| missing.then(|| format!("{what} is needed"));
+    match kind {
+        Kind::Crash
+        | Kind::Vanish
+        | Kind::Slow
+        | Kind::Neighbour
+        | Kind::Ageing
+        | Kind::Deploy
+        | Kind::Preempt
+        | Kind::Drain => needs(t.nodes.is_empty(), "nodes"),
+        Kind::RackSag => needs(t.racks.is_empty(), "racks"),
+        Kind::BalancerRoll | Kind::BalancerStall => needs(t.directors.is_empty(), "directors"),
+        Kind::ZoneLoss if !size.zones.contains(&t.zone) => Some(format!("no zone {:?}", t.zone)),
+        Kind::HotKey => needs(t.players == 0 || t.players > 5000, "players, 1 to 5000,"),
+        Kind::ZoneLoss | Kind::DiscoveryStale | Kind::ReportLate => None,
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-rtsp/src/message.rs
@@ -0,0 +1,184 @@
+//! Requests and responses, and how they are written.
+
+use crate::names;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Method {
+    Options,
+    Setup,
+    Play,
+    SetParameter,
+    GetParameter,
+    Teardown,
+    PlayNotify,
+}
+
+impl Method {
+    pub const ALL: [Method; 7] = [
+        Method::Options,
+        Method::Setup,
+        Method::Play,
+        Method::SetParameter,
+        Method::GetParameter,
+        Method::Teardown,
+        Method::PlayNotify,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Method::Options => "OPTIONS",
+            Method::Setup => "SETUP",
+            Method::Play => "PLAY",
+            Method::SetParameter => "SET_PARAMETER",
+            Method::GetParameter => "GET_PARAMETER",
+            Method::Teardown => "TEARDOWN",
+            Method::PlayNotify => "PLAY_NOTIFY",
+        }
+    }
+}
+
+/// Header fields in order; names compare without regard to case (section 5.2).
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers(pub Vec<(String, String)>);
+
+impl Headers {
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    /// A value read as a number or whatever else parses; `None` where absent or unreadable.
+    pub fn read<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
+        self.get(name)?.trim().parse().ok()
+    }
+
+    /// Adds a field. Bytes that would end the line are dropped, so that no value can forge a header.
+    pub fn put(&mut self, name: &str, value: impl std::fmt::Display) {
+        let clean: String = value.to_string().chars().filter(|c| !c.is_control()).collect();
+        self.0.push((name.to_owned(), clean));
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    pub method: Method,
+    pub uri: String,
+    pub cseq: u32,
+    /// All fields but CSeq and Content-Length.
+    pub headers: Headers,
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    pub fn new(method: Method, uri: impl Into<String>, cseq: u32) -> Self {
+        Request { method, uri: uri.into(), cseq, headers: Headers::default(), body: Vec::new() }
+    }
+
+    pub fn with(mut self, name: &str, value: impl std::fmt::Display) -> Self {
+        self.headers.put(name, value);
+        self
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// 100 to 599 (section 17).
+    pub status: u16,
+    pub cseq: u32,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+}
+
+impl Response {
+    pub fn new(status: u16, cseq: u32) -> Self {
+        Response { status, cseq, headers: Headers::default(), body: Vec::new() }
+    }
+
+    pub fn with(mut self, name: &str, value: impl std::fmt::Display) -> Self {
+        self.headers.put(name, value);
+        self
+    }
+
+    pub fn ok(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
+    /// The node turned the request away without a look, so nothing ran: 453 Not Enough Bandwidth (17.4.20)
+    /// and 503 Service Unavailable (17.5.4).
+    pub fn turned_away(&self) -> bool {
+        matches!(self.status, 453 | 503)
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        451 => "Parameter Not Understood",
+        453 => "Not Enough Bandwidth",
+        454 => "Session Not Found",
+        455 => "Method Not Valid in This State",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    Request(Request),
+    Response(Response),
+}
+
+impl Message {
+    pub fn cseq(&self) -> u32 {
+        match self {
+            Message::Request(r) => r.cseq,
+            Message::Response(r) => r.cseq,
+        }
+    }
+
+    /// Appends the message as it goes on the wire.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        let (first, cseq, headers, body) = match self {
+            Message::Request(r) => {
+                (format!("{} {} RTSP/2.0", r.method.name(), r.uri), r.cseq, &r.headers, &r.body)
+            }
+            Message::Response(r) => {
+                (format!("RTSP/2.0 {} {}", r.status, reason(r.status)), r.cseq, &r.headers, &r.body)
+            }
+        };
+        out.extend_from_slice(first.as_bytes());
+        out.extend_from_slice(format!("\r\n{}: {cseq}\r\n", names::CSEQ).as_bytes());
+        for (name, value) in &headers.0 {
+            out.extend_from_slice(name.as_bytes());
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(value.as_bytes());
+            out.extend_from_slice(b"\r\n");
+        }
+        if !body.is_empty() {
+            out.extend_from_slice(format!("{}: {}\r\n", names::CONTENT_LENGTH, body.len()).as_bytes());
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(body);
+    }
+
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut out = Vec::with_capacity(256);
+        self.write(&mut out);
+        out
+    }
+}
+
+impl From<Request> for Message {
+    fn from(r: Request) -> Self {
+        Message::Request(r)
+    }
+}
+
+impl From<Response> for Message {
+    fn from(r: Response) -> Self {
+        Message::Response(r)
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-rtsp/tests/roundtrip.rs
@@ -0,0 +1,91 @@
+//! The parser against its writer, against cut and changed bytes, and against each limit.
+
+use kelpdoor_rtsp::*;
+use proptest::prelude::*;
+
+fn message() -> impl Strategy<Value = Message> {
+    let fields = prop::collection::vec(("X-[A-Za-z-]{1,12}", "([!-~]([ -~]{0,20}[!-~])?)?"), 0..6);
+    let body = prop::collection::vec(any::<u8>(), 0..64);
+    (any::<bool>(), 0..7usize, 100..600u16, "rtsp://[a-z0-9./:?=&-]{1,40}", any::<u32>(), fields, body)
+        .prop_map(|(request, method, status, uri, cseq, fields, body)| {
+            let headers = Headers(fields);
+            if request {
+                Request { method: Method::ALL[method], uri, cseq, headers, body }.into()
+            } else {
+                Response { status, cseq, headers, body }.into()
+            }
+        })
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_reads_back(first in message(), second in message()) {
+        let mut bytes = first.to_bytes();
+        let len = bytes.len();
+        second.write(&mut bytes);
+        prop_assert_eq!(parse(&bytes), Ok(Some((first, len))));
+        prop_assert_eq!(parse(&bytes[len..]), Ok(Some((second, bytes.len() - len))));
+    }
+
+    #[test]
+    fn a_part_of_a_message_is_waited_for(message in message(), cut in any::<prop::sample::Index>()) {
+        let bytes = message.to_bytes();
+        let cut = cut.index(bytes.len());
+        prop_assert_eq!(parse(&bytes[..cut]), Ok(None));
+    }
+
+    #[test]
+    fn changed_bytes_never_panic(message in message(), at in any::<prop::sample::Index>(), to in any::<u8>()) {
+        let mut bytes = message.to_bytes();
+        let at = at.index(bytes.len());
+        bytes[at] = to;
+        if let Ok(Some((_, len))) = parse(&bytes) {
+            prop_assert!(len <= bytes.len());
+        }
+    }
+
+    #[test]
+    fn any_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        if let Ok(Some((_, len))) = parse(&bytes) {
+            prop_assert!(len <= bytes.len());
+        }
+    }
+
+    #[test]
+    fn values_read_back(streams in 0..9999u32, link in 0.0..20.0f64, junk in "[ -~]{0,40}") {
+        let load = Load { streams: Some(streams.into()), link: Some(link), uplink: None };
+        let back = Load::read(&load.to_string());
+        prop_assert_eq!(back.streams, load.streams);
+        prop_assert!((back.link.unwrap_or(-1.0) - link).abs() < 1e-3 && back.uplink.is_none());
+        let read = Load::read(&junk);
+        prop_assert!(read.link.is_none_or(|v| v.is_finite() && v >= 0.0));
+    }
+}
+
+#[test]
+fn each_limit_has_its_fault() {
+    let long = format!("OPTIONS * RTSP/2.0\r\nCSeq: 1\r\nX: {}\r\n\r\n", "y".repeat(MAX_HEAD));
+    let many = format!("OPTIONS * RTSP/2.0\r\nCSeq: 1\r\n{}\r\n", "X: y\r\n".repeat(MAX_HEADERS));
+    let cases: [(&str, Fault); 9] = [
+        (&long, Fault::HeadTooLong),
+        (&many, Fault::TooManyHeaders),
+        ("RTSP/2.0 200 OK\r\nCSeq: 1\r\nContent-Length: 4097\r\n\r\n", Fault::BodyTooLong(4097)),
+        ("RTSP/2.0 200 OK\r\nCSeq: 1\r\nContent-Length: -1\r\n\r\n", Fault::ContentLength("-1".into())),
+        ("RTSP/1.0 200 OK\r\nCSeq: 1\r\n\r\n", Fault::StartLine("RTSP/1.0 200 OK".into())),
+        ("RTSP/2.0 777 OK\r\nCSeq: 1\r\n\r\n", Fault::Status(777)),
+        ("RECORD rtsp://a/b RTSP/2.0\r\nCSeq: 1\r\n\r\n", Fault::Method("RECORD".into())),
+        ("RTSP/2.0 200 OK\r\n\r\n", Fault::CSeq),
+        ("RTSP/2.0 200 OK\r\nCSeq: 1\r\nbad line\r\n\r\n", Fault::Header(2, "bad line".into())),
+    ];
+    for (text, fault) in cases {
+        assert_eq!(parse(text.as_bytes()), Err(fault), "{:.60}", text);
+    }
+}
+
+#[test]
+fn a_value_cannot_forge_a_header() {
+    let forged = Request::new(Method::Setup, "rtsp://n/t", 1).with("Request-Key", "a\r\nRung: 9");
+    let bytes = Message::from(forged).to_bytes();
+    let Ok(Some((Message::Request(read), _))) = parse(&bytes) else { panic!("unreadable") };
+    assert_eq!(read.headers.get("Rung"), None);
+}
--- /dev/null
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -0,0 +1,440 @@
+//! The settings of a deployment as types, and their checks.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use kelpdoor::Terms;
+use kelpdoor::terms::{FurtherBudget, GroupTerms, Reach, Repeat};
+use serde::{Deserialize, Serialize};
+
+use crate::run::{Call, Fault, Place};
+
+/// The ladder of rates, kB a second, and what each rung earns.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ladder {
+    pub rates: Vec<f64>,
+    pub utility: Vec<f64>,
+    /// A change costs so many seconds of the group's utility.
+    #[serde(default)]
+    pub switch_cost: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RepeatWord {
+    /// A SETUP may be repeated without harm.
+    Freely,
+    /// All nodes know of each other's SETUPs, or those of a zone or a cell do.
+    Anywhere,
+    Zone,
+    Cell,
+    /// Only after proof that nothing ran.
+    Never,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    pub name: String,
+    pub utility: f64,
+    /// s
+    pub start_target: f64,
+    #[serde(default = "freely")]
+    pub repeat: RepeatWord,
+    /// s
+    #[serde(default)]
+    pub repeat_window: f64,
+    #[serde(default)]
+    pub floor: u8,
+    #[serde(default = "top")]
+    pub top: u8,
+    #[serde(default = "one")]
+    pub scale: f64,
+    /// Sessions of one title that a director may hold; 0: any number.
+    #[serde(default)]
+    pub seats: u32,
+}
+
+/// What is known of the media nodes beforehand.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    pub zones: Vec<String>,
+    /// Places (streams at most) of each kind of node.
+    pub kinds: BTreeMap<String, f64>,
+    pub cells: u16,
+    pub racks: u16,
+    /// kB a second for each unit of a node's size.
+    pub link_unit: f64,
+    /// kB a second; 0: not known.
+    #[serde(default)]
+    pub rack_uplink: f64,
+    #[serde(default)]
+    pub uplinks_told: bool,
+    /// s; how late notices of delivery and load are.
+    pub seen_after: f64,
+    /// s; between notices of load; 0: none come.
+    pub told_every: f64,
+    pub cold_from: f64,
+    /// s
+    pub warm_within: f64,
+    pub tip_multiple: f64,
+    /// s
+    pub fall_window: f64,
+    /// s; nothing new to a node later than so long after word of its drain.
+    pub drain_grace: f64,
+    #[serde(default)]
+    pub cross_zone_price: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Director {
+    /// This director's number among `of`, from 0.
+    pub me: u32,
+    pub of: u32,
+    pub zone: String,
+    pub listen: SocketAddr,
+    pub max_setups: u32,
+    /// s; the longest come-back time that players heed.
+    #[serde(default)]
+    pub come_back: Option<f64>,
+    /// Of all chance in this director; absent: a fresh one at each start.
+    #[serde(default)]
+    pub seed: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Further {
+    pub free: f64,
+    pub per_taken: f64,
+    /// s
+    pub span: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Roster {
+    pub address: SocketAddr,
+    /// The last good list; none is kept where absent.
+    #[serde(default)]
+    pub cache: Option<PathBuf>,
+    /// Changes come only when asked for.
+    #[serde(default)]
+    pub ask: bool,
+}
+
+/// Limits towards players.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Players {
+    pub sockets: usize,
+    /// Sessions held, and answers owed, at a time.
+    pub sessions: usize,
+    /// Of one socket.
+    pub messages_a_second: f64,
+    pub queued_bytes: usize,
+    /// s; a lost socket leaves its sessions so long.
+    pub resume_for: f64,
+    /// s; the answer to a request key is kept so long after the end, for retries.
+    pub remember: f64,
+    /// s; answers are given so long before the player's setup timeout, for the way back.
+    pub answer_ahead: f64,
+    /// s; a socket from which nothing comes for so long is closed.
+    pub idle: f64,
+}
+
+impl Default for Players {
+    fn default() -> Self {
+        Players {
+            sockets: 10_000,
+            sessions: 20_000,
+            messages_a_second: 50.0,
+            queued_bytes: 65_536,
+            resume_for: 10.0,
+            remember: 30.0,
+            answer_ahead: 0.1,
+            idle: 60.0,
+        }
+    }
+}
+
+/// Limits towards nodes.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct NodeLinks {
+    /// s
+    pub connect_timeout: f64,
+    /// s; first and longest wait before a lost link is tried again.
+    pub back_off: (f64, f64),
+    /// s; a link with sessions on which nothing came for so long is asked whether it lives.
+    pub quiet: f64,
+    /// s; and closed when nothing came for so long.
+    pub dead_after: f64,
+    pub queued_bytes: usize,
+}
+
+impl Default for NodeLinks {
+    fn default() -> Self {
+        NodeLinks {
+            connect_timeout: 0.5,
+            back_off: (0.5, 10.0),
+            quiet: 4.0,
+            dead_after: 12.0,
+            queued_bytes: 1 << 20,
+        }
+    }
+}
+
+/// All settings of one director.
+#[derive(Clone, Debug, Serialize)]
+pub struct Deployment {
+    pub ladder: Ladder,
+    pub groups: Vec<Group>,
+    pub fleet: Fleet,
+    pub director: Director,
+    pub further: Option<Further>,
+    pub roster: Roster,
+    pub players: Players,
+    pub node_links: NodeLinks,
+}
+
+fn freely() -> RepeatWord {
+    RepeatWord::Freely
+}
+
+fn top() -> u8 {
+    u8::MAX
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Collects faults, so that one look shows them all.
+struct Reader<'a> {
+    file: &'a str,
+    calls: &'a [Call],
+    faults: Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    /// The one call of a word, or the default where it may be left out.
+    fn one<T: serde::de::DeserializeOwned>(&mut self, word: &str, needed: bool) -> Option<(T, &'a Call)> {
+        let mut of = self.calls.iter().filter(|c| c.word == word);
+        let first = of.next();
+        for again in of {
+            self.faults.push(again.fault(self.file, format!("{word} is given twice")));
+        }
+        let Some(call) = first else {
+            if needed {
+                let what = format!("{word}(..) is missing");
+                self.faults.push(Fault { file: self.file.to_owned(), at: Place::default(), what });
+            }
+            return None;
+        };
+        match call.to(self.file) {
+            Ok(value) => Some((value, call)),
+            Err(fault) => {
+                self.faults.push(fault);
+                None
+            }
+        }
+    }
+
+    fn check(&mut self, call: &Call, good: bool, what: &str) {
+        if !good {
+            self.faults.push(call.fault(self.file, format!("{}: {what}", call.word)));
+        }
+    }
+}
+
+fn sane(values: &[f64]) -> bool {
+    values.iter().all(|v| v.is_finite() && *v >= 0.0)
+}
+
+impl Deployment {
+    /// Reads the settings from a script's calls.
+    ///
+    /// # Errors
+    /// Every fault found, each with its place.
+    pub fn from_calls(file: &str, calls: &[Call]) -> Result<Self, Vec<Fault>> {
+        let mut r = Reader { file, calls, faults: Vec::new() };
+        let ladder = r.one::<Ladder>("ladder", true);
+        if let Some((l, call)) = &ladder {
+            let rising = l.rates.windows(2).all(|w| w[0] < w[1]);
+            r.check(
+                call,
+                !l.rates.is_empty() && l.rates[0] > 0.0 && rising,
+                "rates have to rise from above 0",
+            );
+            r.check(call, l.utility.len() == l.rates.len(), "utility has as many entries as rates");
+            r.check(call, l.rates.len() <= 64, "64 rungs at most");
+            r.check(
+                call,
+                sane(&l.utility) && sane(&l.rates) && sane(&[l.switch_cost]),
+                "figures of at least 0",
+            );
+        }
+        let rungs = ladder.as_ref().map_or(u8::MAX, |(l, _)| l.rates.len().min(64) as u8);
+        let mut groups: Vec<Group> = Vec::new();
+        for call in calls.iter().filter(|c| c.word == "group") {
+            match call.to::<Group>(file) {
+                Err(fault) => r.faults.push(fault),
+                Ok(mut g) => {
+                    r.check(call, !groups.iter().any(|o| o.name == g.name), "the name is taken");
+                    r.check(call, g.floor < rungs, "floor is not on the ladder");
+                    g.top = g.top.min(rungs.saturating_sub(1));
+                    r.check(call, g.floor <= g.top, "floor is over top");
+                    r.check(call, g.scale > 0.0 && g.start_target > 0.0, "scale and start_target above 0");
+                    r.check(
+                        call,
+                        sane(&[g.scale, g.start_target, g.utility, g.repeat_window]),
+                        "figures of at least 0",
+                    );
+                    groups.push(g);
+                }
+            }
+        }
+        if !(1..=64).contains(&groups.len()) && r.faults.is_empty() {
+            let what = "one to 64 group(..) are asked for".to_owned();
+            r.faults.push(Fault { file: file.to_owned(), at: Place::default(), what });
+        }
+        let fleet = r.one::<Fleet>("fleet", true);
+        if let Some((f, call)) = &fleet {
+            r.check(call, f.cells > 0 && f.racks > 0 && f.racks <= f.cells, "1 <= racks <= cells");
+            r.check(call, !f.zones.is_empty() && !f.kinds.is_empty(), "one zone and one kind at least");
+            r.check(call, f.kinds.len() <= 255 && f.zones.len() <= 1000, "255 kinds, 1000 zones at most");
+            r.check(
+                call,
+                f.warm_within > 0.0 && f.fall_window > 0.0 && f.link_unit > 0.0,
+                "warm_within, fall_window and link_unit above 0",
+            );
+            let all = [f.rack_uplink, f.seen_after, f.told_every, f.cold_from, f.tip_multiple, f.drain_grace];
+            r.check(call, sane(&all) && f.cold_from <= 1.0, "figures of at least 0, cold_from 1 at most");
+        }
+        let director = r.one::<Director>("director", true);
+        if let Some((d, call)) = &director {
+            r.check(call, d.me < d.of && d.of <= 10_000, "me is under of, of is 10,000 at most");
+            r.check(call, (1..=100).contains(&d.max_setups), "max_setups from 1 to 100");
+            r.check(call, sane(&[d.come_back.unwrap_or(0.0)]), "come_back of at least 0");
+            if let Some((f, _)) = &fleet {
+                r.check(call, f.zones.contains(&d.zone), "the zone is none of the fleet's");
+            }
+        }
+        let further = r.one::<Further>("further", false);
+        if let Some((b, call)) = &further {
+            r.check(
+                call,
+                sane(&[b.free, b.per_taken, b.span]) && b.span > 0.0,
+                "figures of at least 0, span above",
+            );
+        }
+        let roster = r.one::<Roster>("roster", true);
+        let players = r.one::<Players>("players", false);
+        if let Some((p, call)) = &players {
+            let all = [p.messages_a_second, p.resume_for, p.remember, p.answer_ahead, p.idle];
+            r.check(call, sane(&all) && p.messages_a_second >= 1.0 && p.idle >= 1.0, "figures out of range");
+            r.check(call, p.answer_ahead >= 0.02, "answer_ahead of 0.02 s at least, or answers come late");
+            r.check(call, p.sockets > 0 && p.sessions > 0 && p.queued_bytes >= 4096, "limits too small");
+        }
+        let links = r.one::<NodeLinks>("node_links", false);
+        if let Some((l, call)) = &links {
+            let all = [l.connect_timeout, l.back_off.0, l.back_off.1, l.quiet, l.dead_after];
+            r.check(call, all.iter().all(|v| v.is_finite() && *v > 0.0), "times above 0");
+            r.check(
+                call,
+                l.quiet < l.dead_after && l.back_off.0 <= l.back_off.1,
+                "quiet under dead_after, back_off rising",
+            );
+        }
+        match (ladder, fleet, director, roster) {
+            (Some((ladder, _)), Some((fleet, _)), Some((director, _)), Some((roster, _)))
+                if r.faults.is_empty() =>
+            {
+                Ok(Deployment {
+                    ladder,
+                    groups,
+                    fleet,
+                    director,
+                    further: further.map(|f| f.0),
+                    roster,
+                    players: players.map(|p| p.0).unwrap_or_default(),
+                    node_links: links.map(|l| l.0).unwrap_or_default(),
+                })
+            }
+            _ => Err(r.faults),
+        }
+    }
+
+    /// Runs a settings script.
+    ///
+    /// # Errors
+    /// Every fault found, each with its place.
+    pub fn run(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        Deployment::from_calls(file, &crate::run::run(file, text, crate::DEPLOYMENT)?)
+    }
+
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// Every fault found, each with its place.
+    pub fn read(path: &std::path::Path) -> Result<Self, Vec<Fault>> {
+        Deployment::from_calls(&path.display().to_string(), &crate::run::read(path, crate::DEPLOYMENT)?)
+    }
+
+    /// What the decisions are given.
+    pub fn terms(&self) -> Terms {
+        let (f, d) = (&self.fleet, &self.director);
+        let group = |g: &Group| GroupTerms {
+            start_target: g.start_target,
+            utility: g.utility,
+            repeat: match g.repeat {
+                RepeatWord::Freely => Repeat::Freely,
+                RepeatWord::Anywhere => Repeat::Within(Reach::Anywhere),
+                RepeatWord::Zone => Repeat::Within(Reach::Zone),
+                RepeatWord::Cell => Repeat::Within(Reach::Cell),
+                RepeatWord::Never => Repeat::Never,
+            },
+            repeat_window: g.repeat_window,
+            floor: g.floor,
+            top: g.top,
+            scale: g.scale,
+            seats: g.seats,
+        };
+        Terms {
+            me: d.me,
+            directors: d.of,
+            zone: f.zones.iter().position(|z| *z == d.zone).unwrap_or(0) as u16,
+            groups: self.groups.iter().map(group).collect(),
+            ladder: self.ladder.rates.clone(),
+            rung_utility: self.ladder.utility.clone(),
+            places_by_kind: f.kinds.values().copied().collect(),
+            cells: f.cells,
+            racks: f.racks,
+            link_unit: f.link_unit,
+            rack_uplink: f.rack_uplink,
+            seen_after: f.seen_after,
+            told_every: f.told_every,
+            switch_cost: self.ladder.switch_cost,
+            cross_zone_price: f.cross_zone_price,
+            max_setups: d.max_setups,
+            may_withdraw: true,
+            come_back: d.come_back,
+            cold_from: f.cold_from,
+            warm_within: f.warm_within,
+            tip_multiple: f.tip_multiple,
+            fall_window: f.fall_window,
+            further: self.further.map(|b| FurtherBudget {
+                free: b.free,
+                per_taken: b.per_taken,
+                span: b.span,
+            }),
+            ask_list: self.roster.ask,
+            uplinks_told: f.uplinks_told,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -0,0 +1,36 @@
+//! Settings and trouble scripts, written in Starlark and bounded in steps and memory.
+//!
+//! A script calls words (`group("lecture", utility = 2)`); [`run`] collects the calls with their places, and
+//! [`Deployment::from_calls`] or whoever reads them checks them against types. Nothing here decides.
+
+mod deployment;
+mod run;
+
+pub use deployment::{
+    Deployment, Director, Fleet, Further, Group, Ladder, NodeLinks, Players, RepeatWord, Roster,
+};
+pub use run::{Call, Fault, Place, read, run};
+
+/// Words of a deployment's settings.
+pub const DEPLOYMENT: &[&str] =
+    &["ladder", "group", "fleet", "director", "further", "roster", "players", "node_links"];
+
+/// Words of a trouble script.
+pub const TROUBLE: &[&str] = &[
+    "day",
+    "crash",
+    "vanish",
+    "slow",
+    "neighbour",
+    "rack_sag",
+    "ageing",
+    "deploy",
+    "discovery_stale",
+    "report_late",
+    "balancer_roll",
+    "balancer_stall",
+    "zone_loss",
+    "hot_key",
+    "preempt",
+    "drain",
+];
