--- /dev/null
+++ b/crates/kelpdoor-director/tests/common/mod.rs
@@ -0,0 +1,165 @@
+//! A desk in virtual time, with a small fleet.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use kelpdoor_api::{FromPlayer, RequestKey, ToPlayer};
+use kelpdoor_director::{Desk, Effect, FromRoster, Input, NodeWord, Phase, RosterNode, RosterTitle};
+use kelpdoor_rtsp::{Message, Request, Response};
+use kelpdoor_script::Deployment;
+
+pub const START: f64 = 1_000_000.0;
+
+pub fn book() -> Deployment {
+    let text = r#"
+ladder(rates = [120, 405, 744, 1365], utility = [0.2, 0.6, 0.8, 1.0], switch_cost = 0.5)
+group("any", utility = 2, start_target = 1.5)
+group("zoned", utility = 1, start_target = 1, repeat = "zone", repeat_window = 2)
+group("paid", utility = 1, start_target = 1, repeat = "never")
+group("seated", utility = 1, start_target = 1, seats = 2, floor = 1)
+fleet(zones = ["east", "west"], kinds = {"box": 8}, cells = 6, racks = 2, link_unit = 2000, seen_after = 1,
+      told_every = 3, cold_from = 0.4, warm_within = 8, tip_multiple = 4, fall_window = 2, drain_grace = 1)
+further(free = 3, per_taken = 0.2, span = 10)
+director(me = 0, of = 1, zone = "east", listen = "127.0.0.1:0", max_setups = 3, come_back = 2.0)
+roster(address = "127.0.0.1:1")
+players(resume_for = 5, remember = 10)
+"#;
+    Deployment::run("test", text).expect("good settings")
+}
+
+pub fn listed(id: u32, phase: Phase) -> RosterNode {
+    RosterNode {
+        id,
+        address: ([127, 0, 0, 1], 7000 + id as u16).into(),
+        zone: if id < 3 { "east".into() } else { "west".into() },
+        kind: "box".into(),
+        cell: id as u16,
+        phase,
+        size: 1.0,
+        up_since: 0.0,
+    }
+}
+
+pub fn roster() -> FromRoster {
+    let titles = (0..6).map(|k| RosterTitle { name: format!("t{k}"), first_cell: k, cells: 3 });
+    FromRoster::Whole {
+        version: 1,
+        nodes: (0..6).map(|id| listed(id, Phase::Ready)).collect(),
+        titles: titles.collect(),
+    }
+}
+
+pub struct Bench {
+    pub desk: Desk,
+    pub now: f64,
+    pub version: u64,
+}
+
+impl Bench {
+    pub fn new(book: &Deployment, seed: u64) -> Self {
+        Bench { desk: Desk::new(book, seed, START), now: START, version: 1 }
+    }
+
+    pub fn round(&mut self) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.desk.round(self.now, &mut |e| effects.push(e));
+        effects
+    }
+
+    pub fn input(&mut self, input: Input) -> Vec<Effect> {
+        self.desk.take(self.now, input);
+        self.round()
+    }
+
+    /// The next round that the desk asks for, if it is due before `end`.
+    pub fn wake_before(&mut self, end: f64) -> Option<Vec<Effect>> {
+        let at = self.desk.wake_at().max(self.now);
+        if at >= end {
+            return None;
+        }
+        self.now = at;
+        Some(self.round())
+    }
+
+    /// Lets time pass; all effects of it.
+    pub fn wait(&mut self, seconds: f64) -> Vec<Effect> {
+        let end = self.now + seconds;
+        let mut all = Vec::new();
+        while let Some(effects) = self.wake_before(end) {
+            all.extend(effects);
+        }
+        self.now = end;
+        all
+    }
+
+    pub fn change(&mut self, node: u32, phase: Phase) -> FromRoster {
+        self.version += 1;
+        FromRoster::Change { version: self.version, nodes: vec![listed(node, phase)], titles: Vec::new() }
+    }
+
+    /// Connects all that is dialled.
+    pub fn connect(&mut self, effects: &[Effect]) -> Vec<(u32, u64)> {
+        let mut up = Vec::new();
+        for effect in effects {
+            if let Effect::Dial { node, link, .. } = effect {
+                up.push((*node, *link));
+                self.desk.take(self.now, Input::Node { node: *node, link: *link, word: NodeWord::Up });
+            }
+        }
+        self.round();
+        up
+    }
+
+    pub fn start(&mut self, sock: u64, key: &str, group: &str, title: &str) -> Vec<Effect> {
+        self.input(Input::Player { sock, message: start(key, group, title) })
+    }
+
+    pub fn says(&mut self, node: u32, link: u64, message: impl Into<Message>) -> Vec<Effect> {
+        self.input(Input::Node { node, link, word: NodeWord::Said(message.into()) })
+    }
+}
+
+pub fn start(key: &str, group: &str, title: &str) -> FromPlayer {
+    FromPlayer::Start {
+        key: RequestKey(key.into()),
+        group: group.into(),
+        title: title.into(),
+        best_rung: 3,
+        setup_timeout: 3.0,
+    }
+}
+
+/// Requests to nodes among effects.
+pub fn requests(effects: &[Effect]) -> Vec<(u32, u64, Request)> {
+    let mut all = Vec::new();
+    for effect in effects {
+        let Effect::Node { node, link, bytes } = effect else { continue };
+        let mut rest = &bytes[..];
+        while let Ok(Some((message, len))) = kelpdoor_rtsp::parse(rest) {
+            rest = &rest[len..];
+            if let Message::Request(r) = message {
+                all.push((*node, *link, r));
+            }
+        }
+    }
+    all
+}
+
+/// Messages to players among effects, as they go on the wire.
+pub fn told(effects: &[Effect]) -> Vec<String> {
+    let of = |e: &Effect| match e {
+        Effect::Player { sock, message } => Some(format!("{sock} < {}", message.text())),
+        _ => None,
+    };
+    effects.iter().filter_map(of).collect()
+}
+
+pub fn finals(effects: &[Effect]) -> Vec<ToPlayer> {
+    let of = |e: &Effect| match e {
+        Effect::Player { message, .. } if message.is_final() => Some(message.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(of).collect()
+}
+
+pub fn ok(r: &Request) -> Response {
+    Response::new(200, r.cseq)
+}
--- /dev/null
+++ b/crates/kelpdoor-director/tests/desk.rs
@@ -0,0 +1,320 @@
+//! The desk under made-up interleavings, in virtual time: requests, retries, stops, node answers of every kind and in
+//! any order, losses, stalls, list changes. Whatever comes, each request has its one answer in time, no two SETUPs of
+//! a session are out, and nothing is held when all has ended.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{Bench, book, roster};
+use kelpdoor_api::{FromPlayer, RequestKey, ToPlayer};
+use kelpdoor_director::{Effect, Input, NodeWord, Phase};
+use kelpdoor_rtsp::{Message, Method, Response, names};
+use proptest::prelude::*;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Start { key: u8, group: u8, title: u8, sock: u8 },
+    Stop { key: u8, sock: u8 },
+    SocketLost(u8),
+    /// Answers the n-th request out, with a status.
+    Answer { which: u8, status: u16, twice: bool },
+    Stray { node: u8, cseq: u32 },
+    Notice { which: u8, reason: u8 },
+    Connect { which: u8, works: bool },
+    Lose { node: u8 },
+    List { node: u8, phase: u8 },
+    Wait { ms: u16 },
+    Stall { s: u8 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..30u8, 0..4u8, 0..6u8, 0..5u8)
+            .prop_map(|(key, group, title, sock)| Step::Start { key, group, title, sock }),
+        2 => (0..30u8, 0..5u8).prop_map(|(key, sock)| Step::Stop { key, sock }),
+        1 => (0..5u8).prop_map(Step::SocketLost),
+        10 => (any::<u8>(), prop_oneof![6 => Just(200u16), 1 => Just(453), 1 => Just(503), 1 => Just(500), 1 => Just(454)],
+            prop::bool::weighted(0.1)).prop_map(|(which, status, twice)| Step::Answer { which, status, twice }),
+        1 => (0..6u8, any::<u32>()).prop_map(|(node, cseq)| Step::Stray { node, cseq }),
+        2 => (any::<u8>(), 0..4u8).prop_map(|(which, reason)| Step::Notice { which, reason }),
+        3 => (any::<u8>(), prop::bool::weighted(0.8)).prop_map(|(which, works)| Step::Connect { which, works }),
+        1 => (0..6u8).prop_map(|node| Step::Lose { node }),
+        1 => (0..6u8, 0..3u8).prop_map(|(node, phase)| Step::List { node, phase }),
+        6 => (1..800u16).prop_map(|ms| Step::Wait { ms }),
+        1 => (1..12u8).prop_map(|s| Step::Stall { s }),
+    ]
+}
+
+/// What was seen of one request.
+#[derive(Default)]
+struct Seen {
+    due: f64,
+    asked: usize,
+    finals: Vec<(f64, ToPlayer)>,
+    refused: bool,
+    stalled: bool,
+    /// The socket it was last asked on, if that was not lost before an answer.
+    sock: Option<u8>,
+}
+
+/// The peers' side: what the desk has out, and what it was told.
+struct Peers {
+    bench: Bench,
+    seen: BTreeMap<String, Seen>,
+    /// Requests out at nodes: node, link, CSeq, method, pipe.
+    out: Vec<(u32, u64, u32, Method, String)>,
+    dials: Vec<(u32, u64)>,
+    up: BTreeSet<(u32, u64)>,
+    /// SETUPs out by session, and those that play, by pipe.
+    live: BTreeMap<String, (String, u32, u64)>,
+    rtsp: BTreeMap<String, (u32, u64, String)>,
+    next: u32,
+}
+
+impl Peers {
+    fn new(seed: u64) -> Self {
+        Peers {
+            bench: Bench::new(&book(), seed),
+            seen: BTreeMap::new(),
+            out: Vec::new(),
+            dials: Vec::new(),
+            up: BTreeSet::new(),
+            live: BTreeMap::new(),
+            rtsp: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    fn take(&mut self, effects: Vec<Effect>) {
+        let now = self.bench.now;
+        for effect in effects {
+            match effect {
+                Effect::Player { message, .. } => {
+                    let Some(key) = message.key().map(|k| k.0.clone()) else { continue };
+                    let seen = self.seen.entry(key).or_default();
+                    if message.is_final() {
+                        seen.finals.push((now, message));
+                    } else if matches!(message, ToPlayer::Error { .. }) {
+                        seen.refused = true;
+                    }
+                }
+                Effect::Dial { node, link, .. } => self.dials.push((node, link)),
+                Effect::HangUp { node, link } => self.gone(node, link),
+                Effect::Node { node, link, bytes } => {
+                    assert!(self.up.contains(&(node, link)), "bytes for a link that is not up");
+                    let mut rest = &bytes[..];
+                    while let Ok(Some((message, len))) = kelpdoor_rtsp::parse(rest) {
+                        rest = &rest[len..];
+                        self.heard(node, link, message);
+                    }
+                    assert!(rest.is_empty(), "half a message was written");
+                }
+                Effect::Fault(why) => panic!("fault: {why}"),
+                Effect::AskRoster(_) | Effect::SaveList(_) | Effect::Note { .. } | Effect::Done => {}
+            }
+        }
+    }
+
+    fn heard(&mut self, node: u32, link: u64, message: Message) {
+        let Message::Request(r) = message else { return };
+        let pipe = r.headers.get(names::PIPELINED).unwrap_or("").to_owned();
+        if r.method == Method::Setup {
+            let key = r.headers.get(names::KEY).expect("a key").to_owned();
+            let other = self.live.values().find(|(k, _, _)| *k == key);
+            assert!(other.is_none(), "two SETUPs of {key} are out or play: {other:?}");
+            self.live.insert(pipe.clone(), (key, node, link));
+        }
+        if r.method == Method::Teardown {
+            let by_name = r.headers.get(names::SESSION).and_then(|s| self.rtsp.get(s)).map(|x| x.2.clone());
+            self.live.remove(&by_name.unwrap_or_else(|| pipe.clone()));
+        }
+        self.out.push((node, link, r.cseq, r.method, pipe));
+    }
+
+    fn gone(&mut self, node: u32, link: u64) {
+        self.up.remove(&(node, link));
+        self.dials.retain(|d| *d != (node, link));
+        self.out.retain(|o| (o.0, o.1) != (node, link));
+        self.live.retain(|_, (_, n, l)| (*n, *l) != (node, link));
+        self.rtsp.retain(|_, (n, l, _)| (*n, *l) != (node, link));
+    }
+
+    fn input(&mut self, input: Input) {
+        let effects = self.bench.input(input);
+        self.take(effects);
+    }
+
+    /// Time passes, with rounds whenever the desk asks for one.
+    fn wait(&mut self, seconds: f64) {
+        let end = self.bench.now + seconds;
+        while let Some(effects) = self.bench.wake_before(end) {
+            self.take(effects);
+        }
+        self.bench.now = end;
+    }
+
+    /// A key is not used again once its answer may have been forgotten.
+    fn key(&self, key: u8) -> String {
+        format!("key-{key:03}-{}", ((self.bench.now - common::START) / 8.0) as u64)
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Start { key, group, title, sock } => {
+                let name = self.key(key);
+                let timeout = [3.0, 0.4][usize::from(key % 2)];
+                let due = self.bench.now + timeout;
+                let known = self.seen.get(&name).is_some_and(|s| s.asked > 0);
+                let seen = self.seen.entry(name.clone()).or_default();
+                seen.asked += 1;
+                seen.sock = Some(sock);
+                if !known {
+                    seen.due = due;
+                }
+                self.input(Input::Player {
+                    sock: sock.into(),
+                    message: FromPlayer::Start {
+                        key: RequestKey(name),
+                        group: ["any", "zoned", "paid", "seated"][usize::from(group)].into(),
+                        title: format!("t{title}"),
+                        best_rung: 3,
+                        setup_timeout: timeout,
+                    },
+                });
+            }
+            Step::Stop { key, sock } => {
+                let key = RequestKey(self.key(key));
+                self.input(Input::Player { sock: sock.into(), message: FromPlayer::Stop { key } });
+            }
+            Step::SocketLost(sock) => {
+                self.seen.values_mut().filter(|s| s.sock == Some(sock)).for_each(|s| s.sock = None);
+                self.input(Input::SocketLost { sock: sock.into() });
+            }
+            Step::Answer { which, status, twice } => {
+                if self.out.is_empty() {
+                    return;
+                }
+                let (node, link, cseq, method, pipe) = self.out.remove(usize::from(which) % self.out.len());
+                let mut r = Response::new(status, cseq).with(names::LOAD, "streams=3;link=0.5");
+                if method == Method::Setup && r.ok() {
+                    self.next += 1;
+                    let id = format!("s{}", self.next);
+                    r = r.with(names::SESSION, &id);
+                    self.rtsp.insert(id, (node, link, pipe));
+                } else if method == Method::Setup {
+                    self.live.remove(&pipe);
+                } else if method == Method::Play {
+                    r = r.with(names::ASKED, "link=0.7");
+                }
+                for _ in 0..1 + usize::from(twice) {
+                    let word = NodeWord::Said(r.clone().into());
+                    self.input(Input::Node { node, link, word });
+                }
+            }
+            Step::Stray { node, cseq } => {
+                if let Some(&(node, link)) = self.up.iter().find(|(n, _)| *n == u32::from(node)) {
+                    let word = NodeWord::Said(Response::new(200, cseq).with(names::SESSION, "s9999").into());
+                    self.input(Input::Node { node, link, word });
+                }
+            }
+            Step::Notice { which, reason } => {
+                let ids: Vec<_> = self.rtsp.iter().map(|(id, x)| (id.clone(), x.clone())).collect();
+                if ids.is_empty() {
+                    return;
+                }
+                let (id, (node, link, pipe)) = ids[usize::from(which) % ids.len()].clone();
+                let reasons = ["delivery-share", "link-load", "end-of-stream", "what"];
+                if reason == 2 {
+                    self.live.remove(&pipe);
+                }
+                let r = kelpdoor_rtsp::Request::new(Method::PlayNotify, "rtsp://n/", 1)
+                    .with(names::SESSION, &id)
+                    .with(names::NOTIFY_REASON, reasons[usize::from(reason)])
+                    .with(names::DELIVERED, "0.7")
+                    .with(names::ASKED, "link=1.3");
+                self.input(Input::Node { node, link, word: NodeWord::Said(r.into()) });
+            }
+            Step::Connect { which, works } => {
+                if self.dials.is_empty() {
+                    return;
+                }
+                let (node, link) = self.dials.remove(usize::from(which) % self.dials.len());
+                let word = if works { NodeWord::Up } else { NodeWord::Unreached };
+                if works {
+                    self.up.insert((node, link));
+                }
+                self.input(Input::Node { node, link, word });
+            }
+            Step::Lose { node } => {
+                if let Some(&(node, link)) = self.up.iter().find(|(n, _)| *n == u32::from(node)) {
+                    self.gone(node, link);
+                    self.input(Input::Node { node, link, word: NodeWord::Lost });
+                }
+            }
+            Step::List { node, phase } => {
+                let phase = [Phase::Ready, Phase::Draining, Phase::Gone][usize::from(phase)];
+                let change = self.bench.change(node.into(), phase);
+                self.input(Input::Roster(change));
+            }
+            Step::Wait { ms } => self.wait(f64::from(ms) / 1000.0),
+            Step::Stall { s } => {
+                let end = self.bench.now + f64::from(s);
+                self.seen.values_mut().filter(|x| x.finals.is_empty()).for_each(|x| x.stalled = true);
+                self.bench.now = end;
+                let effects = self.bench.round();
+                self.take(effects);
+            }
+        }
+    }
+
+    fn judge(&self) {
+        for (key, seen) in self.seen.iter().filter(|(_, s)| s.asked > 0) {
+            let Some((at, first)) = seen.finals.first() else {
+                assert!(seen.refused || seen.sock.is_none(), "{key} was never answered");
+                continue;
+            };
+            assert!(seen.stalled || *at <= seen.due, "{key}: answered {:.3} s late", at - seen.due);
+            assert!(seen.finals.len() <= seen.asked, "{key}: {} answers to {}", seen.finals.len(), seen.asked);
+            let kind = std::mem::discriminant(first);
+            assert!(seen.finals.iter().all(|(_, f)| std::mem::discriminant(f) == kind), "{key}: answers differ");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn one_answer_in_time_and_nothing_left(seed in any::<u64>(), steps in prop::collection::vec(step(), 1..160)) {
+        let mut peers = Peers::new(seed);
+        peers.input(Input::Roster(roster()));
+        for step in &steps {
+            peers.step(step);
+        }
+        // All ends: sockets go, time passes, answers are forgotten.
+        peers.wait(4.0);
+        for sock in 0..5 {
+            peers.input(Input::SocketLost { sock });
+        }
+        peers.wait(120.0);
+        peers.judge();
+        let counts = peers.bench.desk.counts();
+        prop_assert_eq!((counts.owed, counts.playing, counts.known), (0, 0, 0), "left: {:?}", counts);
+        prop_assert!(counts.timers < 60, "timers left: {:?}", counts);
+    }
+
+    #[test]
+    fn shutting_down_answers_all_that_was_taken(seed in any::<u64>(), steps in prop::collection::vec(step(), 1..60)) {
+        let mut peers = Peers::new(seed);
+        peers.input(Input::Roster(roster()));
+        for step in &steps {
+            peers.step(step);
+        }
+        peers.input(Input::ShutDown);
+        peers.wait(5.0);
+        peers.judge();
+        let counts = peers.bench.desk.counts();
+        prop_assert_eq!((counts.owed, counts.playing), (0, 0));
+    }
+}
