--- a/crates/kelpdoor-director/tests/desk.rs
+++ b/crates/kelpdoor-director/tests/desk.rs
@@ -14,18 +14,48 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Start { key: u8, group: u8, title: u8, sock: u8 },
-    Stop { key: u8, sock: u8 },
+    Start {
+        key: u8,
+        group: u8,
+        title: u8,
+        sock: u8,
+    },
+    Stop {
+        key: u8,
+        sock: u8,
+    },
     SocketLost(u8),
     /// Answers the n-th request out, with a status.
-    Answer { which: u8, status: u16, twice: bool },
-    Stray { node: u8, cseq: u32 },
-    Notice { which: u8, reason: u8 },
-    Connect { which: u8, works: bool },
-    Lose { node: u8 },
-    List { node: u8, phase: u8 },
-    Wait { ms: u16 },
-    Stall { s: u8 },
+    Answer {
+        which: u8,
+        status: u16,
+        twice: bool,
+    },
+    Stray {
+        node: u8,
+        cseq: u32,
+    },
+    Notice {
+        which: u8,
+        reason: u8,
+    },
+    Connect {
+        which: u8,
+        works: bool,
+    },
+    Lose {
+        node: u8,
+    },
+    List {
+        node: u8,
+        phase: u8,
+    },
+    Wait {
+        ms: u16,
+    },
+    Stall {
+        s: u8,
+    },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -275,9 +305,17 @@
                 continue;
             };
             assert!(seen.stalled || *at <= seen.due, "{key}: answered {:.3} s late", at - seen.due);
-            assert!(seen.finals.len() <= seen.asked, "{key}: {} answers to {}", seen.finals.len(), seen.asked);
+            assert!(
+                seen.finals.len() <= seen.asked,
+                "{key}: {} answers to {}",
+                seen.finals.len(),
+                seen.asked
+            );
             let kind = std::mem::discriminant(first);
-            assert!(seen.finals.iter().all(|(_, f)| std::mem::discriminant(f) == kind), "{key}: answers differ");
+            assert!(
+                seen.finals.iter().all(|(_, f)| std::mem::discriminant(f) == kind),
+                "{key}: answers differ"
+            );
         }
     }
 }
--- /dev/null
+++ b/crates/kelpdoor-director/tests/story.rs
@@ -0,0 +1,326 @@
+//! Single stories of the desk, as short traces read by people.
+
+mod common;
+
+use common::{Bench, book, finals, listed, ok, requests, roster, told};
+use expect_test::{Expect, expect};
+use kelpdoor_api::{FromPlayer, RequestKey, ToPlayer};
+use kelpdoor_director::{Desk, Effect, FromRoster, Input, NodeWord, Phase, RosterList, journal};
+use kelpdoor_rtsp::{Method, Request, Response, names, reasons};
+
+/// What goes to nodes and players, a line each.
+fn trace(effects: &[Effect], expected: Expect) {
+    let mut lines = Vec::new();
+    for (node, _, r) in requests(effects) {
+        let of = |name| r.headers.get(name).map(|v| format!(" {name}={v}")).unwrap_or_default();
+        let names = [names::SESSION, names::RUNG, names::GROUP, names::KEY];
+        lines.push(format!("node {node}: {}{}", r.method.name(), names.map(of).concat()));
+    }
+    lines.extend(told(effects));
+    expected.assert_eq(&lines.join("\n"));
+}
+
+/// A desk whose links to all nodes are up.
+fn up(seed: u64) -> Bench {
+    let mut bench = Bench::new(&book(), seed);
+    let effects = bench.input(Input::Roster(roster()));
+    bench.connect(&effects);
+    bench.wait(6.0);
+    bench
+}
+
+/// The SETUP and PLAY that a start brings, and where.
+fn asked(effects: &[Effect]) -> (u32, u64, Request, Request) {
+    let mut all = requests(effects).into_iter().filter(|r| r.2.method != Method::Options);
+    let (node, link, setup) = all.next().expect("a SETUP");
+    let (_, _, play) = all.next().expect("a PLAY");
+    assert_eq!((setup.method, play.method), (Method::Setup, Method::Play));
+    (node, link, setup, play)
+}
+
+fn answer(
+    bench: &mut Bench, (node, link, setup, play): (u32, u64, Request, Request), id: &str,
+) -> Vec<Effect> {
+    let mut effects = bench.says(node, link, ok(&setup).with(names::SESSION, id));
+    effects.extend(bench.says(node, link, ok(&play).with(names::SESSION, id).with(names::ASKED, "link=0.4")));
+    effects
+}
+
+#[test]
+fn a_session_from_start_to_stop() {
+    let mut bench = up(1);
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    trace(
+        &effects,
+        expect![[r#"
+        node 0: SETUP Rung=1 Service-Group=any Request-Key=key-00001
+        node 0: PLAY"#]],
+    );
+    let out = asked(&effects);
+    let (node, link) = (out.0, out.1);
+    trace(
+        &answer(&mut bench, out, "s1"),
+        expect![[
+            r#"1 < {"key":"key-00001","resume_for":5.0,"rung":1,"type":"playing","uri":"rtsp://127.0.0.1:7000/t0"}"#
+        ]],
+    );
+    let stop = FromPlayer::Stop { key: RequestKey("key-00001".into()) };
+    let effects = bench.input(Input::Player { sock: 1, message: stop });
+    trace(
+        &effects,
+        expect![[r#"
+        node 0: TEARDOWN Session=s1
+        1 < {"key":"key-00001","type":"ended","why":"stopped"}"#]],
+    );
+    let teardown = requests(&effects).remove(0).2;
+    bench.says(node, link, ok(&teardown));
+    assert_eq!(bench.desk.counts().playing, 0);
+}
+
+#[test]
+fn a_retry_while_the_setup_is_out_and_after_it_gets_the_same_answer() {
+    let mut bench = up(1);
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    let out = asked(&effects);
+    trace(&bench.start(1, "key-00001", "any", "t0"), expect![[r#""#]]);
+    // On a second socket: the answer goes there.
+    trace(&bench.start(2, "key-00001", "any", "t0"), expect![[r#""#]]);
+    trace(
+        &answer(&mut bench, out, "s1"),
+        expect![[
+            r#"2 < {"key":"key-00001","resume_for":5.0,"rung":1,"type":"playing","uri":"rtsp://127.0.0.1:7000/t0"}"#
+        ]],
+    );
+    trace(
+        &bench.start(3, "key-00001", "any", "t0"),
+        expect![[
+            r#"3 < {"key":"key-00001","resume_for":5.0,"rung":1,"type":"playing","uri":"rtsp://127.0.0.1:7000/t0"}"#
+        ]],
+    );
+    trace(
+        &bench.start(3, "key-00001", "any", "t1"),
+        expect![[
+            r#"3 < {"code":"key_conflict","key":"key-00001","message":"the key stands for another request","type":"error"}"#
+        ]],
+    );
+}
+
+#[test]
+fn a_setup_without_an_answer_is_taken_back_and_its_late_success_plays_nowhere() {
+    let mut bench = up(1);
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    let (node, link, setup, play) = asked(&effects);
+    let effects = bench.wait(1.0);
+    trace(
+        &effects,
+        expect![[r#"
+        node 0: TEARDOWN
+        node 1: SETUP Rung=1 Service-Group=any Request-Key=key-00001
+        node 1: PLAY"#]],
+    );
+    let second = requests(&effects).into_iter().filter(|r| r.2.method != Method::Teardown);
+    let (other, _, _) = second.clone().next().expect("a second SETUP");
+    assert_ne!(node, other);
+    // The first node answers after all, to SETUP and PLAY.
+    let late = answer(&mut bench, (node, link, setup, play), "s1");
+    trace(&late, expect!["node 0: TEARDOWN Session=s1"]);
+    assert!(finals(&late).is_empty() && bench.desk.counts().playing == 0);
+}
+
+#[test]
+fn a_paid_session_is_not_sent_again_without_proof() {
+    let mut bench = up(1);
+    let effects = bench.start(1, "key-00001", "paid", "t0");
+    let (node, link, ..) = asked(&effects);
+    trace(
+        &bench.input(Input::Node { node, link, word: NodeWord::Lost }),
+        expect![[r#"1 < {"key":"key-00001","type":"failed","why":"no_answer"}"#]],
+    );
+    // Turned away without a look is proof.
+    let effects = bench.start(1, "key-00002", "paid", "t0");
+    let (node, link, setup, _) = asked(&effects);
+    trace(
+        &bench.says(node, link, Response::new(453, setup.cseq)),
+        expect![[r#"
+        node 1: SETUP Rung=1 Service-Group=paid Request-Key=key-00002
+        node 1: PLAY"#]],
+    );
+}
+
+#[test]
+fn what_has_not_gone_out_to_a_draining_node_does_not_go_out_any_more() {
+    let mut bench = Bench::new(&book(), 1);
+    let one = FromRoster::Whole {
+        version: 1,
+        nodes: vec![listed(0, Phase::Ready)],
+        titles: vec![kelpdoor_director::RosterTitle { name: "t0".into(), first_cell: 0, cells: 1 }],
+    };
+    let dials = bench.input(Input::Roster(one));
+    bench.wait(0.1);
+    // The link is still being connected when the request comes, and then the node drains.
+    let effects = bench.start(1, "key-00001", "paid", "t0");
+    assert!(requests(&effects).is_empty());
+    let change = bench.change(0, Phase::Draining);
+    trace(
+        &bench.input(Input::Roster(change)),
+        expect![[r#"1 < {"come_back":2.0,"key":"key-00001","type":"busy"}"#]],
+    );
+    bench.connect(&dials);
+    assert!(bench.wait(1.0).iter().all(|e| requests(std::slice::from_ref(e)).is_empty()));
+}
+
+#[test]
+fn a_node_that_dies_ends_what_it_held_in_one_pass() {
+    let mut bench = up(1);
+    let mut at = Vec::new();
+    for k in 0..6 {
+        let effects = bench.start(k, &format!("key-0000{k}"), "any", "t0");
+        let out = asked(&effects);
+        at.push((out.0, out.1));
+        answer(&mut bench, out, &format!("s{k}"));
+    }
+    let (node, link) = at[0];
+    let here = at.iter().filter(|a| **a == (node, link)).count();
+    let effects = bench.input(Input::Node { node, link, word: NodeWord::Lost });
+    let ended = told(&effects).iter().filter(|l| l.contains("node_lost")).count();
+    assert_eq!((ended, bench.desk.counts().playing), (here, 6 - here));
+}
+
+#[test]
+fn notices_of_a_stream_end_and_of_nothing_known() {
+    let mut bench = up(1);
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    let out = asked(&effects);
+    let (node, link) = (out.0, out.1);
+    answer(&mut bench, out, "s1");
+    let notice = |id: &str| {
+        Request::new(Method::PlayNotify, "rtsp://n/", 9)
+            .with(names::SESSION, id)
+            .with(names::NOTIFY_REASON, reasons::END_OF_STREAM)
+    };
+    let strange = bench.says(node, link, notice("s77"));
+    assert!(matches!(&strange[..], [Effect::Node { bytes, .. }] if bytes.starts_with(b"RTSP/2.0 454")));
+    trace(
+        &bench.says(node, link, notice("s1")),
+        expect![[r#"
+        node 0: TEARDOWN Session=s1
+        1 < {"key":"key-00001","type":"ended","why":"finished"}"#]],
+    );
+}
+
+#[test]
+fn a_silent_link_is_asked_then_closed_but_our_own_pause_is_not_its_silence() {
+    let mut bench = up(1);
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    let out = asked(&effects);
+    let node = out.0;
+    answer(&mut bench, out, "s1");
+    // The process stands still for 20 s: no link dies for it.
+    bench.now += 20.0;
+    let effects = bench.round();
+    assert!(!effects.iter().any(|e| matches!(e, Effect::HangUp { .. })), "{effects:?}");
+    // Then the node says nothing more.
+    let effects = bench.wait(14.0);
+    let probes =
+        requests(&effects).iter().filter(|r| r.0 == node && r.2.method == Method::GetParameter).count();
+    assert!(probes >= 1);
+    assert!(effects.iter().any(|e| matches!(e, Effect::HangUp { node: n, .. } if *n == node)));
+    assert!(told(&effects).iter().any(|l| l.contains("node_lost")));
+}
+
+#[test]
+fn an_answer_that_lay_there_while_we_stood_still_is_too_late() {
+    let mut bench = up(1);
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    let (node, link, setup, play) = asked(&effects);
+    bench.now += 5.0;
+    // All that came is taken in before time-outs fire.
+    let said = |r: Response| Input::Node { node, link, word: NodeWord::Said(r.into()) };
+    bench.desk.take(bench.now, said(ok(&setup).with(names::SESSION, "s1")));
+    bench.desk.take(bench.now, said(ok(&play).with(names::SESSION, "s1")));
+    let effects = bench.round();
+    assert!(finals(&effects).iter().all(|f| !matches!(f, ToPlayer::Playing { .. })), "{effects:?}");
+    assert_eq!((finals(&effects).len(), bench.desk.counts().playing), (1, 0));
+}
+
+#[test]
+fn the_sessions_limit_is_answered_with_busy() {
+    let mut few = book();
+    few.players.sessions = 2;
+    let mut bench = Bench::new(&few, 1);
+    let effects = bench.input(Input::Roster(roster()));
+    bench.connect(&effects);
+    for k in 0..2 {
+        bench.start(1, &format!("key-0000{k}"), "any", "t0");
+    }
+    trace(
+        &bench.start(1, "key-00009", "any", "t0"),
+        expect![[r#"1 < {"come_back":2.0,"key":"key-00009","type":"busy"}"#]],
+    );
+}
+
+#[test]
+fn a_bad_list_is_refused_whole_and_a_good_one_is_kept() {
+    let mut bench = up(1);
+    let mut node = listed(3, Phase::Ready);
+    node.zone = "north".into();
+    let bad = FromRoster::Whole { version: 9, nodes: vec![node], titles: Vec::new() };
+    let effects = bench.input(Input::Roster(bad));
+    expect![[r#"[Note { sess: None, text: "roster: node 3: zone \"north\" is not in the settings; the last good list stands" }]"#]].assert_eq(&format!("{effects:?}"));
+    assert!(bench.start(1, "key-00001", "any", "t0").iter().any(|e| matches!(e, Effect::Node { .. })));
+}
+
+#[test]
+fn a_director_starts_from_its_kept_list() {
+    let mut list = RosterList::default();
+    list.take(&roster(), &book().fleet).expect("good");
+    let mut bench = Bench::new(&book(), 1);
+    let effects = bench.input(Input::Cached(list));
+    bench.connect(&effects);
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    assert_eq!(asked(&effects).2.method, Method::Setup);
+}
+
+#[test]
+fn two_desks_share_nothing() {
+    let alone = {
+        let mut bench = up(5);
+        told(&bench.start(1, "key-00001", "any", "t0")).len() + requests(&bench.wait(1.0)).len()
+    };
+    let mut other = up(6);
+    let mut bench = up(5);
+    for k in 0..9 {
+        other.start(k, &format!("key-0000{k}"), "any", "t0");
+    }
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    other.wait(3.0);
+    assert_eq!(told(&effects).len() + requests(&bench.wait(1.0)).len(), alone);
+    assert_eq!(bench.desk.counts().known, 1);
+}
+
+#[test]
+fn a_journal_replays_to_the_same_effects_and_shows_a_difference() {
+    let (seed, now) = (7, common::START);
+    let mut desk = Desk::new(&book(), seed, now);
+    let mut lines = vec![journal::Line::Start { seed, now }];
+    let message = common::start("key-00001", "any", "t0");
+    let inputs = [Input::Roster(roster()), Input::Player { sock: 1, message }, Input::ShutDown];
+    for (k, input) in inputs.into_iter().enumerate() {
+        let now = now + 0.37 * k as f64;
+        lines.push(journal::Line::Took { now, input: input.clone() });
+        desk.take(now, input);
+        let mut effects = Vec::new();
+        desk.round(now, &mut |e| effects.push(e));
+        lines.push(journal::Line::Round { now, effects });
+    }
+    let text = |lines: &[journal::Line]| {
+        let mut out = Vec::new();
+        lines.iter().for_each(|l| journal::write(&mut out, l).expect("written"));
+        out
+    };
+    let done = journal::replay(&text(&lines)[..], &book()).expect("readable");
+    assert_eq!((done.inputs, done.rounds, done.differs), (3, 3, None));
+    lines.remove(3);
+    let done = journal::replay(&text(&lines)[..], &book()).expect("readable");
+    assert!(done.differs.is_some());
+}
