--- /dev/null
+++ b/crates/kelpdoor-lab/tests/checker.rs
@@ -0,0 +1,232 @@
+//! The checker, rule by rule: a record that keeps it, and one in which it breaks, with the line that is named.
+
+use expect_test::{Expect, expect};
+use kelpdoor_lab::check::check;
+use kelpdoor_lab::fleet::{director_script, settings};
+use kelpdoor_lab::record::{Line, What};
+use kelpdoor_lab::trouble::Size;
+use kelpdoor_script::Deployment;
+
+/// A record in the making, at a time of its own.
+struct Tape {
+    t: f64,
+    lines: Vec<Line>,
+    cseq: u32,
+}
+
+impl Tape {
+    /// One director, node 0 (and 1) of the east up since long, node 9 of the west.
+    fn new() -> Tape {
+        let size = Size::default();
+        let script =
+            director_script(&settings(&size, ""), &size, 0, "127.0.0.1:1".parse().unwrap(), "x".as_ref());
+        let book = Deployment::run("s", &script).expect("good settings");
+        let mut tape = Tape { t: 100.0, lines: Vec::new(), cseq: 0 };
+        tape.put(What::Settings { text: serde_json::to_string(&book).unwrap() });
+        tape.put(What::Director { director: 0, boot: 1, event: "started".into() });
+        for (node, zone) in [(0, "east"), (1, "east"), (9, "west")] {
+            tape.node_up(node, false, zone);
+            tape.told(node, "ready");
+        }
+        tape
+    }
+
+    fn put(&mut self, what: What) -> usize {
+        self.lines.push(Line { t: self.t, what });
+        self.lines.len()
+    }
+
+    fn node_up(&mut self, node: u32, cold: bool, zone: &str) {
+        self.put(What::NodeUp { node, cold, places: 26.0, zone: zone.into(), cell: node as u16 });
+        let hello = "OPTIONS rtsp://n/ RTSP/2.0\r\nCSeq: 0\r\nUser-Agent: kelpdoor/0 (director 0)\r\n\r\n";
+        self.put(What::Node { node, conn: 1, got: true, text: hello.into() });
+    }
+
+    fn told(&mut self, node: u32, phase: &str) {
+        let up_since = self.t;
+        let text =
+            format!(r#"{{"change":{{"nodes":[{{"id":{node},"phase":"{phase}","up_since":{up_since}}}]}}}}"#);
+        self.put(What::Roster { director: 0, text });
+    }
+
+    fn wait(&mut self, s: f64) -> &mut Self {
+        self.t += s;
+        self
+    }
+
+    fn player(&mut self, got: bool, text: String) -> usize {
+        self.put(What::Player { player: 1, director: 0, boot: 1, got, text })
+    }
+
+    fn start(&mut self, key: &str, group: &str) -> usize {
+        self.player(false, format!(r#"{{"type":"start","key":"{key}","group":"{group}","setup_timeout":3}}"#))
+    }
+
+    fn answer(&mut self, key: &str, kind: &str) -> usize {
+        self.player(true, format!(r#"{{"type":"{kind}","key":"{key}"}}"#))
+    }
+
+    fn setup(&mut self, key: &str, group: &str, node: u32, rung: u8) -> (u32, u32) {
+        self.cseq += 1;
+        let text = format!(
+            "SETUP rtsp://n/title-01 RTSP/2.0\r\nCSeq: {}\r\nPipelined-Requests: {}\r\nRung: {rung}\r\n\
+             Service-Group: {group}\r\nRequest-Key: {key}\r\n\r\n",
+            self.cseq, self.cseq
+        );
+        self.put(What::Node { node, conn: 1, got: true, text });
+        (node, self.cseq)
+    }
+
+    fn says(&mut self, (node, cseq): (u32, u32), status: u16) {
+        let text = format!("RTSP/2.0 {status} X\r\nCSeq: {cseq}\r\nSession: s{cseq}\r\n\r\n");
+        self.put(What::Node { node, conn: 1, got: false, text });
+    }
+
+    fn teardown(&mut self, (node, pipe): (u32, u32)) {
+        let text =
+            format!("TEARDOWN rtsp://n/ RTSP/2.0\r\nCSeq: 9{pipe}\r\nPipelined-Requests: {pipe}\r\n\r\n");
+        self.put(What::Node { node, conn: 1, got: true, text });
+    }
+
+    fn judge(&self, expected: Expect) {
+        let v = check(&self.lines);
+        let shown: Vec<String> =
+            v.broken.iter().map(|b| format!("rule {}, line {}: {}", b.rule, b.line, b.what)).collect();
+        expected.assert_eq(&shown.join("\n"));
+    }
+}
+
+#[test]
+fn rule_1_one_answer_in_time() {
+    let mut tape = Tape::new();
+    tape.start("key-good", "story");
+    tape.wait(2.9).answer("key-good", "busy");
+    tape.judge(expect![[""]]);
+    tape.start("key-late", "story");
+    tape.wait(3.1).answer("key-late", "playing");
+    tape.start("key-none", "story");
+    tape.start("key-both", "story");
+    tape.wait(0.1).answer("key-both", "busy");
+    tape.wait(0.1).answer("key-both", "playing");
+    tape.judge(expect![[r#"
+        rule 1, line 14: key-late: playing came 0.100 s too late
+        rule 1, line 16: key-none: no answer within its 3 s
+        rule 1, line 19: key-both: 2 final answers to 1 requests, kinds true"#]]);
+}
+
+#[test]
+fn rule_1_excuses_a_director_that_was_killed_or_stood_still() {
+    let mut tape = Tape::new();
+    tape.start("key-lost", "story");
+    tape.wait(1.0).put(What::Director { director: 0, boot: 1, event: "killed".into() });
+    tape.judge(expect![[""]]);
+    assert_eq!(check(&tape.lines).excused, 1);
+}
+
+#[test]
+fn rule_2_two_setups_out() {
+    let mut tape = Tape::new();
+    let first = tape.setup("key-good", "story", 0, 0);
+    tape.wait(0.5).teardown(first);
+    tape.setup("key-good", "story", 1, 0);
+    tape.judge(expect![[""]]);
+    tape.setup("key-bad", "story", 0, 0);
+    tape.wait(0.5).setup("key-bad", "story", 1, 0);
+    tape.judge(expect!["rule 2, line 16: key-bad: a second SETUP while line 15's is out or plays"]);
+}
+
+#[test]
+fn rule_2_paid_and_zoned_groups() {
+    let mut tape = Tape::new();
+    let first = tape.setup("key-good", "paid", 0, 0);
+    tape.wait(0.1).says(first, 453);
+    tape.setup("key-good", "paid", 1, 0);
+    let first = tape.setup("key-zone", "reading", 0, 1);
+    tape.wait(0.5).teardown(first);
+    tape.setup("key-zone", "reading", 1, 1);
+    tape.judge(expect![[""]]);
+    let first = tape.setup("key-paid", "paid", 0, 0);
+    tape.wait(0.5).teardown(first);
+    tape.setup("key-paid", "paid", 1, 0);
+    let first = tape.setup("key-far", "reading", 0, 1);
+    tape.wait(0.5).teardown(first);
+    tape.setup("key-far", "reading", 9, 1);
+    tape.start("key-busy", "paid");
+    let first = tape.setup("key-busy", "paid", 0, 0);
+    tape.wait(0.5).teardown(first);
+    tape.answer("key-busy", "busy");
+    tape.judge(expect![[r#"
+        rule 2, line 20: key-paid: set up again though line 18's may have run
+        rule 2, line 23: key-far: set up again though line 21's may have run
+        rule 2, line 27: key-busy: busy though line 25's SETUP may have run"#]]);
+}
+
+#[test]
+fn rule_3_a_drained_node() {
+    let mut tape = Tape::new();
+    tape.wait(1.0).told(0, "draining");
+    tape.wait(0.9).setup("key-good", "story", 0, 0);
+    tape.judge(expect![[""]]);
+    tape.wait(0.5).setup("key-bad", "story", 0, 0);
+    tape.judge(expect!["rule 3, line 14: director 0 sent to node 0 0.40 s past the grace, draining"]);
+}
+
+#[test]
+fn rule_4_a_cold_node() {
+    let mut tape = Tape::new();
+    tape.node_up(1, true, "east");
+    tape.told(1, "ready");
+    // 4 x 2 s x 0.4 x 26 places / 8 s = 10.4 in two seconds.
+    for k in 0..10 {
+        tape.wait(0.01).setup(&format!("key-{k:04}"), "story", 1, 0);
+    }
+    tape.judge(expect![[""]]);
+    tape.wait(0.01).setup("key-more", "story", 1, 0);
+    tape.judge(expect!["rule 4, line 25: cold node 1 got 11 SETUPs in 2 s, it bears 10.6"]);
+}
+
+#[test]
+fn rule_5_floors_and_seats() {
+    let mut tape = Tape::new();
+    for k in 0..20 {
+        let out = tape.setup(&format!("key-{k:04}"), "lecture", 0, 0);
+        tape.says(out, 200);
+    }
+    tape.setup("key-floor", "reading", 0, 1);
+    tape.judge(expect![[""]]);
+    tape.setup("key-seat", "lecture", 0, 0);
+    tape.setup("key-under", "reading", 0, 0);
+    tape.judge(expect![[r#"
+        rule 5, line 53: director 0 holds 21 of title-01 in lecture, 20 seats
+        rule 5, line 54: rung 0 under the floor 1 of reading"#]]);
+}
+
+#[test]
+fn rule_6_further_setups() {
+    let mut tape = Tape::new();
+    // 4, and one for every four sessions taken.
+    for k in 0..6 {
+        let key = format!("key-{k:04}");
+        tape.start(&key, "story");
+        let first = tape.setup(&key, "story", 0, 0);
+        tape.wait(0.3).says(first, 453);
+        tape.setup(&key, "story", 1, 0);
+        tape.answer(&key, "playing");
+        if k == 4 {
+            tape.judge(expect![[""]]);
+        }
+    }
+    tape.judge(expect!["rule 6, line 40: director 0: 6 further SETUPs in 10 s, 5.5 allowed"]);
+}
+
+#[test]
+fn a_record_read_back_is_the_same() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("r.zst");
+    let (recorder, file) = kelpdoor_lab::record::Recorder::to_file(&path).unwrap();
+    let tape = Tape::new();
+    tape.lines.iter().for_each(|l| recorder.put(l.what.clone()));
+    file.finish().unwrap();
+    let back: Vec<What> = kelpdoor_lab::record::read(&path).unwrap().into_iter().map(|l| l.what).collect();
+    assert_eq!(back, tape.lines.into_iter().map(|l| l.what).collect::<Vec<_>>());
+}
