--- a/crates/kelpdoor-api/tests/messages.rs
+++ b/crates/kelpdoor-api/tests/messages.rs
@@ -68,3 +68,19 @@
         prop_assert_eq!(FromPlayer::read(&start.text()), Ok(start));
     }
 }
+
+/// What the fuzz target checks, on its kept corpus.
+#[test]
+fn the_corpus_holds() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../fuzz/corpus/api");
+    let (mut seen, mut good) = (0, 0);
+    for file in std::fs::read_dir(folder).expect("a corpus") {
+        let text = std::fs::read_to_string(file.expect("a file").path()).expect("readable");
+        seen += 1;
+        if let Ok(message) = FromPlayer::read(&text) {
+            assert_eq!(FromPlayer::read(&message.text()), Ok(message));
+            good += 1;
+        }
+    }
+    assert_eq!((seen, good), (7, 4));
+}
--- a/crates/kelpdoor-benchlink/src/decode.rs
+++ b/crates/kelpdoor-benchlink/src/decode.rs
@@ -9,6 +9,7 @@
 use kelpdoor::round::{Ended, Ending, ListChange, Listed, LoadReport, NewSession, Phase, Playing, Reading};
 
 use crate::frame::{Bytes, EVENT, Head};
+use crate::report::ReportFields;
 use crate::settings;
 
 const ENTRY: usize = 22;
@@ -17,17 +18,6 @@
 #[derive(Default)]
 pub struct Sheets(BTreeMap<u32, Vec<Listed>>);
 
-/// The names of the values in an instance's load reports, in their order.
-#[derive(Default)]
-pub struct ReportFields(pub Vec<String>);
-
-impl ReportFields {
-    fn report(&self, values: &[f64]) -> LoadReport {
-        let named = |name: &str| self.0.iter().position(|f| f == name).and_then(|i| values.get(i).copied());
-        LoadReport { streams: named("inflight"), link: named("x0"), uplink: named("x1") }
-    }
-}
-
 /// Puts one event into its instance's round.
 type Put<'a> = Box<dyn FnOnce(&mut Round, &ReportFields) + 'a>;
 
--- a/crates/kelpdoor-benchlink/src/main.rs
+++ b/crates/kelpdoor-benchlink/src/main.rs
@@ -3,6 +3,7 @@
 mod decode;
 mod encode;
 mod frame;
+mod report;
 mod settings;
 
 use std::collections::BTreeMap;
@@ -12,8 +13,9 @@
 use anyhow::{Context, Result, ensure};
 use kelpdoor::{Director, Round};
 
-use crate::decode::{Indication, ReportFields, Sheets};
+use crate::decode::{Indication, Sheets};
 use crate::encode::Reply;
+use crate::report::ReportFields;
 
 /// An instance: its director, and what came in for it in the batch at hand.
 struct Seat {
--- a/crates/kelpdoor-benchlink/src/settings.rs
+++ b/crates/kelpdoor-benchlink/src/settings.rs
@@ -5,7 +5,7 @@
 use kelpdoor::terms::{FurtherBudget, GroupTerms, Reach, Repeat};
 use serde_json::Value;
 
-use crate::decode::ReportFields;
+use crate::report::ReportFields;
 
 /// A place in the settings, read leniently: what is absent reads as absent.
 #[derive(Clone, Copy)]
--- a/crates/kelpdoor-director/src/shell.rs
+++ b/crates/kelpdoor-director/src/shell.rs
@@ -37,8 +37,10 @@
 const INPUTS: usize = 8192;
 /// Inputs taken into one round at most.
 const BATCH: usize = 4096;
-/// Rounds follow each other no faster than this under load.
-const ROUND_GAP: Duration = Duration::from_millis(2);
+/// Of a round's own time; the next one waits so long, so that a desk under load takes more in at once.
+const REST: u32 = 3;
+/// At least so long, for a round has a cost of its own; at most so long, for players would feel more.
+const REST_RANGE: (Duration, Duration) = (Duration::from_micros(1000), Duration::from_millis(5));
 /// A gap between rounds longer than this is a pause of the process: what came meanwhile is read first.
 const PAUSE: Duration = Duration::from_millis(500);
 /// How long readers get for that.
@@ -204,6 +206,7 @@
             }
         }
         let mut last = Instant::now();
+        let mut cost = Duration::ZERO;
         let mut told = Instant::now();
         loop {
             let wait = (desk.wake_at() - self.now()).clamp(0.0, 3600.0);
@@ -221,12 +224,16 @@
             if gap > PAUSE + Duration::from_secs_f64(wait) {
                 tracing::warn!(seconds = gap.as_secs_f64(), "stood still; reading what came meanwhile first");
                 sleep(CATCH_UP).await;
-            } else if first.is_some() && gap < ROUND_GAP {
-                sleep(ROUND_GAP - gap).await;
+            } else if first.is_some() {
+                let rest = (cost * REST).clamp(REST_RANGE.0, REST_RANGE.1).saturating_sub(gap);
+                if !rest.is_zero() {
+                    sleep(rest).await;
+                }
             }
             while let Ok(news) = sock.try_recv() {
                 self.socket(news);
             }
+            let began = Instant::now();
             let now = self.now();
             if let Some(first) = first {
                 self.take(&mut desk, now, first);
@@ -244,6 +251,7 @@
             if self.carry_out(effects) {
                 break;
             }
+            cost = began.elapsed();
             if told.elapsed() > Duration::from_millis(100) {
                 told = last;
                 let _ = self.tell.send(desk.counts());
--- a/crates/kelpdoor-lab/src/fluid.rs
+++ b/crates/kelpdoor-lab/src/fluid.rs
@@ -1,7 +1,7 @@
 //! Links and uplinks as fluids: sessions on one that is asked for more than it gives all get the same share of
 //! their rates. Nodes with places, warm-up and the fall of one pushed over. No sockets; time passed in.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use kelpdoor_rtsp::{Asked, Load};
 
@@ -74,6 +74,8 @@
     pub uplink_factor: Vec<f64>,
     /// By the node's id for it.
     pub streams: BTreeMap<String, Stream>,
+    held: BTreeMap<u32, usize>,
+    by_pipe: HashMap<(u64, String), String>,
     asked_node: BTreeMap<u32, f64>,
     asked_rack: Vec<f64>,
     at: f64,
@@ -97,6 +99,8 @@
             uplinks,
             uplink_factor: vec![1.0; racks],
             streams: BTreeMap::new(),
+            held: BTreeMap::new(),
+            by_pipe: HashMap::new(),
             asked_node: BTreeMap::new(),
             asked_rack: vec![0.0; racks],
             at: now,
@@ -111,7 +115,27 @@
     }
 
     pub fn count(&self, node: u32) -> usize {
-        self.streams.values().filter(|s| s.node == node).count()
+        self.held.get(&node).copied().unwrap_or(0)
+    }
+
+    pub fn insert(&mut self, id: String, stream: Stream) {
+        *self.held.entry(stream.node).or_default() += 1;
+        self.by_pipe.insert((stream.conn, stream.pipe.clone()), id.clone());
+        self.streams.insert(id, stream);
+    }
+
+    pub fn remove(&mut self, id: &str) -> Option<Stream> {
+        let stream = self.streams.remove(id)?;
+        self.by_pipe.remove(&(stream.conn, stream.pipe.clone()));
+        if let Some(held) = self.held.get_mut(&stream.node) {
+            *held -= 1;
+        }
+        Some(stream)
+    }
+
+    /// The node's id for what a connection set up under that name.
+    pub fn piped(&self, conn: u64, pipe: &str) -> Option<&String> {
+        self.by_pipe.get(&(conn, pipe.to_owned()))
     }
 
     /// What is asked over what is given: of the node's link and of its rack's uplink.
@@ -252,14 +276,14 @@
     fn an_overfull_link_and_an_overfull_uplink_give_equal_shares() {
         let mut fleet = fleet();
         let by = title_factor("t");
-        fleet.streams.insert("a".into(), stream(0, 1));
-        fleet.streams.insert("b".into(), stream(0, 0));
+        fleet.insert("a".into(), stream(0, 1));
+        fleet.insert("b".into(), stream(0, 0));
         fleet.tick(0.0);
         fleet.tick(1.0);
         let got = |f: &Fleet, k: &str| f.streams[k].got_kb / f.streams[k].asked_kb;
         let share = (200.0 / (300.0 * by)).min(1.0);
         assert!((got(&fleet, "a") - share).abs() < 1e-9 && (got(&fleet, "b") - share).abs() < 1e-9);
-        fleet.streams.insert("c".into(), stream(1, 1));
+        fleet.insert("c".into(), stream(1, 1));
         fleet.uplink_factor[0] = 0.1;
         fleet.tick(1.0);
         let before = fleet.streams["c"].got_kb;
--- a/crates/kelpdoor-lab/src/main.rs
+++ b/crates/kelpdoor-lab/src/main.rs
@@ -41,10 +41,48 @@
         #[arg(long)]
         keep: Option<PathBuf>,
     },
+    /// Load a director, and beside it in the same run a plain relay, and measure both.
+    Load {
+        /// New sessions a second.
+        #[arg(long, default_value_t = 500.0)]
+        rate: f64,
+        /// How long each is held, s.
+        #[arg(long, default_value_t = 20.0)]
+        hold: f64,
+        /// How long it is measured once all are held, s.
+        #[arg(long, default_value_t = 20.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 200)]
+        sockets: u32,
+        #[arg(long, default_value_t = 40)]
+        nodes: u32,
+        /// Times that both are measured, in turn.
+        #[arg(long, default_value_t = 1)]
+        turns: u32,
+    },
+    /// The plain relay that `load` measures beside the director.
+    #[command(hide = true)]
+    Relay {
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Trouble scripts.
+    Trouble {
+        #[command(subcommand)]
+        what: TroubleAct,
+    },
     /// Judge a record again.
     Check { record: PathBuf },
 }
 
+#[derive(Subcommand)]
+enum TroubleAct {
+    /// Print a script made of a day drawn by the bench, at a size that fits one machine.
+    FromDay { day: PathBuf },
+    /// Check a script: each fault with file, line and column.
+    Check { script: PathBuf },
+}
+
 fn script_of(path: Option<&Path>, short: bool) -> Result<Script> {
     let read = match path {
         Some(path) => Script::read(path),
@@ -168,6 +206,22 @@
             }
             Ok(good)
         }
+        Act::Load { rate, hold, seconds, sockets, nodes, turns } => {
+            let load = kelpdoor_lab::load::Load { rate, hold, seconds, sockets, nodes, turns };
+            println!("{}", load.run(&std::env::current_exe()?).await?);
+            Ok(true)
+        }
+        Act::Relay { config } => kelpdoor_lab::relay::run(&config).await.map(|()| true),
+        Act::Trouble { what: TroubleAct::FromDay { day } } => {
+            let text = std::fs::read_to_string(&day).with_context(|| day.display().to_string())?;
+            print!("{}", kelpdoor_lab::fromday::script(&text).with_context(|| day.display().to_string())?);
+            Ok(true)
+        }
+        Act::Trouble { what: TroubleAct::Check { script } } => {
+            let read = script_of(Some(&script), false)?;
+            println!("{}: good, {} troubles", script.display(), read.troubles.len());
+            Ok(true)
+        }
         Act::Check { record } => {
             let lines = record::read(&record).context("reading the record")?;
             if lines.is_empty() {
--- a/crates/kelpdoor-lab/src/node.rs
+++ b/crates/kelpdoor-lab/src/node.rs
@@ -191,7 +191,7 @@
     }
 
     fn over(&self, s: &mut State, rtsp: &str) {
-        if let Some(x) = s.fleet.streams.remove(rtsp)
+        if let Some(x) = s.fleet.remove(rtsp)
             && x.playing
         {
             let share = if x.asked_kb > 0.0 { x.got_kb / x.asked_kb } else { 1.0 };
@@ -391,8 +391,7 @@
         let answer = |status: u16| Response::new(status, r.cseq).with(names::LOAD, &load);
         let by_pipe = |s: &State| {
             let pipe = r.headers.get(names::PIPELINED)?;
-            let of = s.fleet.streams.iter().find(|(_, x)| x.conn == conn && x.pipe == pipe)?;
-            Some(of.0.clone())
+            s.fleet.piped(conn, pipe).cloned()
         };
         let named = |s: &State| {
             let id = r.headers.get(names::SESSION)?;
@@ -427,7 +426,7 @@
                         asked_kb: 0.0,
                         got_kb: 0.0,
                     };
-                    s.fleet.streams.insert(rtsp.clone(), stream);
+                    s.fleet.insert(rtsp.clone(), stream);
                     drop(s);
                     let (me, cseq) = (self.clone(), r.cseq);
                     tokio::spawn(async move {
--- a/crates/kelpdoor-lab/tests/checker.rs
+++ b/crates/kelpdoor-lab/tests/checker.rs
@@ -230,3 +230,31 @@
     let back: Vec<What> = kelpdoor_lab::record::read(&path).unwrap().into_iter().map(|l| l.what).collect();
     assert_eq!(back, tape.lines.into_iter().map(|l| l.what).collect::<Vec<_>>());
 }
+
+#[test]
+fn a_drawn_day_becomes_a_script_that_fits() {
+    let day = r#"{"noise": 42, "length": 5e7, "zones": [{}], "balancers": [{},{},{},{},{},{}], "fam": {"racks": 4},
+        "traffic": {"load": 0.7}, "discovery": {"notice": 2000000},
+        "servers": [SERVERS],
+        "troubles": [
+          {"kind": "crash", "at": 5e6, "len": 8e6, "size": 0, "extra": 0, "on": [0, 47], "steps": []},
+          {"kind": "slow", "at": 6e6, "len": 8e6, "size": 2.5, "extra": 0, "on": [10], "steps": []},
+          {"kind": "origin_slow", "at": 7e6, "len": 8e6, "size": 4, "extra": 0, "on": [], "steps": []},
+          {"kind": "deploy", "at": 9e6, "len": 2e7, "size": 0.1, "extra": 3, "on": [],
+           "steps": [{"at": 9e6, "stop": [4, 5]}, {"at": 1.2e7, "stop": [8]}]},
+          {"kind": "balancer_roll", "at": 1e7, "len": 1e7, "size": 0.2, "extra": 1.2, "on": [],
+           "steps": [{"at": 1e7, "stop": [5]}]},
+          {"kind": "something_new", "at": 1e7, "len": 1e7, "size": 0.2, "extra": 1.2, "on": [], "steps": []}]}"#;
+    let day = day.replace("SERVERS", &vec![r#"{"up": true}"#; 48].join(","));
+    expect![[r##"
+        # From a drawn day: 24 nodes of 48, 4 directors of 6.
+        day(seconds = 50, directors = 4, nodes = 24, racks = 4, zones = ["room-0"], players = 338, class_of = 0, roster_lag = 2.00, seed = 42)
+        crash(at = 5.00, lasts = 8.00, nodes = [0, 23])
+        slow(at = 6.00, lasts = 8.00, nodes = [5], factor = 0.400)
+        rack_sag(at = 7.00, lasts = 8.00, racks = [0, 1], factor = 0.250)
+        deploy(at = 9.00, lasts = 20.00, nodes = [2, 4], notice = 3.00)
+        balancer_roll(at = 10.00, lasts = 10.00, directors = [3], notice = 1.20)
+        # "something_new" at 10.0 s has no counterpart here
+    "##]].assert_eq(&kelpdoor_lab::fromday::script(&day).expect("a script"));
+    assert!(kelpdoor_lab::fromday::script("{}").is_err());
+}
--- a/crates/kelpdoor-lab/tests/sockets.rs
+++ b/crates/kelpdoor-lab/tests/sockets.rs
@@ -295,7 +295,7 @@
     let (mut fold, _) = daemon(dir.path(), &world, world.roster_at, false).await;
     let kept = dir.path().join("director-0.list");
     within(10, async {
-        while !load_list(&kept).unwrap().is_some_and(|l| l.nodes.len() == 4) {
+        while load_list(&kept).unwrap().is_none_or(|l| l.nodes.len() != 4) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     })
--- a/crates/kelpdoor-rtsp/tests/roundtrip.rs
+++ b/crates/kelpdoor-rtsp/tests/roundtrip.rs
@@ -89,3 +89,20 @@
     let Ok(Some((Message::Request(read), _))) = parse(&bytes) else { panic!("unreadable") };
     assert_eq!(read.headers.get("Rung"), None);
 }
+
+/// What the fuzz target checks, on its kept corpus.
+#[test]
+fn the_corpus_holds() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../fuzz/corpus/rtsp");
+    let (mut seen, mut good) = (0, 0);
+    for file in std::fs::read_dir(folder).expect("a corpus") {
+        let bytes = std::fs::read(file.expect("a file").path()).expect("readable");
+        seen += 1;
+        if let Ok(Some((message, len))) = parse(&bytes) {
+            assert!(len <= bytes.len());
+            assert_eq!(parse(&message.to_bytes()).map(|m| m.map(|m| m.0)), Ok(Some(message)));
+            good += 1;
+        }
+    }
+    assert_eq!((seen, good), (8, 4));
+}
--- a/crates/kelpdoor/src/books.rs
+++ b/crates/kelpdoor/src/books.rs
@@ -98,39 +98,6 @@
         self.common[usize::from(l < self.figures.racks)]
     }
 
-    /// How warm a node is thought to be, as a part of its capacity.
-    pub(crate) fn warmth(&self, now: f64, i: usize) -> f64 {
-        let f = &self.figures;
-        if now >= self.nodes.cold_until[i] {
-            return 1.0;
-        }
-        let part = ((now - self.nodes.cold_since[i]) / f.warm_within.max(1e-3)).clamp(0.0, 1.0);
-        (f.cold_from + (1.0 - f.cold_from) * part).min(1.0)
-    }
-
-    /// What is asked of a link or uplink by our account.
-    pub(crate) fn asked(&self, l: usize) -> f64 {
-        let f = &self.figures;
-        if l < f.racks && !f.uplinks_told {
-            // No figure of its own: its nodes', those never read taken to be as full as the rest.
-            let (mut asked, mut read, mut all) = (0.0, 0.0, 0.0);
-            for link in self.nodes.by_rack[l].iter().map(|&i| self.link(i)) {
-                all += self.ledger.size[link];
-                if self.ledger.read_at[link] > f64::NEG_INFINITY {
-                    asked += self.asked(link);
-                    read += self.ledger.size[link];
-                }
-            }
-            return if read > 0.0 { asked * all / read } else { 0.0 };
-        }
-        if self.ledger.read_at[l] == f64::NEG_INFINITY {
-            // Never read: as full as the rest of the fleet at least.
-            let (own, fleet) = (self.ledger.own[l], self.ledger.own[self.fleet()]);
-            return (own + self.by_others(l, own, fleet)).max(self.common(l) * self.ledger.size[l]);
-        }
-        (self.ledger.own[l] + self.ledger.others[l]).max(0.0)
-    }
-
     /// Takes in a session that was under way at our start.
     pub(crate) fn adopt(&mut self, now: f64, ask: &NewSession, node: NodeId) {
         let i = self.nodes.index.get(&node).copied().unwrap_or_else(|| self.new_node(node));
