--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -184,7 +184,8 @@
 
     fn say(&mut self, sock: Option<u64>, message: ToPlayer) {
         if let Some(sock) = sock {
-            self.effects.push(Effect::Player { sock, message });
+            let sess = message.key().and_then(|key| self.keys.get(key).copied());
+            self.effects.push(Effect::Player { sock, sess, message });
         }
     }
 
@@ -487,6 +488,7 @@
     }
 
     fn ended(&mut self, id: u64, node: u32, how: Ending, closed: bool, load: LoadReport) {
+        self.note(Some(id), format!("at node {node}: {how:?}"));
         self.round.ended.push(Ended { sess: SessId(id), node: NodeId(node), how, closed, load });
     }
 
@@ -948,7 +950,10 @@
             return self.give_up(id, Ending::Unreachable, false);
         };
         link.sessions.insert(id);
-        if link.line == Line::Up {
+        let up = link.line == Line::Up;
+        self.note(Some(id), format!("SETUP {number} to node {}", node.0));
+        let Some(link) = self.links.get_mut(&node.0) else { return };
+        if up {
             self.send(id);
         } else {
             link.waiting.push(id);
--- a/crates/kelpdoor-director/src/effect.rs
+++ b/crates/kelpdoor-director/src/effect.rs
@@ -46,8 +46,10 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Effect {
+    /// `sess`: the session that it is about, for the log.
     Player {
         sock: u64,
+        sess: Option<u64>,
         message: ToPlayer,
     },
     Dial {
--- a/crates/kelpdoor-director/src/shell.rs
+++ b/crates/kelpdoor-director/src/shell.rs
@@ -39,12 +39,14 @@
 const BATCH: usize = 4096;
 /// Of a round's own time; the next one waits so long, so that a desk under load takes more in at once.
 const REST: u32 = 3;
-/// At least so long, for a round has a cost of its own; at most so long, for players would feel more.
-const REST_RANGE: (Duration, Duration) = (Duration::from_micros(1000), Duration::from_millis(5));
+/// A shorter rest is not worth a timer; a longer one would be felt by players.
+const REST_RANGE: (Duration, Duration) = (Duration::from_micros(700), Duration::from_millis(5));
 /// A gap between rounds longer than this is a pause of the process: what came meanwhile is read first.
 const PAUSE: Duration = Duration::from_millis(500);
 /// How long readers get for that.
 const CATCH_UP: Duration = Duration::from_millis(20);
+/// How often what is held is counted for whoever asks.
+const TOLD: Duration = Duration::from_millis(200);
 /// A handshake takes no longer.
 const HANDSHAKE: Duration = Duration::from_secs(5);
 /// Sockets get so long to take their last words at the end.
@@ -225,8 +227,8 @@
                 tracing::warn!(seconds = gap.as_secs_f64(), "stood still; reading what came meanwhile first");
                 sleep(CATCH_UP).await;
             } else if first.is_some() {
-                let rest = (cost * REST).clamp(REST_RANGE.0, REST_RANGE.1).saturating_sub(gap);
-                if !rest.is_zero() {
+                let rest = (cost * REST).min(REST_RANGE.1).saturating_sub(gap);
+                if rest > REST_RANGE.0 {
                     sleep(rest).await;
                 }
             }
@@ -252,7 +254,7 @@
                 break;
             }
             cost = began.elapsed();
-            if told.elapsed() > Duration::from_millis(100) {
+            if told.elapsed() > TOLD {
                 told = last;
                 let _ = self.tell.send(desk.counts());
             }
@@ -279,7 +281,7 @@
         let mut done = false;
         for effect in effects {
             match effect {
-                Effect::Player { sock, message } => self.tell_player(sock, &message),
+                Effect::Player { sock, sess, message } => self.tell_player(sock, sess, &message),
                 Effect::Dial { node, link, address } => self.dial(node, link, address),
                 Effect::Node { node, link, bytes } => {
                     let most = self.book.node_links.queued_bytes;
@@ -303,7 +305,8 @@
                         });
                     }
                 }
-                Effect::Note { sess, text } => tracing::info!(sess, "{text}"),
+                Effect::Note { sess: Some(sess), text } => tracing::debug!(sess, "{text}"),
+                Effect::Note { sess: None, text } => tracing::info!("{text}"),
                 Effect::Fault(why) => tracing::error!(%why, "the decisions report a fault"),
                 Effect::Done => done = true,
             }
@@ -312,8 +315,8 @@
         done
     }
 
-    fn tell_player(&mut self, sock: u64, message: &ToPlayer) {
-        tracing::debug!(sock, key = message.key().map(|k| k.0.as_str()), ?message, "to the player");
+    fn tell_player(&mut self, sock: u64, sess: Option<u64>, message: &ToPlayer) {
+        tracing::debug!(sock, sess, key = message.key().map(|k| k.0.as_str()), ?message, "to the player");
         let text = message.text();
         let len = text.len();
         let most = self.book.players.queued_bytes;
--- a/crates/kelpdoor-director/tests/common/mod.rs
+++ b/crates/kelpdoor-director/tests/common/mod.rs
@@ -146,7 +146,7 @@
 /// Messages to players among effects, as they go on the wire.
 pub fn told(effects: &[Effect]) -> Vec<String> {
     let of = |e: &Effect| match e {
-        Effect::Player { sock, message } => Some(format!("{sock} < {}", message.text())),
+        Effect::Player { sock, message, .. } => Some(format!("{sock} < {}", message.text())),
         _ => None,
     };
     effects.iter().filter_map(of).collect()
--- a/crates/kelpdoor-lab/scripts/bad-day.star
+++ b/crates/kelpdoor-lab/scripts/bad-day.star
@@ -15,7 +15,7 @@
 
 # A director is killed and restarted from its kept list, another stands still.
 balancer_roll(at = 25, directors = [1], notice = 1.5)
-balancer_stall(at = 30, directors = [2], lasts = 3)
+balancer_stall(at = 30, directors = [2], lasts = 10)
 
 # News comes late, and then nodes are replaced one by one.
 discovery_stale(at = 33, lasts = 9, factor = 3)
--- a/crates/kelpdoor-lab/src/day.rs
+++ b/crates/kelpdoor-lab/src/day.rs
@@ -70,10 +70,12 @@
     all
 }
 
-struct Stage {
-    world: Arc<World>,
-    fold: Arc<Mutex<Fold>>,
-    script: Arc<Script>,
+/// Where troubles are acted out.
+#[derive(Clone)]
+pub struct Stage {
+    pub world: Arc<World>,
+    pub fold: Arc<Mutex<Fold>>,
+    pub script: Arc<Script>,
 }
 
 async fn pause(seconds: f64) {
@@ -90,7 +92,8 @@
         }
     }
 
-    async fn act(&self, kind: Kind, t: &Trouble) {
+    /// Does one trouble, from its begin to its end.
+    pub async fn act(&self, kind: Kind, t: &Trouble) {
         let nodes = &self.world.nodes;
         let text = format!("{kind:?} {}", serde_json::to_string(t).unwrap_or_default());
         self.world.recorder.put(What::Trouble { text });
@@ -232,12 +235,12 @@
 /// # Errors
 /// Where stand-ins or directors cannot be started, or the record not be written.
 pub async fn run(
-    script: &Script, program: &Path, dir: &Path, journal: bool, mut tick: impl FnMut(f64),
+    script: &Script, other: &str, program: &Path, dir: &Path, journal: bool, mut tick: impl FnMut(f64),
 ) -> Result<DayOver> {
     let record = dir.join("record.zst");
     let (recorder, file) = Recorder::to_file(&record)?;
     let size = &script.size;
-    let shared = settings(size, "");
+    let shared = settings(size, other);
     let world = Arc::new(World::start(size, &shared, recorder.clone()).await?);
     let mut fold = Fold::new(size, &shared, program.into(), world.roster_at, recorder.clone(), dir, journal);
     for d in 0..size.directors as usize {
--- a/crates/kelpdoor-lab/src/fleet.rs
+++ b/crates/kelpdoor-lab/src/fleet.rs
@@ -24,22 +24,42 @@
 /// kB a second for each unit of a node's size.
 const LINK_UNIT: f64 = 2600.0;
 
-/// The settings that all directors of a lab share, but for their own lines.
-pub fn settings(size: &Size, extra: &str) -> String {
-    let cells = size.nodes;
-    let zones = size.zones.iter().map(|z| format!("{z:?}")).collect::<Vec<_>>().join(", ");
-    format!(
-        r#"ladder(rates = [120, 221, 405, 744, 1365], utility = [0.2, 0.42, 0.62, 0.82, 1.0], switch_cost = 0.8)
+/// Settings that hardly any deployment has, to try the rules under: few seats, a high floor, every kind of repeat, a
+/// small budget, a low cold start that tips soon.
+pub const ODD: &str = r#"
+ladder(rates = [90, 300, 500], utility = [0.3, 0.7, 1.0])
+group("lecture", utility = 2, start_target = 0.5, scale = 1.4, top = 2, seats = 3, repeat = "cell", repeat_window = 1)
+group("story", utility = 1, start_target = 0.3, top = 2, repeat = "anywhere", repeat_window = 0.5)
+group("reading", utility = 5, start_target = 2, scale = 0.7, floor = 2, repeat = "zone", repeat_window = 3)
+group("paid", utility = 1, start_target = 0.4, top = 1, floor = 1, seats = 2, repeat = "never")
+further(free = 1, per_taken = 0.05, span = 5)
+players(resume_for = 1, remember = 3, answer_ahead = 0.05)
+node_links(connect_timeout = 0.2, quiet = 1, dead_after = 3)
+"#;
+
+const USUAL: &str = r#"
+ladder(rates = [120, 221, 405, 744, 1365], utility = [0.2, 0.42, 0.62, 0.82, 1.0], switch_cost = 0.8)
 group("lecture", utility = 2, start_target = 1.5, scale = 1.4, top = 4, seats = 20)
 group("story", utility = 1, start_target = 1.0, top = 3)
 group("reading", utility = 1, start_target = 1.5, scale = 0.7, top = 3, floor = 1, repeat = "zone", repeat_window = 5)
 group("paid", utility = 2, start_target = 1.5, top = 3, repeat = "never")
-fleet(zones = [{zones}], kinds = {{"box-2c": 26, "box-3c": 39}}, cells = {cells}, racks = {racks},
-      link_unit = {LINK_UNIT}, rack_uplink = {uplink}, seen_after = 0.6, told_every = 2.0, cold_from = 0.4,
-      warm_within = 8, tip_multiple = 4, fall_window = 2, drain_grace = 1, cross_zone_price = 0.02)
 further(free = 4, per_taken = 0.25, span = 10)
 players(resume_for = 5, remember = 20)
-{extra}
+"#;
+
+/// The settings that all directors of a lab share, but for their own lines; `other` replaces the usual ones.
+pub fn settings(size: &Size, other: &str) -> String {
+    let (other, cold) = if other.is_empty() {
+        (USUAL, "cold_from = 0.4, warm_within = 8, tip_multiple = 4, fall_window = 2, drain_grace = 1")
+    } else {
+        (other, "cold_from = 0.1, warm_within = 10, tip_multiple = 2, fall_window = 1, drain_grace = 0.3")
+    };
+    let cells = size.nodes;
+    let zones = size.zones.iter().map(|z| format!("{z:?}")).collect::<Vec<_>>().join(", ");
+    format!(
+        r#"{other}fleet(zones = [{zones}], kinds = {{"box-2c": 26, "box-3c": 39}}, cells = {cells}, racks = {racks},
+      link_unit = {LINK_UNIT}, rack_uplink = {uplink}, seen_after = 0.6, told_every = 2.0, {cold},
+      cross_zone_price = 0.02)
 "#,
         racks = size.racks,
         uplink = LINK_UNIT * f64::from(size.nodes) / f64::from(size.racks) * 0.9,
--- a/crates/kelpdoor-lab/src/main.rs
+++ b/crates/kelpdoor-lab/src/main.rs
@@ -3,16 +3,19 @@
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use anyhow::{Context, Result, bail};
 use clap::{Parser, Subcommand};
 use comfy_table::Table;
 use indicatif::{ProgressBar, ProgressStyle};
 use kelpdoor_lab::check::{Verdict, check};
-use kelpdoor_lab::day;
-use kelpdoor_lab::fleet::{Fold, World, settings};
+use kelpdoor_lab::day::{self, Stage};
+use kelpdoor_lab::fleet::{Fold, ODD, World, settings};
 use kelpdoor_lab::record::{self, Recorder};
 use kelpdoor_lab::trouble::Script;
+use tokio::io::AsyncBufReadExt;
+use tokio::sync::Mutex;
 
 #[derive(Parser)]
 #[command(name = "kelpdoor-lab", version, about = "Stand-ins, bad days and their checker for kelpdoor")]
@@ -37,6 +40,9 @@
         seed: Option<u64>,
         #[arg(long, default_value_t = 1)]
         days: u64,
+        /// Under odd settings: few seats, high floors, a small budget, a cold start that tips soon.
+        #[arg(long)]
+        odd: bool,
         /// Keep record, logs and settings there.
         #[arg(long)]
         keep: Option<PathBuf>,
@@ -139,7 +145,7 @@
     }
 }
 
-async fn bad_day(script: Script, keep: Option<PathBuf>) -> Result<bool> {
+async fn bad_day(script: Script, odd: bool, keep: Option<PathBuf>) -> Result<bool> {
     let temporary = tempfile::tempdir()?;
     let dir = keep.unwrap_or_else(|| temporary.path().to_owned());
     std::fs::create_dir_all(&dir)?;
@@ -149,8 +155,10 @@
         ProgressBar::hidden()
     };
     bar.set_style(ProgressStyle::with_template("{elapsed} {bar:40} {pos} of {len} s")?);
-    let over =
-        day::run(&script, &std::env::current_exe()?, &dir, false, |t| bar.set_position(t as u64)).await?;
+    let over = day::run(&script, if odd { ODD } else { "" }, &std::env::current_exe()?, &dir, false, |t| {
+        bar.set_position(t as u64)
+    })
+    .await?;
     bar.finish_and_clear();
     let verdict = check(&record::read(&over.record)?);
     show(&verdict);
@@ -160,6 +168,20 @@
     Ok(verdict.broken.is_empty() && over.ended_well)
 }
 
+/// Does the troubles of a line, now.
+fn live(stage: &Stage, line: &str) {
+    let size = serde_json::to_value(&stage.script.size).unwrap_or_default();
+    let day: Vec<String> =
+        size.as_object().into_iter().flatten().map(|(k, v)| format!("{k} = {v}")).collect();
+    match Script::run("input", &format!("day({}); {line}", day.join(", "))) {
+        Ok(script) => script.troubles.into_iter().for_each(|(kind, t)| {
+            let stage = stage.clone();
+            tokio::spawn(async move { stage.act(kind, &t).await });
+        }),
+        Err(faults) => faults.iter().for_each(|f| println!("{f}")),
+    }
+}
+
 async fn up() -> Result<()> {
     let dir = tempfile::tempdir()?;
     let mut script = script_of(None, true)?;
@@ -182,7 +204,25 @@
         "subprotocol kelpdoor.session.v1; groups lecture, story, reading, paid; titles title-00 to title-39"
     );
     println!("settings and logs in {}; Ctrl-C ends", dir.path().display());
-    tokio::signal::ctrl_c().await?;
+    println!(
+        "a line of a trouble script does that trouble now, as in: crash(at = 0, nodes = [2], lasts = 5)"
+    );
+    let stage = Stage { world: world.into(), fold: Arc::new(Mutex::new(fold)), script: Arc::new(script) };
+    let mut lines = tokio::io::BufReader::new(tokio::io::stdin()).lines();
+    let mut open = true;
+    loop {
+        tokio::select! {
+            done = tokio::signal::ctrl_c() => {
+                done?;
+                break;
+            }
+            line = lines.next_line(), if open => match line? {
+                None => open = false,
+                Some(line) => live(&stage, &line),
+            },
+        }
+    }
+    let mut fold = stage.fold.lock().await;
     for d in 0..2 {
         fold.end(d).await?;
     }
@@ -192,7 +232,7 @@
 async fn act(arguments: Arguments) -> Result<bool> {
     match arguments.what {
         Act::Up => up().await.map(|()| true),
-        Act::BadDay { script, short, seed, days, keep } => {
+        Act::BadDay { script, short, seed, days, odd, keep } => {
             let mut script = script_of(script.as_deref(), short)?;
             script.size.seed = seed.unwrap_or(script.size.seed);
             let mut good = true;
@@ -201,7 +241,7 @@
                     println!("seed {}", script.size.seed);
                 }
                 let keep = keep.as_ref().map(|d| if days > 1 { d.join(k.to_string()) } else { d.clone() });
-                good &= bad_day(script.clone(), keep).await?;
+                good &= bad_day(script.clone(), odd, keep).await?;
                 script.size.seed += 1;
             }
             Ok(good)
--- a/crates/kelpdoor-lab/tests/sockets.rs
+++ b/crates/kelpdoor-lab/tests/sockets.rs
@@ -358,7 +358,7 @@
 "#;
     let script = Script::run("test", text).expect("a good script");
     let dir = tempfile::tempdir().unwrap();
-    let over = kelpdoor_lab::day::run(&script, Path::new(LAB), dir.path(), true, |_| {}).await.unwrap();
+    let over = kelpdoor_lab::day::run(&script, "", Path::new(LAB), dir.path(), true, |_| {}).await.unwrap();
     assert!(over.ended_well);
     for (settings, kept) in over.journals {
         let book = Deployment::read(&settings).expect("good settings");
--- /dev/null
+++ b/crates/kelpdoor-seats/src/holder.rs
@@ -0,0 +1,489 @@
+//! A director's side.
+//!
+//! A request with a token waits for the keeper no longer than [`Patience::claim`]; then a seat lent ahead is used, and
+//! without one the request is refused in time. What is held is held by the keeper's word or by a loan, both until the
+//! director's lease runs out: counted from when the last beat that was heard was *sent*, so it ends here before it
+//! ends at the keeper. One word of each kind is out for a school at a time, sent again after a growing, random wait,
+//! so that a keeper that comes back meets no herd.
+
+use std::collections::BTreeMap;
+
+use crate::{DirectorId, Epoch, FromKeeper, Lease, School, ToKeeper, TokenId};
+
+/// Waits of a director, s.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// A request waits for the keeper so long before a loan is used.
+    pub claim: f64,
+    pub beat_every: f64,
+    /// Before a word without an answer is sent again, at first and at most.
+    pub resend: (f64, f64),
+    /// Seats to have lent ahead for each school that is asked for.
+    pub ahead: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RefusedWhy {
+    /// All taken; come back after so long.
+    Full {
+        come_back: f64,
+    },
+    Expired,
+    /// The keeper did not answer in time, and nothing was lent.
+    NoKeeper,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndedWhy {
+    Expired,
+    /// The viewer came again at another director.
+    Moved,
+    /// The director's lease ran out, or the keeper took it for dead.
+    Lapsed,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    Send(ToKeeper),
+    Granted {
+        school: School,
+        token: TokenId,
+    },
+    Refused {
+        school: School,
+        token: TokenId,
+        why: RefusedWhy,
+    },
+    /// A seat that was granted is no more.
+    Ended {
+        school: School,
+        token: TokenId,
+        why: EndedWhy,
+    },
+}
+
+/// A word that is out, and when it is sent again.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    n: u64,
+    again: f64,
+    wait: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    expires: f64,
+    /// Told or asked of the keeper and not confirmed yet.
+    pending: Option<Pending>,
+    /// Given out of a loan and not confirmed as a seat of its own.
+    spent: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Wait {
+    expires: f64,
+    until: f64,
+    pending: Pending,
+}
+
+#[derive(Default)]
+struct Mine {
+    held: BTreeMap<TokenId, Held>,
+    waiting: BTreeMap<TokenId, Wait>,
+    releasing: BTreeMap<TokenId, Pending>,
+    lent: u32,
+    lent_until: f64,
+    lending: Option<Pending>,
+    /// When a loan was last asked for or answered.
+    lend_at: f64,
+}
+
+/// See the module.
+pub struct Holder {
+    director: DirectorId,
+    nonce: u64,
+    lease: Lease,
+    patience: Patience,
+    epoch: Option<Epoch>,
+    n: u64,
+    schools: BTreeMap<School, Mine>,
+    hello: Option<Pending>,
+    /// Beats out: number and when sent.
+    beat: Option<(u64, f64)>,
+    next_beat: f64,
+    /// Until when what is held is held.
+    lease_until: f64,
+    chance: u64,
+}
+
+impl Holder {
+    /// `nonce` has to be another at each start of the director.
+    pub fn new(director: DirectorId, nonce: u64, lease: Lease, patience: Patience) -> Self {
+        Holder {
+            director,
+            nonce,
+            lease,
+            patience,
+            epoch: None,
+            n: 0,
+            schools: BTreeMap::new(),
+            hello: None,
+            beat: None,
+            next_beat: f64::NEG_INFINITY,
+            lease_until: f64::NEG_INFINITY,
+            chance: nonce | 1,
+        }
+    }
+
+    pub fn holds(&self, school: &School, token: &TokenId) -> bool {
+        self.schools.get(school).is_some_and(|m| m.held.contains_key(token))
+    }
+
+    /// Seats held by requests or sessions of this director.
+    pub fn held(&self) -> usize {
+        self.schools.values().map(|m| m.held.len()).sum()
+    }
+
+    /// From 0.5 to 1.5 (xorshift; the numbers need no quality, only to differ between directors).
+    fn spread(&mut self) -> f64 {
+        self.chance ^= self.chance << 13;
+        self.chance ^= self.chance >> 7;
+        self.chance ^= self.chance << 17;
+        0.5 + (self.chance >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn pend(&mut self, now: f64) -> Pending {
+        self.n += 1;
+        let wait = self.patience.resend.0;
+        Pending { n: self.n, again: now + wait * self.spread(), wait }
+    }
+
+    fn later(&mut self, now: f64, p: Pending) -> Pending {
+        let wait = (p.wait * 2.0).min(self.patience.resend.1);
+        Pending { n: p.n, again: now + wait * self.spread(), wait }
+    }
+
+    /// A request or session asks for its token's seat, or for a longer one after a renewal.
+    pub fn ask(&mut self, now: f64, school: &School, token: &TokenId, expires: f64) -> Vec<Out> {
+        let mut out = Vec::new();
+        let (school, token) = (school.clone(), token.clone());
+        if now >= expires {
+            let why = RefusedWhy::Expired;
+            return vec![Out::Refused { school, token, why }];
+        }
+        let pending = self.pend(now);
+        let until = now + self.patience.claim;
+        let epoch = self.epoch;
+        let mine = self.schools.entry(school.clone()).or_default();
+        mine.releasing.remove(&token);
+        if let Some(held) = mine.held.get_mut(&token) {
+            if expires > held.expires {
+                held.expires = expires;
+                held.pending = Some(pending);
+                let spent = held.spent;
+                out.extend(self.word(&school, &token, expires, pending.n, spent));
+            }
+            out.push(Out::Granted { school, token });
+            return out;
+        }
+        if let Some(wait) = mine.waiting.get_mut(&token) {
+            // A retry joins the one that is out.
+            wait.expires = wait.expires.max(expires);
+            return out;
+        }
+        mine.waiting.insert(token.clone(), Wait { expires, until, pending });
+        if epoch.is_some() {
+            out.extend(self.word(&school, &token, expires, pending.n, false));
+        }
+        out.extend(self.tick(now));
+        out
+    }
+
+    fn word(&self, school: &School, token: &TokenId, expires: f64, n: u64, spent: bool) -> Option<Out> {
+        let (director, epoch) = (self.director, self.epoch?);
+        let (school, token) = (school.clone(), token.clone());
+        Some(Out::Send(if spent {
+            ToKeeper::Spent { director, epoch, school, token, expires, n }
+        } else {
+            ToKeeper::Claim { director, epoch, school, token, expires, n }
+        }))
+    }
+
+    /// The session is over, or its request was not served: the seat goes back.
+    pub fn release(&mut self, now: f64, school: &School, token: &TokenId) -> Vec<Out> {
+        let pending = self.pend(now);
+        let (director, epoch) = (self.director, self.epoch);
+        let Some(mine) = self.schools.get_mut(school) else { return Vec::new() };
+        let had = mine.held.remove(token).is_some() | mine.waiting.remove(token).is_some();
+        let Some(epoch) = epoch.filter(|_| had) else { return Vec::new() };
+        mine.releasing.insert(token.clone(), pending);
+        let (school, token) = (school.clone(), token.clone());
+        vec![Out::Send(ToKeeper::Release { director, epoch, school, token, n: pending.n })]
+    }
+
+    /// A word of the keeper's.
+    pub fn heard(&mut self, now: f64, word: &FromKeeper) -> Vec<Out> {
+        let mut out = Vec::new();
+        match word {
+            FromKeeper::Welcome { nonce, epoch } if *nonce == self.nonce && self.epoch.is_none() => {
+                self.epoch = Some(*epoch);
+                self.hello = None;
+                self.lease_until = now;
+                self.next_beat = now;
+            }
+            FromKeeper::Fenced { epoch } if Some(*epoch) == self.epoch => out.extend(self.lapse(now)),
+            FromKeeper::Alive { epoch, n } if Some(*epoch) == self.epoch => {
+                if let Some((_, sent)) = self.beat.filter(|(out, _)| out == n) {
+                    self.beat = None;
+                    self.lease_until = self.lease_until.max(sent + self.lease.lasts);
+                }
+            }
+            FromKeeper::Granted { epoch, school, token, n } if Some(*epoch) == self.epoch => {
+                out.extend(self.granted(now, school, token, *n));
+            }
+            FromKeeper::Full { epoch, school, token, n, come_back } if Some(*epoch) == self.epoch => {
+                let why = RefusedWhy::Full { come_back: *come_back };
+                out.extend(self.refused(school, token, *n, why, EndedWhy::Lapsed));
+            }
+            FromKeeper::Expired { epoch, school, token, n } if Some(*epoch) == self.epoch => {
+                out.extend(self.refused(school, token, *n, RefusedWhy::Expired, EndedWhy::Expired));
+            }
+            FromKeeper::Moved { epoch, school, token } if Some(*epoch) == self.epoch => {
+                let had = self.schools.get_mut(school).is_some_and(|m| m.held.remove(token).is_some());
+                if had {
+                    let (school, token) = (school.clone(), token.clone());
+                    out.push(Out::Ended { school, token, why: EndedWhy::Moved });
+                }
+            }
+            FromKeeper::Freed { epoch, school, token, n } if Some(*epoch) == self.epoch => {
+                if let Some(mine) = self.schools.get_mut(school)
+                    && mine.releasing.get(token).is_some_and(|p| p.n <= *n)
+                {
+                    mine.releasing.remove(token);
+                }
+            }
+            FromKeeper::Lent { epoch, school, count, until, n } if Some(*epoch) == self.epoch => {
+                if let Some(mine) = self.schools.get_mut(school)
+                    && mine.lending.is_some_and(|p| p.n <= *n)
+                {
+                    mine.lending = None;
+                    mine.lend_at = now;
+                    // What was spent since is still counted as lent there, for its word comes behind.
+                    let spent = mine.held.values().filter(|h| h.spent).count() as u32;
+                    mine.lent = count.saturating_sub(spent);
+                    mine.lent_until = until - self.lease.clock_error;
+                }
+            }
+            // Of an epoch that is over.
+            _ => {}
+        }
+        out.extend(self.tick(now));
+        out
+    }
+
+    fn granted(&mut self, now: f64, school: &School, token: &TokenId, n: u64) -> Vec<Out> {
+        let mine = self.schools.entry(school.clone()).or_default();
+        if let Some(wait) = mine.waiting.remove(token) {
+            mine.held.insert(token.clone(), Held { expires: wait.expires, pending: None, spent: false });
+            return vec![Out::Granted { school: school.clone(), token: token.clone() }];
+        }
+        if let Some(held) = mine.held.get_mut(token) {
+            if held.pending.is_some_and(|p| p.n == n) {
+                held.pending = None;
+                held.spent = false;
+            }
+            return Vec::new();
+        }
+        if mine.releasing.contains_key(token) {
+            return Vec::new();
+        }
+        // Granted after it was given up: nobody here wants it.
+        let pending = self.pend(now);
+        let (director, Some(epoch)) = (self.director, self.epoch) else { return Vec::new() };
+        if let Some(mine) = self.schools.get_mut(school) {
+            mine.releasing.insert(token.clone(), pending);
+        }
+        let (school, token) = (school.clone(), token.clone());
+        vec![Out::Send(ToKeeper::Release { director, epoch, school, token, n: pending.n })]
+    }
+
+    fn refused(
+        &mut self, school: &School, token: &TokenId, n: u64, why: RefusedWhy, ended: EndedWhy,
+    ) -> Vec<Out> {
+        let Some(mine) = self.schools.get_mut(school) else { return Vec::new() };
+        let (school, named) = (school.clone(), token.clone());
+        if mine.waiting.get(token).is_some_and(|w| w.pending.n == n) {
+            mine.waiting.remove(token);
+            return vec![Out::Refused { school, token: named, why }];
+        }
+        // A seat given out of a loan that the keeper no longer knows of, or a renewal that came too late.
+        if mine.held.get(token).is_some_and(|h| h.pending.is_some_and(|p| p.n == n)) {
+            mine.held.remove(token);
+            return vec![Out::Ended { school, token: named, why: ended }];
+        }
+        Vec::new()
+    }
+
+    /// The epoch is over: all that was held by it ends, what waits says hello anew.
+    fn lapse(&mut self, now: f64) -> Vec<Out> {
+        let mut out = Vec::new();
+        self.epoch = None;
+        self.beat = None;
+        self.hello = None;
+        // Another start, as far as the keeper is concerned.
+        self.nonce = self.nonce.wrapping_add(1 << 32);
+        for (school, mine) in &mut self.schools {
+            for token in std::mem::take(&mut mine.held).into_keys() {
+                out.push(Out::Ended { school: school.clone(), token, why: EndedWhy::Lapsed });
+            }
+            mine.releasing.clear();
+            mine.lent = 0;
+            mine.lending = None;
+            mine.waiting.values_mut().for_each(|w| w.pending.again = now);
+        }
+        out
+    }
+
+    /// When [`tick`](Self::tick) has something to do.
+    pub fn next(&self) -> f64 {
+        let mut at = self.next_beat;
+        if let Some(p) = self.hello {
+            at = p.again;
+        }
+        if self.epoch.is_some() {
+            at = at.min(self.lease_until.max(self.next_beat));
+        }
+        for mine in self.schools.values() {
+            at = mine.waiting.values().fold(at, |at, w| at.min(w.until).min(w.pending.again));
+            at =
+                mine.held.values().fold(at, |at, h| at.min(h.expires).min(h.pending.map_or(at, |p| p.again)));
+            at = mine.releasing.values().fold(at, |at, p| at.min(p.again));
+            at = mine.lending.map_or(at, |p| at.min(p.again));
+        }
+        at
+    }
+
+    /// What time brings: waits that are over, leases, expiries, words sent again.
+    pub fn tick(&mut self, now: f64) -> Vec<Out> {
+        let mut out = Vec::new();
+        let director = self.director;
+        if self.epoch.is_some()
+            && now > self.lease_until
+            && self.lease_until > f64::NEG_INFINITY
+            && self.old(now)
+        {
+            out.extend(self.lapse(now));
+        }
+        let Some(epoch) = self.epoch else {
+            if self.hello.is_none_or(|p| now >= p.again) {
+                let p = match self.hello {
+                    Some(p) => self.later(now, p),
+                    None => self.pend(now),
+                };
+                self.hello = Some(p);
+                out.push(Out::Send(ToKeeper::Hello { director, nonce: self.nonce }));
+            }
+            self.over(now, &mut out);
+            return out;
+        };
+        if now >= self.next_beat {
+            self.n += 1;
+            // An unanswered beat is forgotten: a later answer to it would count from an older time.
+            self.beat = Some((self.n, now));
+            self.next_beat = now + self.patience.beat_every * self.spread();
+            out.push(Out::Send(ToKeeper::Beat { director, epoch, n: self.n }));
+        }
+        self.over(now, &mut out);
+        self.again(now, epoch, &mut out);
+        out
+    }
+
+    /// Whether the lease has run out, a first one included that never began.
+    fn old(&self, now: f64) -> bool {
+        now > self.lease_until + if self.held() == 0 { self.lease.lasts } else { 0.0 }
+    }
+
+    /// Waits and tokens that are over.
+    fn over(&mut self, now: f64, out: &mut Vec<Out>) {
+        let lease = self.epoch.is_some() && now <= self.lease_until;
+        let mut spends = Vec::new();
+        for (school, mine) in &mut self.schools {
+            let due: Vec<TokenId> =
+                mine.waiting.iter().filter(|(_, w)| now >= w.until).map(|(t, _)| t.clone()).collect();
+            for token in due {
+                let Some(wait) = mine.waiting.remove(&token) else { continue };
+                if lease && mine.lent > 0 && now < mine.lent_until {
+                    mine.lent -= 1;
+                    // An answer under way may or may not count this one: it is not waited for.
+                    if mine.lending.take().is_some() {
+                        mine.lend_at = now;
+                    }
+                    spends.push((school.clone(), token, wait.expires));
+                } else {
+                    let why = RefusedWhy::NoKeeper;
+                    out.push(Out::Refused { school: school.clone(), token, why });
+                }
+            }
+            let ended: Vec<TokenId> =
+                mine.held.iter().filter(|(_, h)| now >= h.expires).map(|(t, _)| t.clone()).collect();
+            for token in ended {
+                mine.held.remove(&token);
+                out.push(Out::Ended { school: school.clone(), token, why: EndedWhy::Expired });
+            }
+        }
+        for (school, token, expires) in spends {
+            let pending = self.pend(now);
+            let held = Held { expires, pending: Some(pending), spent: true };
+            self.schools.entry(school.clone()).or_default().held.insert(token.clone(), held);
+            out.extend(self.word(&school, &token, expires, pending.n, true));
+            out.push(Out::Granted { school, token });
+        }
+    }
+
+    /// Words without an answer are sent again, each as it was; loans are asked for and renewed.
+    fn again(&mut self, now: f64, epoch: Epoch, out: &mut Vec<Out>) {
+        let director = self.director;
+        let schools: Vec<School> = self.schools.keys().cloned().collect();
+        for school in schools {
+            let Some(mut mine) = self.schools.remove(&school) else { continue };
+            for (token, w) in mine.waiting.iter_mut().filter(|(_, w)| now >= w.pending.again) {
+                w.pending = self.later(now, w.pending);
+                out.extend(self.word(&school, token, w.expires, w.pending.n, false));
+            }
+            for (token, h) in &mut mine.held {
+                if let Some(p) = h.pending.filter(|p| now >= p.again) {
+                    h.pending = Some(self.later(now, p));
+                    out.extend(self.word(&school, token, h.expires, p.n, h.spent));
+                }
+            }
+            for (token, p) in mine.releasing.iter_mut().filter(|(_, p)| now >= p.again) {
+                *p = self.later(now, *p);
+                let (school, token) = (school.clone(), token.clone());
+                out.push(Out::Send(ToKeeper::Release { director, epoch, school, token, n: p.n }));
+            }
+            let want = self.patience.ahead;
+            let lend = |n| Out::Send(ToKeeper::Lend { director, epoch, school: school.clone(), want, n });
+            match mine.lending {
+                Some(p) if now >= p.again => {
+                    out.push(lend(p.n));
+                    mine.lending = Some(self.later(now, p));
+                }
+                Some(_) => {}
+                None => {
+                    // Not while a spent one is unconfirmed: the two counts would cross.
+                    let settled = mine.held.values().all(|h| !h.spent);
+                    let due = mine.lent < self.patience.ahead
+                        && now >= mine.lend_at + self.patience.beat_every
+                        || now >= mine.lent_until - self.lease.lasts / 2.0;
+                    if settled && due && self.patience.ahead > 0 {
+                        let p = self.pend(now);
+                        out.push(lend(p.n));
+                        mine.lending = Some(p);
+                    }
+                }
+            }
+            self.schools.insert(school, mine);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-seats/src/ledger.rs
@@ -0,0 +1,386 @@
+//! The keeper's side.
+//!
+//! A seat is held by a token at one director's epoch, until the token expires or the director's lease lapses. Seats
+//! lent ahead are counted as taken. At all times held + lent <= bought, but for a pool that was shrunk under what is
+//! held: then nothing is given out until enough came back.
+//!
+//! Every change is a [`Change`] that can be written down and applied again to the same end.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{DirectorId, Epoch, FromKeeper, School, ToKeeper, TokenId};
+
+/// How long what a director holds outlives its last word.
+#[derive(Clone, Copy, Debug)]
+pub struct Lease {
+    /// s; also how long seats are lent.
+    pub lasts: f64,
+    /// s; clocks of directors and keeper may differ by so much, so a seat is freed that much later.
+    pub clock_error: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Seat {
+    director: DirectorId,
+    epoch: Epoch,
+    expires: f64,
+    /// The director's word that it came or was last renewed by: older ones change nothing.
+    n: u64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Pool {
+    bought: u32,
+    seats: BTreeMap<TokenId, Seat>,
+    /// Lent ahead, by epoch: count, until, and the word that asked last.
+    lent: BTreeMap<Epoch, (u32, f64, u64)>,
+    /// Releases seen of late, by epoch, and until when they are remembered: a claim that was overtaken by its own
+    /// release must not take a seat for nobody. Not kept over a restart: the director then releases again.
+    #[serde(skip)]
+    released: BTreeMap<(Epoch, TokenId), (u64, f64)>,
+}
+
+impl Pool {
+    fn taken(&self) -> u32 {
+        self.seats.len() as u32 + self.lent.values().map(|l| l.0).sum::<u32>()
+    }
+
+    fn free(&self) -> u32 {
+        self.bought.saturating_sub(self.taken())
+    }
+}
+
+/// A change as it is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    Bought { school: School, seats: u32 },
+    Epoch { director: DirectorId, nonce: u64, epoch: Epoch, at: f64 },
+    Held { school: School, token: TokenId, director: DirectorId, epoch: Epoch, expires: f64, n: u64, at: f64 },
+    Freed { school: School, token: TokenId },
+    Lent { school: School, epoch: Epoch, count: u32, until: f64, n: u64 },
+    Lapsed { epoch: Epoch },
+}
+
+/// A school's seats at the moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    pub bought: u32,
+    pub held: u32,
+    pub lent: u32,
+    pub free: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Known {
+    director: DirectorId,
+    nonce: u64,
+    heard: f64,
+}
+
+/// See the module.
+pub struct Ledger {
+    lease: Lease,
+    pools: BTreeMap<School, Pool>,
+    epochs: BTreeMap<Epoch, Known>,
+    current: BTreeMap<DirectorId, Epoch>,
+    last: Epoch,
+    changes: Vec<Change>,
+}
+
+impl Ledger {
+    pub fn new(lease: Lease) -> Self {
+        Ledger {
+            lease,
+            pools: BTreeMap::new(),
+            epochs: BTreeMap::new(),
+            current: BTreeMap::new(),
+            last: Epoch(0),
+            changes: Vec::new(),
+        }
+    }
+
+    /// What changed since the last call, to be kept before the answers go out.
+    pub fn changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Sets how many seats a school has; fewer than held takes none away, but gives none out either.
+    pub fn buy(&mut self, school: &School, seats: u32) {
+        self.change(Change::Bought { school: school.clone(), seats });
+    }
+
+    pub fn standing(&self, school: &School) -> Standing {
+        let Some(pool) = self.pools.get(school) else { return Standing::default() };
+        let held = pool.seats.len() as u32;
+        Standing { bought: pool.bought, held, lent: pool.taken() - held, free: pool.free() }
+    }
+
+    pub fn schools(&self) -> impl Iterator<Item = &School> {
+        self.pools.keys()
+    }
+
+    /// The director and epoch that hold a token's seat.
+    pub fn holder(&self, school: &School, token: &TokenId) -> Option<(DirectorId, Epoch)> {
+        self.pools.get(school)?.seats.get(token).map(|s| (s.director, s.epoch))
+    }
+
+    fn change(&mut self, change: Change) {
+        self.apply(&change);
+        self.changes.push(change);
+    }
+
+    /// Does a change that was kept, as after a restart.
+    pub fn apply(&mut self, change: &Change) {
+        match change {
+            Change::Bought { school, seats } => {
+                self.pools.entry(school.clone()).or_default().bought = *seats;
+            }
+            Change::Epoch { director, nonce, epoch, at } => {
+                self.last = self.last.max(*epoch);
+                self.epochs.insert(*epoch, Known { director: *director, nonce: *nonce, heard: *at });
+                self.current.insert(*director, *epoch);
+            }
+            Change::Held { school, token, director, epoch, expires, n, at } => {
+                let seat = Seat { director: *director, epoch: *epoch, expires: *expires, n: *n };
+                self.pools.entry(school.clone()).or_default().seats.insert(token.clone(), seat);
+                if let Some(known) = self.epochs.get_mut(epoch) {
+                    known.heard = known.heard.max(*at);
+                }
+            }
+            Change::Freed { school, token } => {
+                if let Some(pool) = self.pools.get_mut(school) {
+                    pool.seats.remove(token);
+                }
+            }
+            Change::Lent { school, epoch, count, until, n } => {
+                let pool = self.pools.entry(school.clone()).or_default();
+                pool.lent.insert(*epoch, (*count, *until, *n));
+            }
+            Change::Lapsed { epoch } => {
+                self.epochs.remove(epoch);
+                self.current.retain(|_, e| e != epoch);
+                for pool in self.pools.values_mut() {
+                    pool.seats.retain(|_, s| s.epoch != *epoch);
+                    pool.lent.remove(epoch);
+                    pool.released.retain(|(e, _), _| e != epoch);
+                }
+            }
+        }
+    }
+
+    /// After a restart from kept changes: nobody could be heard meanwhile, so every lease runs anew from now.
+    pub fn resumed(&mut self, now: f64) {
+        self.epochs.values_mut().for_each(|k| k.heard = k.heard.max(now));
+    }
+
+    /// Frees what has run out: seats of expired tokens, loans past their time, all of directors not heard.
+    pub fn expire(&mut self, now: f64) {
+        let Lease { lasts, clock_error } = self.lease;
+        let lapsed: Vec<Epoch> = self
+            .epochs
+            .iter()
+            .filter(|(_, k)| now > k.heard + lasts + clock_error)
+            .map(|(epoch, _)| *epoch)
+            .collect();
+        lapsed.into_iter().for_each(|epoch| self.change(Change::Lapsed { epoch }));
+        let mut freed = Vec::new();
+        for (school, pool) in &self.pools {
+            for (token, _) in pool.seats.iter().filter(|(_, s)| now > s.expires + clock_error) {
+                freed.push(Change::Freed { school: school.clone(), token: token.clone() });
+            }
+            for (epoch, (_, _, n)) in pool.lent.iter().filter(|(_, l)| l.0 > 0 && now > l.1 + clock_error) {
+                freed.push(Change::Lent {
+                    school: school.clone(),
+                    epoch: *epoch,
+                    count: 0,
+                    until: 0.0,
+                    n: *n,
+                });
+            }
+        }
+        freed.into_iter().for_each(|change| self.change(change));
+        self.pools.values_mut().for_each(|p| p.released.retain(|_, (_, until)| now < *until));
+    }
+
+    /// Takes a word in; answers go to the directors named.
+    pub fn take(&mut self, now: f64, word: &ToKeeper) -> Vec<(DirectorId, FromKeeper)> {
+        self.expire(now);
+        let (director, epoch) = match word {
+            ToKeeper::Hello { director, nonce } => {
+                return vec![(*director, self.hello(now, *director, *nonce))];
+            }
+            ToKeeper::Beat { director, epoch, .. }
+            | ToKeeper::Claim { director, epoch, .. }
+            | ToKeeper::Spent { director, epoch, .. }
+            | ToKeeper::Release { director, epoch, .. }
+            | ToKeeper::Lend { director, epoch, .. } => (*director, *epoch),
+        };
+        if self.current.get(&director) != Some(&epoch) {
+            return vec![(director, FromKeeper::Fenced { epoch })];
+        }
+        if let Some(known) = self.epochs.get_mut(&epoch) {
+            known.heard = known.heard.max(now);
+        }
+        match word {
+            ToKeeper::Hello { .. } => Vec::new(),
+            ToKeeper::Beat { n, .. } => vec![(director, FromKeeper::Alive { epoch, n: *n })],
+            ToKeeper::Claim { school, token, expires, n, .. } => {
+                self.claim(now, (director, epoch), school, token, *expires, *n, false)
+            }
+            ToKeeper::Spent { school, token, expires, n, .. } => {
+                self.claim(now, (director, epoch), school, token, *expires, *n, true)
+            }
+            ToKeeper::Release { school, token, n, .. } => {
+                self.release(now, epoch, school, token, *n);
+                let (school, token, n) = (school.clone(), token.clone(), *n);
+                vec![(director, FromKeeper::Freed { epoch, school, token, n })]
+            }
+            ToKeeper::Lend { school, want, n, .. } => {
+                vec![(director, self.lend(now, epoch, school, *want, *n))]
+            }
+        }
+    }
+
+    /// A new epoch for a new start. The old one's loans and seats stay until its lease lapses or the viewers come
+    /// again: the old process may live on somewhere, cut off from us.
+    fn hello(&mut self, now: f64, director: DirectorId, nonce: u64) -> FromKeeper {
+        let same =
+            self.current.get(&director).filter(|e| self.epochs.get(e).is_some_and(|k| k.nonce == nonce));
+        let epoch = match same {
+            // Its first hello was heard, our answer was not.
+            Some(epoch) => *epoch,
+            None => {
+                let epoch = Epoch(self.last.0 + 1);
+                self.change(Change::Epoch { director, nonce, epoch, at: now });
+                epoch
+            }
+        };
+        FromKeeper::Welcome { nonce, epoch }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one word")]
+    fn claim(
+        &mut self, now: f64, (director, epoch): (DirectorId, Epoch), school: &School, token: &TokenId,
+        expires: f64, n: u64, spent: bool,
+    ) -> Vec<(DirectorId, FromKeeper)> {
+        let (school, token) = (school.clone(), token.clone());
+        let pool = self.pools.entry(school.clone()).or_default();
+        let overtaken = pool.released.get(&(epoch, token.clone())).is_some_and(|r| r.0 >= n);
+        let held = pool.seats.get(&token).cloned();
+        let granted = FromKeeper::Granted { epoch, school: school.clone(), token: token.clone(), n };
+        if now > expires + self.lease.clock_error {
+            return vec![(director, FromKeeper::Expired { epoch, school, token, n })];
+        }
+        let lent = pool.lent.get(&epoch).map_or(0, |l| l.0);
+        let seat = Change::Held {
+            school: school.clone(),
+            token: token.clone(),
+            director,
+            epoch,
+            expires,
+            n,
+            at: now,
+        };
+        match held {
+            _ if overtaken => {
+                // Its own release came first, or the seat has moved on since: an old word, and one that may have
+                // been heard before, so that what it says of loans is not counted again.
+                vec![(director, granted)]
+            }
+            Some(seat_now) if seat_now.epoch == epoch => {
+                if n >= seat_now.n && expires > seat_now.expires {
+                    self.change(seat);
+                }
+                vec![(director, granted)]
+            }
+            Some(before) => {
+                // The viewer came again elsewhere: the one seat goes along, and the one lent comes back.
+                if spent {
+                    self.unlend(&school, epoch, n);
+                }
+                self.change(seat);
+                let until = now + self.lease.lasts;
+                if let Some(pool) = self.pools.get_mut(&school) {
+                    pool.released.insert((before.epoch, token.clone()), (before.n, until));
+                }
+                let moved = FromKeeper::Moved { epoch: before.epoch, school, token };
+                vec![(director, granted), (before.director, moved)]
+            }
+            None if spent && lent > 0 => {
+                self.unlend(&school, epoch, n);
+                self.change(seat);
+                vec![(director, granted)]
+            }
+            None if pool.free() > 0 => {
+                self.change(seat);
+                vec![(director, granted)]
+            }
+            None => {
+                let come_back = self.next_end(&school, now);
+                vec![(director, FromKeeper::Full { epoch, school, token, n, come_back })]
+            }
+        }
+    }
+
+    /// One fewer is lent: it became a seat, or was not needed.
+    fn unlend(&mut self, school: &School, epoch: Epoch, n: u64) {
+        let Some(&(count, until, last)) = self.pools.get(school).and_then(|p| p.lent.get(&epoch)) else {
+            return;
+        };
+        if count > 0 {
+            let change =
+                Change::Lent { school: school.clone(), epoch, count: count - 1, until, n: last.max(n) };
+            self.change(change);
+        }
+    }
+
+    /// When the next seat may come free, from now.
+    fn next_end(&self, school: &School, now: f64) -> f64 {
+        let ends = self.pools.get(school).into_iter().flat_map(|p| p.seats.values()).map(|s| s.expires - now);
+        ends.fold(self.lease.lasts, f64::min).max(1.0)
+    }
+
+    fn release(&mut self, now: f64, epoch: Epoch, school: &School, token: &TokenId, n: u64) {
+        let (school, token) = (school.clone(), token.clone());
+        let seat = self.pools.get(&school).and_then(|p| p.seats.get(&token)).cloned();
+        // Only the holder's own word frees it, and only a later one than it came by.
+        if seat.is_some_and(|s| s.epoch == epoch && s.n <= n) {
+            self.change(Change::Freed { school: school.clone(), token: token.clone() });
+        }
+        let until = now + self.lease.lasts;
+        let pool = self.pools.entry(school).or_default();
+        let seen = pool.released.entry((epoch, token)).or_insert((n, until));
+        *seen = (seen.0.max(n), until);
+    }
+
+    fn lend(&mut self, now: f64, epoch: Epoch, school: &School, want: u32, n: u64) -> FromKeeper {
+        let directors = self.current.len().max(1) as u32;
+        let pool = self.pools.entry(school.clone()).or_default();
+        let (have, until, last) = pool.lent.get(&epoch).copied().unwrap_or((0, 0.0, 0));
+        if n <= last {
+            return FromKeeper::Lent { epoch, school: school.clone(), count: have, until, n: last };
+        }
+        // No director gets more of what is free than its even part, so that none is left without.
+        let most = have + (pool.free() / directors).max(u32::from(pool.free() > 0));
+        let count = want.min(most);
+        let until = now + self.lease.lasts;
+        self.change(Change::Lent { school: school.clone(), epoch, count, until, n });
+        FromKeeper::Lent { epoch, school: school.clone(), count, until, n }
+    }
+
+    /// Whether the books are in order; what is wrong, else.
+    pub fn audit(&self) -> Result<(), String> {
+        for (school, pool) in &self.pools {
+            if pool.taken() > pool.bought && !pool.lent.values().all(|l| l.0 == 0) {
+                return Err(format!("{}: {} taken of {}, some lent", school.0, pool.taken(), pool.bought));
+            }
+            let live: BTreeSet<&Epoch> = self.epochs.keys().collect();
+            if let Some((token, s)) = pool.seats.iter().find(|(_, s)| !live.contains(&s.epoch)) {
+                return Err(format!("{}: {} is held by {:?}, which is over", school.0, token.0, s.epoch));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -119,7 +119,8 @@
 
     /// Own load at an earlier time: entries hold what was there before each change.
     pub fn own_at(&self, l: usize, then: f64) -> f64 {
-        self.log[l].iter().find(|&&(t, _)| t >= then).map_or(self.own[l], |&(_, before)| before)
+        let log = &self.log[l];
+        log.get(log.partition_point(|&(t, _)| t < then)).map_or(self.own[l], |&(_, before)| before)
     }
 
     /// Takes in a view of fullness at `then`: what of it is not our own is the others'. `trust` weighs it
