--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -275,6 +275,8 @@
     // 24 places over 12 s at 0.4 to 1, times 3: 2.4 to 6 in any second.
     expect![[r#"
         [
+            1,
+            0,
             1,
             1,
             1,
@@ -283,10 +285,8 @@
             2,
             2,
             2,
-            3,
-            3,
-            3,
-            6,
+            2,
+            5,
         ]
     "#]]
     .assert_debug_eq(&burst(true));
@@ -303,11 +303,11 @@
             1,
             0,
             1,
-            2,
+            0,
             1,
-            2,
             1,
             2,
+            2,
         ]
     "#]]
     .assert_debug_eq(&burst(false));
@@ -568,7 +568,7 @@
     let to = |node| sent.iter().filter(|&&n| n == node).count();
     expect![[r#"
         (
-            1,
+            0,
             33,
         )
     "#]]
@@ -684,3 +684,66 @@
     "#]]
     .assert_debug_eq(&[before, desk.director.share(NodeId(3))].map(|s| format!("{s:.2}")));
 }
+
+/// The most SETUPs that five directors together sent a node in a window, over what it bore then: over places and
+/// tip multiples, each at several starts within a slot.
+fn fullest_window(places: f64, cold_from: f64, tip_multiple: f64) -> f64 {
+    let mut worst: f64 = 0.0;
+    for start in 0..9 {
+        let since = 99.9 - 0.37 * f64::from(start);
+        let mut sent: Vec<f64> = Vec::new();
+        for me in 0..5 {
+            let cold = Terms { cold_from, tip_multiple, places_by_kind: vec![places], ..terms() };
+            let mut terms = Terms { me, directors: 5, warm_within: 10.0, ..cold };
+            terms.groups[0].top = 0;
+            let mut desk = Desk::new(&terms);
+            desk.round(|r| r.list_changes.push(ListChange::Changed(vec![line(0, Phase::Ready, since)])));
+            for sess in 10.. {
+                desk.run_to(desk.now + 0.1);
+                if desk.now >= since + 10.0 {
+                    break;
+                }
+                let before = desk.trace.sent.len();
+                desk.asks(sess, 1);
+                if desk.trace.sent.len() > before {
+                    sent.push(desk.now);
+                    desk.plays(sess);
+                    desk.ends(sess, Ending::Served);
+                }
+            }
+        }
+        for &t in &sent {
+            let bears = tip_multiple * places / 10.0 * (cold_from + (1.0 - cold_from) * (t - since) / 10.0);
+            let count = sent.iter().filter(|&&s| s <= t && s > t - 1.0).count() as f64;
+            // A lone SETUP never pushes a node over.
+            worst = worst.max(if count > 1.0 { count / bears } else { 0.0 });
+        }
+    }
+    worst
+}
+
+#[test]
+fn slots_that_get_shorter_never_let_one_setup_too_many_into_a_window() {
+    let mut shown = String::new();
+    for (places, cold_from, tip) in [
+        (39.0, 0.1, 2.0),
+        (26.0, 0.1, 2.0),
+        (24.0, 0.4, 3.0),
+        (39.0, 0.1, 4.0),
+        (60.0, 0.2, 4.0),
+        (20.0, 0.0, 8.0),
+    ] {
+        let used = fullest_window(places, cold_from, tip);
+        shown += &format!("{places} places, cold from {cold_from}, tip {tip}: {used:.2} of the limit\n");
+        assert!(used <= 1.0, "{shown}");
+    }
+    expect![[r#"
+        39 places, cold from 0.1, tip 2: 0.79 of the limit
+        26 places, cold from 0.1, tip 2: 0.84 of the limit
+        24 places, cold from 0.4, tip 3: 0.85 of the limit
+        39 places, cold from 0.1, tip 4: 0.68 of the limit
+        60 places, cold from 0.2, tip 4: 0.68 of the limit
+        20 places, cold from 0, tip 8: 0.66 of the limit
+    "#]]
+    .assert_eq(&shown);
+}
