Close paths on which a request could be answered late or a SETUP be out twice

A PLAY refused with 453 before SETUP's answer counted as proof that nothing ran; a SETUP that erred, or a 200 without a session, was not taken back; a request lay in line without its time running; a refusal for want of room was forgotten, so that a retry could get another answer; a full link was closed in the midst of a request, which could bring a session back from its end; a refused rung stayed in the account; a panic of the desk left the daemon standing idle, and one at the end counted as a good one; what was read behind the last answer went without one; lists could be written out of order; refused sockets were reset before the reason came, by tasks without a bound.

--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -28,6 +28,8 @@
 const REMEMBERED: usize = 2;
 /// s; a TEARDOWN without an answer counts as done after this.
 const TEARDOWN_WAIT: f64 = 2.0;
+/// s; with less left to its player a request is not begun any more.
+const LEAST_LEFT: f64 = 0.001;
 /// s; the list is saved at most so often.
 const SAVE_EVERY: f64 = 1.0;
 /// Rounds of the decisions within one call, for endings that their own orders bring at once.
@@ -61,6 +63,8 @@
     list: RosterList,
     titles: BTreeMap<String, TitleId>,
     over: VecDeque<u64>,
+    /// Sessions whose answer is owed, and these together with those that play.
+    owed: usize,
     held: usize,
     timers: Timers,
     next_sess: u64,
@@ -102,6 +106,7 @@
             list: RosterList::default(),
             titles: BTreeMap::new(),
             over: VecDeque::new(),
+            owed: 0,
             held: 0,
             timers: Timers::default(),
             next_sess: 1,
@@ -118,10 +123,15 @@
 
     /// Takes something in; it acts with the next [`round`](Self::round).
     pub fn take(&mut self, now: f64, input: Input) {
+        self.take_late(now, 0.0, input);
+    }
+
+    /// As [`take`](Self::take), of something that came so many seconds ago: a player's time runs from there.
+    pub fn take_late(&mut self, now: f64, waited: f64, input: Input) {
         let h = &mut self.hands;
         h.now = h.now.max(now);
         match input {
-            Input::Player { sock, message } => h.player(sock, message),
+            Input::Player { sock, message } => h.player(sock, message, waited.max(0.0)),
             Input::SocketLost { sock } => h.socket_lost(sock),
             Input::Node { node, link, word } => h.node(node, link, word),
             Input::Roster(message) => h.roster(message),
@@ -165,10 +175,9 @@
 
     pub fn counts(&self) -> Counts {
         let h = &self.hands;
-        let at = |stage: Stage| h.sess.values().filter(|s| s.stage == stage).count();
         Counts {
-            owed: at(Stage::Asked),
-            playing: at(Stage::Playing) + at(Stage::Ending),
+            owed: h.owed,
+            playing: h.held - h.owed,
             known: h.sess.len(),
             timers: h.timers.len(),
             requests_out: h.links.values().map(|l| l.out.len()).sum(),
@@ -196,7 +205,7 @@
 
     // Players.
 
-    fn player(&mut self, sock: u64, message: FromPlayer) {
+    fn player(&mut self, sock: u64, message: FromPlayer, waited: f64) {
         match message {
             FromPlayer::Ping { n } => self.say(Some(sock), ToPlayer::Pong { n }),
             FromPlayer::Stop { key } => match self.keys.get(&key).copied() {
@@ -211,7 +220,7 @@
                 if let Some(&id) = self.keys.get(&key) {
                     return self.again(sock, id, g, &title);
                 }
-                self.start(sock, key, g, title, best_rung, setup_timeout);
+                self.start(sock, key, g, title, best_rung, setup_timeout, waited);
             }
         }
     }
@@ -241,7 +250,10 @@
         }
     }
 
-    fn start(&mut self, sock: u64, key: RequestKey, g: usize, title: String, best: u8, timeout: f64) {
+    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
+    fn start(
+        &mut self, sock: u64, key: RequestKey, g: usize, title: String, best: u8, timeout: f64, waited: f64,
+    ) {
         let Some(lies) = self.list.titles.get(&title).cloned() else {
             return self.error(sock, &key, ErrorCode::UnknownTitle, format!("no title {title:?}"));
         };
@@ -251,9 +263,9 @@
             return self.error(sock, &key, ErrorCode::RungTooLow, what);
         }
         let come_back = self.book.director.come_back;
-        if self.closing || self.held >= self.book.players.sessions {
-            return self.say(Some(sock), ToPlayer::Busy { key, come_back });
-        }
+        let left = timeout - self.book.players.answer_ahead.min(timeout / 2.0) - waited;
+        // No room, or it lay so long before we came to it that its viewer has given up.
+        let refused = self.closing || self.held >= self.book.players.sessions || left < LEAST_LEFT;
         let id = self.next_sess;
         self.next_sess += 1;
         let names = &mut self.titles;
@@ -261,14 +273,13 @@
             self.next_title += 1;
             TitleId(self.next_title)
         });
-        let ahead = self.book.players.answer_ahead.min(timeout / 2.0);
         let session = Session {
             key: key.clone(),
             sock: None,
             losses: 0,
             group: g as u8,
             title_name: title,
-            deadline: self.now + timeout,
+            deadline: self.now - waited + timeout,
             stage: Stage::Asked,
             rung: group.floor,
             attempt: None,
@@ -276,20 +287,26 @@
             answer: None,
             ended: None,
         };
+        self.sess.insert(id, session);
+        self.keys.insert(key, id);
+        self.held += 1;
+        self.owed += 1;
+        self.bind(id, sock);
+        if refused {
+            // Kept like any other answer: a retry hears the same.
+            self.answer(id, |key| ToPlayer::Busy { key, come_back });
+            return self.over(id);
+        }
         self.round.new_sessions.push(NewSession {
             sess: SessId(id),
             group: GroupId(g as u8),
             title: title_id,
-            setup_timeout: timeout - ahead,
+            setup_timeout: left,
             first_cell: lies.first_cell,
             cells: lies.cells,
             best_rung: best.min(self.book.ladder.rates.len() as u8 - 1),
         });
-        self.timers.set(self.now + timeout - ahead, Timer::AnswerDue { sess: id });
-        self.sess.insert(id, session);
-        self.keys.insert(key, id);
-        self.held += 1;
-        self.bind(id, sock);
+        self.timers.set(self.now + left, Timer::AnswerDue { sess: id });
     }
 
     /// The viewer is done or gone.
@@ -351,6 +368,7 @@
     /// Nothing is held for the session any more but its answer.
     fn over(&mut self, id: u64) {
         let Some(s) = self.sess.get_mut(&id).filter(|s| s.stage != Stage::Over) else { return };
+        self.owed -= usize::from(s.stage == Stage::Asked);
         s.stage = Stage::Over;
         s.attempt = None;
         if let Some(of) = s.sock.take().and_then(|sock| self.socks.get_mut(&sock)) {
@@ -377,9 +395,8 @@
     fn request(&mut self, node: u32, asked: Asked, method: Method, uri: &str, with: &[(&str, String)]) {
         let Some(link) = self.links.get_mut(&node).filter(|l| l.line == Line::Up) else { return };
         if link.out.len() >= MAX_OUT {
-            let number = link.number;
-            self.note(None, format!("node {node}: {MAX_OUT} requests without an answer, closing its link"));
-            return self.lose(node, number, true);
+            let timer = Timer::Choked { node, link: link.number };
+            return self.timers.set(self.now, timer);
         }
         link.cseq = link.cseq.wrapping_add(1);
         link.out.insert(link.cseq, asked);
@@ -598,7 +615,8 @@
                         }
                         self.plays(sess, None);
                     }
-                    None => self.refused(sess, &r, load),
+                    // Refused, or a 200 that names no session.
+                    None => self.refused(sess, r.turned_away(), load),
                 }
             }
             Asked::Play { sess, pipe } => {
@@ -606,10 +624,9 @@
                     return;
                 }
                 if !r.ok() {
-                    // Where SETUP was refused its own answer has said so; here it stood and PLAY did not.
+                    // No proof, whatever it says: the SETUP before it may stand, or may not be answered yet.
                     if self.sess[&sess].stage == Stage::Asked {
-                        self.tear_down(sess);
-                        self.refused(sess, &r, load);
+                        self.refused(sess, false, load);
                     }
                     return;
                 }
@@ -618,20 +635,38 @@
                 }
                 self.plays(sess, r.headers.get(names::ASKED).map(AskedOf::read));
             }
-            Asked::Rung { sess, rung } => {
-                if !r.ok() && self.sess.get(&sess).is_some_and(|s| s.stage == Stage::Playing) {
-                    self.note(Some(sess), format!("node {node} refused rung {rung}: {}", r.status));
+            Asked::Rung { sess, rung, was } => {
+                if !r.ok() {
+                    self.rung_refused(sess, rung, was);
                 }
             }
             Asked::Teardown { sess } => self.torn_down(sess, node, load),
         }
     }
 
-    /// The node refused a SETUP, or its PLAY.
-    fn refused(&mut self, id: u64, r: &Response, load: LoadReport) {
+    /// The node keeps a session at the rung it had; only the last change counts.
+    fn rung_refused(&mut self, id: u64, rung: u8, was: u8) {
+        let Some(s) = self.sess.get_mut(&id).filter(|s| s.stage == Stage::Playing && s.rung == rung) else {
+            return;
+        };
+        s.rung = was;
+        if let Some(ToPlayer::Playing { rung: answered, .. }) = &mut s.answer {
+            *answered = was;
+        }
+        let (key, sock) = (s.key.clone(), s.sock);
+        self.round.readings.push(Reading::Rung { sess: SessId(id), rung: was });
+        self.say(sock, ToPlayer::Rung { key, rung: was });
+    }
+
+    /// The node refused a SETUP, or its PLAY. Unless the SETUP was turned away without a look it may have run, so that it is
+    /// taken back before any other goes out.
+    fn refused(&mut self, id: u64, turned_away: bool, load: LoadReport) {
         let Some(a) = self.sess.get(&id).and_then(|s| s.attempt.clone()) else { return };
+        let how = if turned_away { Ending::BusyReplied } else { Ending::Erred };
+        if !turned_away {
+            self.tear_down(id);
+        }
         self.leave(id, &a);
-        let how = if r.turned_away() && a.rtsp.is_none() { Ending::BusyReplied } else { Ending::Erred };
         self.ended(id, a.node, how, false, load);
     }
 
@@ -650,6 +685,7 @@
         let (uri, resume_for) = (self.uri(node, &title), self.book.players.resume_for);
         if let Some(s) = self.sess.get_mut(&id) {
             s.stage = Stage::Playing;
+            self.owed -= 1;
         }
         self.round.playing.push(Playing { sess: SessId(id), node: NodeId(node), took });
         if let Some(asked) = asked {
@@ -754,7 +790,12 @@
     fn roster(&mut self, message: FromRoster) {
         let fleet = self.book.fleet.clone();
         if let Err(e) = self.list.take(&message, &fleet) {
-            return self.note(None, format!("roster: {e}; the last good list stands"));
+            self.note(None, format!("roster: {e}; the last good list stands"));
+            if matches!(message, FromRoster::Change { .. }) {
+                // What it changed is missing from now on, so all of it is asked for.
+                self.effects.push(Effect::AskRoster(ToRoster::Whole));
+            }
+            return;
         }
         let change = match &message {
             FromRoster::Failed => ListChange::Unanswered,
@@ -824,8 +865,23 @@
                 }
             }
             Timer::AnswerDue { sess } => {
-                if self.sess.get(&sess).is_some_and(|s| s.stage == Stage::Asked && s.attempt.is_some()) {
-                    self.give_up(sess, Ending::TimedOut, false);
+                let owed = self.sess.get(&sess).filter(|s| s.stage == Stage::Asked);
+                match owed.map(|s| s.attempt.is_some()) {
+                    None => {}
+                    Some(true) => self.give_up(sess, Ending::TimedOut, false),
+                    // Its ending is on the way to the decisions: they answer in this round.
+                    Some(false) if self.round.ended.iter().any(|e| e.sess == SessId(sess)) => {
+                        self.timers.set(self.now + LEAST_LEFT, Timer::AnswerDue { sess });
+                    }
+                    Some(false) => {
+                        // The decisions left it with nothing out: they never should, and it is answered all
+                        // the same.
+                        self.effects
+                            .push(Effect::Fault(format!("session {sess} was left without an answer")));
+                        self.round.departures.push(SessId(sess));
+                        self.answer(sess, |key| ToPlayer::Failed { key, why: FailedWhy::NoAnswer });
+                        self.over(sess);
+                    }
                 }
             }
             Timer::Resume { sess, losses } => {
@@ -860,10 +916,20 @@
                 }
             }
             Timer::Look { node, link } => self.look(node, link),
-            Timer::SaveList => {
-                self.saving = false;
-                self.effects.push(Effect::SaveList(Box::new(self.list.clone())));
+            Timer::Choked { node, link } => {
+                self.note(
+                    None,
+                    format!("node {node}: {MAX_OUT} requests without an answer, closing its link"),
+                );
+                self.lose(node, link, true);
             }
+            Timer::SaveList => self.save(),
+        }
+    }
+
+    fn save(&mut self) {
+        if std::mem::take(&mut self.saving) {
+            self.effects.push(Effect::SaveList(Box::new(self.list.clone())));
         }
     }
 
@@ -889,9 +955,10 @@
 
     /// On the way out: when no answer is owed any more, what plays is ended, and then all is done.
     fn close_down(&mut self) {
-        if !self.closing || self.done || self.sess.values().any(|s| s.stage == Stage::Asked) {
+        if !self.closing || self.done || self.owed > 0 {
             return;
         }
+        self.save();
         let playing: Vec<u64> =
             self.sess.iter().filter(|(_, s)| s.stage == Stage::Playing).map(|(id, _)| *id).collect();
         for id in playing {
@@ -907,9 +974,8 @@
 impl Orders for Hands {
     fn rung(&mut self, sess: SessId, rung: u8) {
         let Some(s) = self.sess.get_mut(&sess.0) else { return };
-        let changed = s.rung != rung;
-        s.rung = rung;
-        if s.stage != Stage::Playing || !changed {
+        let was = std::mem::replace(&mut s.rung, rung);
+        if s.stage != Stage::Playing || was == rung {
             return;
         }
         let (key, sock) = (s.key.clone(), s.sock);
@@ -921,7 +987,7 @@
         let Some(rtsp) = a.rtsp else { return };
         let uri = self.uri(a.node, "");
         let with = [(names::SESSION, rtsp), (names::RUNG, rung.to_string())];
-        self.request(a.node, Asked::Rung { sess: sess.0, rung }, Method::SetParameter, &uri, &with);
+        self.request(a.node, Asked::Rung { sess: sess.0, rung, was }, Method::SetParameter, &uri, &with);
         self.say(sock, ToPlayer::Rung { key, rung });
     }
 
@@ -929,7 +995,13 @@
         let (id, now) = (sess.0, self.now);
         self.next_pipe += 1;
         let pipe = self.next_pipe;
-        let Some(s) = self.sess.get_mut(&id).filter(|s| s.stage == Stage::Asked) else { return };
+        let free = |s: &&mut Session| s.stage == Stage::Asked && s.attempt.is_none();
+        let Some(s) = self.sess.get_mut(&id).filter(free) else {
+            // Never two out, whatever is ordered.
+            return self
+                .effects
+                .push(Effect::Fault(format!("a SETUP was ordered for session {id} out of turn")));
+        };
         let number = s.setups;
         s.setups = s.setups.saturating_add(1);
         let attempt = Attempt {
--- a/crates/kelpdoor-director/src/journal.rs
+++ b/crates/kelpdoor-director/src/journal.rs
@@ -11,9 +11,20 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Line {
-    Start { seed: u64, now: f64 },
-    Took { now: f64, input: Input },
-    Round { now: f64, effects: Vec<Effect> },
+    Start {
+        seed: u64,
+        now: f64,
+    },
+    /// `waited`: how long it lay between its arrival and now.
+    Took {
+        now: f64,
+        waited: f64,
+        input: Input,
+    },
+    Round {
+        now: f64,
+        effects: Vec<Effect>,
+    },
 }
 
 pub fn write(to: &mut impl Write, line: &Line) -> std::io::Result<()> {
@@ -44,9 +55,9 @@
         match (line, &mut desk) {
             (Line::Start { seed, now }, desk) => *desk = Some(Desk::new(book, seed, now)),
             (_, None) => return Err(at(&"comes before any start")),
-            (Line::Took { now, input }, Some(desk)) => {
+            (Line::Took { now, waited, input }, Some(desk)) => {
                 done.inputs += 1;
-                desk.take(now, input);
+                desk.take_late(now, waited, input);
             }
             (Line::Round { now, effects }, Some(desk)) => {
                 done.rounds += 1;
--- a/crates/kelpdoor-director/src/link.rs
+++ b/crates/kelpdoor-director/src/link.rs
@@ -15,9 +15,11 @@
         sess: u64,
         pipe: u64,
     },
+    /// `was`: what it plays at if the node refuses.
     Rung {
         sess: u64,
         rung: u8,
+        was: u8,
     },
     Teardown {
         sess: u64,
--- a/crates/kelpdoor-director/src/shell.rs
+++ b/crates/kelpdoor-director/src/shell.rs
@@ -30,7 +30,7 @@
 use crate::effect::{Effect, Input, NodeWord};
 use crate::gate::{Gate, Pass};
 use crate::journal;
-use crate::roster::{FromRoster, MAX_LINE, ToRoster};
+use crate::roster::{FromRoster, MAX_LINE, RosterList, ToRoster};
 use crate::store::{load_list, save_list};
 
 /// Inputs waiting for the desk at most; readers wait beyond it, and so do their peers.
@@ -51,6 +51,8 @@
 const HANDSHAKE: Duration = Duration::from_secs(5);
 /// Sockets get so long to take their last words at the end.
 const LAST_WORDS: Duration = Duration::from_secs(1);
+/// Connections over the limit that are told so at a time; more are cut without a word.
+const REFUSALS: usize = 64;
 /// Messages read and dropped after a close frame at most.
 const MOST_DRAINED: usize = 10_000;
 /// Wait before the roster is connected again, at first and at most.
@@ -63,10 +65,13 @@
     pub journal: Option<PathBuf>,
 }
 
+/// What came in, and when it was read whole.
+type Came = (Instant, Input);
+
 /// A director at work.
 pub struct Running {
     pub address: SocketAddr,
-    inputs: mpsc::Sender<Input>,
+    inputs: mpsc::Sender<Came>,
     counts: watch::Receiver<Counts>,
     task: JoinHandle<()>,
 }
@@ -74,7 +79,7 @@
 impl Running {
     /// Takes no new sessions from now on; [`ended`](Self::ended) comes when all taken ones are answered.
     pub async fn shut_down(&self) {
-        let _ = self.inputs.send(Input::ShutDown).await;
+        let _ = self.inputs.send((Instant::now(), Input::ShutDown)).await;
     }
 
     pub fn counts(&self) -> Counts {
@@ -82,8 +87,11 @@
     }
 
     /// Waits for the end.
-    pub async fn ended(self) {
-        let _ = self.task.await;
+    ///
+    /// # Errors
+    /// Where the director did not end by itself: a panic in it, or [`abort`](Self::abort).
+    pub async fn ended(&mut self) -> Result<(), String> {
+        (&mut self.task).await.map_err(|e| e.to_string())
     }
 
     /// Ends at once; what is owed stays owed.
@@ -133,6 +141,8 @@
     let (ask, asked) = mpsc::unbounded_channel();
     let (tell, counts) = watch::channel(Counts::default());
     let mut tasks = JoinSet::new();
+    let (save, saved) = watch::channel(None);
+    let saver = tokio::spawn(keep_list(book.roster.cache.clone(), saved));
     tasks.spawn(accept(listener, book.clone(), inputs.clone(), socks));
     tasks.spawn(follow(book.clone(), inputs.clone(), asked));
     let shell = Shell {
@@ -144,6 +154,8 @@
         links: HashMap::new(),
         journal,
         tell,
+        save,
+        saver,
         tasks,
     };
     let task = tokio::spawn(shell.run(input, sock, seed));
@@ -153,12 +165,15 @@
 struct Shell {
     book: Arc<Deployment>,
     clock: Clock,
-    inputs: mpsc::Sender<Input>,
+    inputs: mpsc::Sender<Came>,
     ask: mpsc::UnboundedSender<ToRoster>,
     socks: HashMap<u64, Outbox<Out>>,
     links: HashMap<(u32, u64), Outbox<Vec<u8>>>,
     journal: Option<BufWriter<File>>,
     tell: watch::Sender<Counts>,
+    /// The list to be kept: the latest, if one is being written when another comes.
+    save: watch::Sender<Option<Box<RosterList>>>,
+    saver: JoinHandle<()>,
     /// Ended with the shell.
     tasks: JoinSet<()>,
 }
@@ -181,18 +196,19 @@
         }
     }
 
-    fn take(&mut self, desk: &mut Desk, now: f64, input: Input) {
+    fn take(&mut self, desk: &mut Desk, now: f64, (came, input): Came) {
+        let waited = came.elapsed().as_secs_f64();
         if self.journal.is_some() {
-            self.keep(&journal::Line::Took { now, input: input.clone() });
+            self.keep(&journal::Line::Took { now, waited, input: input.clone() });
         }
         if let Input::Node { node, link, word: NodeWord::Lost | NodeWord::Unreached } = &input {
             self.links.remove(&(*node, *link));
         }
-        desk.take(now, input);
+        desk.take_late(now, waited, input);
     }
 
     async fn run(
-        mut self, mut input: mpsc::Receiver<Input>, mut sock: mpsc::UnboundedReceiver<ToSocks>, seed: u64,
+        mut self, mut input: mpsc::Receiver<Came>, mut sock: mpsc::UnboundedReceiver<ToSocks>, seed: u64,
     ) {
         let now = self.now();
         let mut desk = Desk::new(&self.book, seed, now);
@@ -201,7 +217,7 @@
             match load_list(path) {
                 Ok(Some(list)) => {
                     tracing::info!(nodes = list.nodes.len(), "starting from the kept list");
-                    self.take(&mut desk, now, Input::Cached(list));
+                    self.take(&mut desk, now, (Instant::now(), Input::Cached(list)));
                 }
                 Ok(None) => {}
                 Err(e) => tracing::warn!(%e, "the kept list is not used"),
@@ -251,6 +267,14 @@
                 self.keep(&journal::Line::Round { now, effects: effects.clone() });
             }
             if self.carry_out(effects) {
+                // What was read before this moment is answered too.
+                let now = self.now();
+                while let Ok(next) = input.try_recv() {
+                    self.take(&mut desk, now, next);
+                }
+                let mut effects = Vec::new();
+                desk.round(now, &mut |e| effects.push(e));
+                self.carry_out(effects);
                 break;
             }
             cost = began.elapsed();
@@ -297,13 +321,7 @@
                     let _ = self.ask.send(ask);
                 }
                 Effect::SaveList(list) => {
-                    if let Some(path) = self.book.roster.cache.clone() {
-                        self.tasks.spawn_blocking(move || {
-                            if let Err(e) = save_list(&path, &list) {
-                                tracing::error!(%e, "the list cannot be kept");
-                            }
-                        });
-                    }
+                    self.save.send_replace(Some(list));
                 }
                 Effect::Note { sess: Some(sess), text } => tracing::debug!(sess, "{text}"),
                 Effect::Note { sess: None, text } => tracing::info!("{text}"),
@@ -329,7 +347,7 @@
 
     /// Puts an input of our own in line, whatever the bound.
     fn say(&mut self, input: Input) {
-        if let Err(mpsc::error::TrySendError::Full(input)) = self.inputs.try_send(input) {
+        if let Err(mpsc::error::TrySendError::Full(input)) = self.inputs.try_send((Instant::now(), input)) {
             let to = self.inputs.clone();
             self.tasks.spawn(async move {
                 let _ = to.send(input).await;
@@ -361,8 +379,10 @@
 
     /// Lets sockets take what is queued, a close frame behind it, and links likewise.
     async fn last_words(
-        mut self, mut input: mpsc::Receiver<Input>, mut sock: mpsc::UnboundedReceiver<ToSocks>,
+        mut self, mut input: mpsc::Receiver<Came>, mut sock: mpsc::UnboundedReceiver<ToSocks>,
     ) {
+        // The saver ends when it has written the latest.
+        drop(self.save);
         let mut open = self.socks.len() + self.links.len();
         for sock in self.socks.values() {
             let _ = sock.to.send(Out::Close(CloseCode::Away, "shutting down"));
@@ -373,7 +393,7 @@
             while open > 0 {
                 tokio::select! {
                     Some(news) = sock.recv() => open -= usize::from(matches!(news, ToSocks::Lost(_))),
-                    Some(news) = input.recv() => {
+                    Some((_, news)) = input.recv() => {
                         open -= usize::from(matches!(news, Input::Node { word: NodeWord::Lost, .. }));
                     }
                     else => return,
@@ -381,15 +401,30 @@
             }
         };
         let _ = timeout(LAST_WORDS, ends).await;
+        let _ = timeout(LAST_WORDS, self.saver).await;
+    }
+}
+
+/// Keeps the latest list on disk, one write at a time.
+async fn keep_list(path: Option<PathBuf>, mut list: watch::Receiver<Option<Box<RosterList>>>) {
+    while list.changed().await.is_ok() {
+        let latest = list.borrow_and_update().clone();
+        let (Some(path), Some(latest)) = (path.clone(), latest) else { continue };
+        let saved = tokio::task::spawn_blocking(move || save_list(&path, &latest)).await;
+        match saved {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => tracing::error!(%e, "the list cannot be kept"),
+            Err(e) => tracing::error!(%e, "the list cannot be kept"),
+        }
     }
 }
 
 /// One connection to a node, from connecting to its end.
 async fn talk(
     node: u32, link: u64, address: SocketAddr, mut from: mpsc::UnboundedReceiver<Vec<u8>>,
-    queued: Arc<AtomicUsize>, to: mpsc::Sender<Input>,
+    queued: Arc<AtomicUsize>, to: mpsc::Sender<Came>,
 ) {
-    let say = |word| to.send(Input::Node { node, link, word });
+    let say = |word| to.send((Instant::now(), Input::Node { node, link, word }));
     let stream = match TcpStream::connect(address).await {
         Ok(stream) => stream,
         Err(e) => {
@@ -443,15 +478,16 @@
 }
 
 async fn accept(
-    listener: TcpListener, book: Arc<Deployment>, inputs: mpsc::Sender<Input>,
+    listener: TcpListener, book: Arc<Deployment>, inputs: mpsc::Sender<Came>,
     socks: mpsc::UnboundedSender<ToSocks>,
 ) {
     let room = Arc::new(Semaphore::new(book.players.sockets));
+    let refusals = Arc::new(Semaphore::new(REFUSALS));
     let mut tasks = JoinSet::new();
     let mut next = 1u64;
     loop {
         while tasks.try_join_next().is_some() {}
-        let mut stream = match listener.accept().await {
+        let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
                 // Out of descriptors, mostly: those at hand go on.
@@ -461,10 +497,12 @@
             }
         };
         let Ok(permit) = room.clone().try_acquire_owned() else {
-            tasks.spawn(async move {
-                let full = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n";
-                let _ = timeout(HANDSHAKE, stream.write_all(full)).await;
-            });
+            if let Ok(permit) = refusals.clone().try_acquire_owned() {
+                tasks.spawn(async move {
+                    let _ = timeout(LAST_WORDS, refuse(stream)).await;
+                    drop(permit);
+                });
+            }
             continue;
         };
         let (sock, book, inputs, socks) = (next, book.clone(), inputs.clone(), socks.clone());
@@ -481,6 +519,16 @@
     }
 }
 
+/// Says that there is no room, and reads what the peer still sends: closing on that would reset the connection.
+async fn refuse(mut stream: TcpStream) -> io::Result<()> {
+    let full = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n";
+    stream.write_all(full).await?;
+    stream.shutdown().await?;
+    let mut rest = [0; 512];
+    while stream.read(&mut rest).await? > 0 {}
+    Ok(())
+}
+
 /// The WebSocket handshake; a client that does not name our subprotocol is refused with 400.
 async fn greet(stream: TcpStream) -> Result<WebSocketStream<TcpStream>, WsError> {
     #[expect(clippy::result_large_err, reason = "the library's own signature")]
@@ -510,7 +558,7 @@
 
 /// A player's socket, to its end.
 async fn attend(
-    sock: u64, ws: WebSocketStream<TcpStream>, book: &Deployment, inputs: &mpsc::Sender<Input>,
+    sock: u64, ws: WebSocketStream<TcpStream>, book: &Deployment, inputs: &mpsc::Sender<Came>,
     socks: &mpsc::UnboundedSender<ToSocks>,
 ) {
     let (mut sink, mut stream) = ws.split();
@@ -556,7 +604,8 @@
             match message {
                 Message::Text(text) => match FromPlayer::read(text.as_str()) {
                     Ok(message) => {
-                        if inputs.send(Input::Player { sock, message }).await.is_err() {
+                        let came = Instant::now();
+                        if inputs.send((came, Input::Player { sock, message })).await.is_err() {
                             return None;
                         }
                     }
@@ -603,7 +652,7 @@
         _ = &mut held => Some((CloseCode::Again, "the player does not read")),
     };
     let _ = socks.send(ToSocks::Lost(sock));
-    let _ = inputs.send(Input::SocketLost { sock }).await;
+    let _ = inputs.send((Instant::now(), Input::SocketLost { sock })).await;
     if let Some((code, why)) = why {
         tracing::info!(sock, why, "closing the socket");
         let frame = CloseFrame { code, reason: why.into() };
@@ -629,7 +678,7 @@
 
 /// Follows the roster's feed, connecting again whenever it breaks.
 async fn follow(
-    book: Arc<Deployment>, inputs: mpsc::Sender<Input>, mut asked: mpsc::UnboundedReceiver<ToRoster>,
+    book: Arc<Deployment>, inputs: mpsc::Sender<Came>, mut asked: mpsc::UnboundedReceiver<ToRoster>,
 ) {
     let mut wait = ROSTER_WAIT.0;
     loop {
@@ -642,7 +691,7 @@
             }
         };
         tracing::warn!(%why, "the roster's feed broke; the last good list stands");
-        if inputs.send(Input::Roster(FromRoster::Failed)).await.is_err() {
+        if inputs.send((Instant::now(), Input::Roster(FromRoster::Failed))).await.is_err() {
             return;
         }
         sleep(Duration::from_secs_f64(wait * (0.5 + fastrand::f64()))).await;
@@ -652,7 +701,7 @@
 }
 
 async fn read_roster(
-    stream: TcpStream, book: &Deployment, inputs: &mpsc::Sender<Input>,
+    stream: TcpStream, book: &Deployment, inputs: &mpsc::Sender<Came>,
     asked: &mut mpsc::UnboundedReceiver<ToRoster>,
 ) -> String {
     let (read, mut write) = stream.into_split();
@@ -676,7 +725,7 @@
             match serde_json::from_slice::<FromRoster>(&line) {
                 Err(e) => tracing::warn!(%e, "a line of the roster is passed over"),
                 Ok(message) => {
-                    if inputs.send(Input::Roster(message)).await.is_err() {
+                    if inputs.send((Instant::now(), Input::Roster(message))).await.is_err() {
                         return "the director ends".to_owned();
                     }
                 }
--- a/crates/kelpdoor-director/src/timers.rs
+++ b/crates/kelpdoor-director/src/timers.rs
@@ -38,6 +38,11 @@
         node: u32,
         link: u64,
     },
+    /// Too much is out on a link: it is closed, with nothing else half done.
+    Choked {
+        node: u32,
+        link: u64,
+    },
     SaveList,
 }
 
--- a/crates/kelpdoor-director/tests/story.rs
+++ b/crates/kelpdoor-director/tests/story.rs
@@ -283,19 +283,27 @@
 
 #[test]
 fn two_desks_share_nothing() {
-    let alone = {
+    // The same story alone, and with another desk at work between each two of its steps.
+    let tell = |mut between: Box<dyn FnMut()>| {
         let mut bench = up(5);
-        told(&bench.start(1, "key-00001", "any", "t0")).len() + requests(&bench.wait(1.0)).len()
+        let mut all = Vec::new();
+        for k in 0..6 {
+            between();
+            all.extend(bench.start(k, &format!("key-0000{k}"), "any", "t0"));
+            all.extend(bench.wait(0.3));
+        }
+        all
     };
+    let alone = tell(Box::new(|| ()));
     let mut other = up(6);
-    let mut bench = up(5);
-    for k in 0..9 {
-        other.start(k, &format!("key-0000{k}"), "any", "t0");
-    }
-    let effects = bench.start(1, "key-00001", "any", "t0");
-    other.wait(3.0);
-    assert_eq!(told(&effects).len() + requests(&bench.wait(1.0)).len(), alone);
-    assert_eq!(bench.desk.counts().known, 1);
+    let mut n = 0;
+    let beside = tell(Box::new(move || {
+        n += 1;
+        other.start(n, &format!("key-1000{n}"), "any", "t0");
+        other.wait(0.2);
+    }));
+    assert!(requests(&alone).len() >= 12);
+    assert_eq!(alone, beside);
 }
 
 #[test]
@@ -307,7 +315,7 @@
     let inputs = [Input::Roster(roster()), Input::Player { sock: 1, message }, Input::ShutDown];
     for (k, input) in inputs.into_iter().enumerate() {
         let now = now + 0.37 * k as f64;
-        lines.push(journal::Line::Took { now, input: input.clone() });
+        lines.push(journal::Line::Took { now, waited: 0.0, input: input.clone() });
         desk.take(now, input);
         let mut effects = Vec::new();
         desk.round(now, &mut |e| effects.push(e));
@@ -324,3 +332,91 @@
     let done = journal::replay(&text(&lines)[..], &book()).expect("readable");
     assert!(done.differs.is_some());
 }
+
+#[test]
+fn a_play_that_is_turned_away_before_setup_is_answered_proves_nothing() {
+    let mut bench = up(1);
+    let effects = bench.start(1, "key-00001", "paid", "t0");
+    let (node, link, _, play) = asked(&effects);
+    trace(
+        &bench.says(node, link, Response::new(453, play.cseq)),
+        expect![[r#"
+        node 0: TEARDOWN
+        1 < {"key":"key-00001","type":"failed","why":"no_answer"}"#]],
+    );
+}
+
+#[test]
+fn a_setup_that_erred_or_names_no_session_is_taken_back_before_another_goes_out() {
+    for answer in [500, 200] {
+        let mut bench = up(1);
+        let effects = bench.start(1, "key-00001", "any", "t0");
+        let (node, link, setup, _) = asked(&effects);
+        let after = requests(&bench.says(node, link, Response::new(answer, setup.cseq)));
+        let methods: Vec<_> = after.iter().map(|(_, _, r)| r.method).collect();
+        assert_eq!(methods, [Method::Teardown, Method::Setup, Method::Play], "{answer}");
+        assert_eq!(after[0].0, node);
+    }
+}
+
+#[test]
+fn a_rung_that_the_node_refuses_is_not_in_force() {
+    let mut bench = up(1);
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    let (node, link, setup, play) = asked(&effects);
+    bench.says(node, link, ok(&setup).with(names::SESSION, "s1"));
+    bench.says(node, link, ok(&play).with(names::ASKED, "link=0.21"));
+    let effects = bench.wait(2.0);
+    let change =
+        requests(&effects).into_iter().find(|r| r.2.method == Method::SetParameter).expect("a rise").2;
+    trace(
+        &effects,
+        expect![[r#"
+        node 0: SET_PARAMETER Session=s1 Rung=2
+        1 < {"key":"key-00001","rung":2,"type":"rung"}"#]],
+    );
+    trace(
+        &bench.says(node, link, Response::new(451, change.cseq)),
+        expect![[r#"1 < {"key":"key-00001","rung":1,"type":"rung"}"#]],
+    );
+}
+
+#[test]
+fn what_lay_in_line_is_late_by_as_much() {
+    let mut bench = up(1);
+    let player = |key: &str| Input::Player { sock: 1, message: common::start(key, "any", "t0") };
+    bench.desk.take_late(bench.now, 2.5, player("key-00001"));
+    bench.round();
+    // 3 s less the 2.5 that it lay there, less the way back.
+    let effects = bench.wait(0.45);
+    assert_eq!(finals(&effects).len(), 1, "{effects:?}");
+    bench.desk.take_late(bench.now, 3.5, player("key-00002"));
+    trace(&bench.round(), expect![[r#"1 < {"come_back":2.0,"key":"key-00002","type":"busy"}"#]]);
+}
+
+#[test]
+fn an_answer_given_for_want_of_room_is_kept_for_a_retry() {
+    let mut few = book();
+    few.players.sessions = 1;
+    let mut bench = Bench::new(&few, 1);
+    let effects = bench.input(Input::Roster(roster()));
+    bench.connect(&effects);
+    let out = asked(&bench.start(1, "key-00001", "any", "t0"));
+    bench.start(1, "key-00002", "any", "t0");
+    bench.input(Input::Player { sock: 1, message: FromPlayer::Stop { key: RequestKey("key-00001".into()) } });
+    let teardown = bench.wait(0.1);
+    drop((out, teardown));
+    // There is room now, but the key has its answer.
+    trace(
+        &bench.start(1, "key-00002", "any", "t0"),
+        expect![[r#"1 < {"come_back":2.0,"key":"key-00002","type":"busy"}"#]],
+    );
+}
+
+#[test]
+fn a_change_that_is_refused_has_the_whole_list_asked_for() {
+    let mut bench = up(1);
+    let stale = FromRoster::Change { version: 1, nodes: Vec::new(), titles: Vec::new() };
+    let effects = bench.input(Input::Roster(stale));
+    assert!(effects.contains(&Effect::AskRoster(kelpdoor_director::ToRoster::Whole)), "{effects:?}");
+}
--- a/crates/kelpdoor-lab/tests/sockets.rs
+++ b/crates/kelpdoor-lab/tests/sockets.rs
@@ -33,6 +33,16 @@
     timeout(Duration::from_secs(seconds), what).await.expect("in time")
 }
 
+/// Waits for a state that nothing tells of.
+async fn until(is: impl Fn() -> bool) {
+    within(10, async {
+        while !is() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    })
+    .await;
+}
+
 /// Stand-ins, and a director in this process that has heard of them.
 async fn world(extra: &str) -> (World, Running) {
     let size = small();
@@ -42,12 +52,7 @@
     let script = director_script(&shared, &size, 0, world.roster_at, Path::new("/nonexistent/list"));
     let deployment = Deployment::run("test", &script).expect("good settings");
     let running = serve(ServeOptions { deployment, journal: None }).await.expect("a director");
-    within(5, async {
-        while running.counts().links_up < 4 {
-            tokio::task::yield_now().await;
-        }
-    })
-    .await;
+    until(|| running.counts().links_up == 4).await;
     (world, running)
 }
 
@@ -112,12 +117,7 @@
     player.say(&FromPlayer::Stop { key: RequestKey("key-00001".into()) }).await.unwrap();
     let ended = within(5, player.hear()).await;
     assert!(matches!(ended, Some(ToPlayer::Ended { .. })), "{ended:?}");
-    within(5, async {
-        while world.nodes.with_fleet(|f| !f.streams.is_empty()) {
-            tokio::task::yield_now().await;
-        }
-    })
-    .await;
+    until(|| world.nodes.with_fleet(|f| f.streams.is_empty())).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -172,12 +172,7 @@
     })
     .await;
     assert_eq!(heard, Some(ToPlayer::Pong { n: 7 }));
-    within(5, async {
-        while running.counts().playing != 1 {
-            tokio::task::yield_now().await;
-        }
-    })
-    .await;
+    until(|| running.counts().playing == 1).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -256,7 +251,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn shutting_down_answers_what_was_taken_and_ends_what_plays() {
-    let (world, running) = world(PLAYERS).await;
+    let (world, mut running) = world(PLAYERS).await;
     let mut player = open(running.address).await;
     player.say(&start("key-00001", "title-01")).await.unwrap();
     final_of(&mut player, "key-00001").await;
@@ -275,7 +270,7 @@
         ended |= matches!(heard, ToPlayer::Ended { .. });
     }
     assert!(ended, "the playing session was not ended");
-    within(5, running.ended()).await;
+    within(5, running.ended()).await.expect("a good end");
 }
 
 async fn daemon(dir: &Path, world: &World, roster_at: SocketAddr, journal: bool) -> (Fold, SocketAddr) {
@@ -294,12 +289,7 @@
     let dir = tempfile::tempdir().unwrap();
     let (mut fold, _) = daemon(dir.path(), &world, world.roster_at, false).await;
     let kept = dir.path().join("director-0.list");
-    within(10, async {
-        while load_list(&kept).unwrap().is_none_or(|l| l.nodes.len() != 4) {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    })
-    .await;
+    until(|| load_list(&kept).unwrap().is_some_and(|l| l.nodes.len() == 4)).await;
     fold.kill(0).await;
     // No roster any more: the list that it kept is all it has.
     let (_fold, address) = daemon(dir.path(), &world, "127.0.0.1:1".parse().unwrap(), false).await;
--- a/crates/kelpdoord/src/lib.rs
+++ b/crates/kelpdoord/src/lib.rs
@@ -84,7 +84,7 @@
 async fn run(deployment: Deployment, journal: Option<PathBuf>) -> Result<()> {
     let listen = deployment.director.listen;
     let mut ends = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
-    let running = serve(ServeOptions { deployment, journal })
+    let mut running = serve(ServeOptions { deployment, journal })
         .await
         .with_context(|| format!("listening on {listen}"))?;
     println!("kelpdoord listening on {}", running.address);
@@ -96,7 +96,10 @@
             _ = int.recv() => {}
         }
     };
-    signal().await;
+    tokio::select! {
+        () = signal() => {}
+        ended = running.ended() => bail!("the director ended by itself: {ended:?}"),
+    }
     let counts = running.counts();
     tracing::info!(
         owed = counts.owed,
@@ -105,7 +108,10 @@
     );
     running.shut_down().await;
     tokio::select! {
-        () = running.ended() => tracing::info!("all is answered"),
+        ended = running.ended() => {
+            ended.map_err(|e| anyhow::anyhow!("the director did not end well: {e}"))?;
+            tracing::info!("all is answered");
+        }
         () = signal() => bail!("ended at once by a second signal"),
     }
     Ok(())
