Seats: use what was lent here before calling a school full; keep nothing of unknown schools

A director called a school full while a seat lay lent to it; a claim for a school that nobody bought seats for made a pool. The waits' chance is fastrand's, not a generator of our own.

--- a/crates/kelpdoor-seats/src/holder.rs
+++ b/crates/kelpdoor-seats/src/holder.rs
@@ -114,7 +114,7 @@
     next_beat: f64,
     /// Until when what is held is held.
     lease_until: f64,
-    chance: u64,
+    chance: fastrand::Rng,
 }
 
 impl Holder {
@@ -132,7 +132,7 @@
             beat: None,
             next_beat: f64::NEG_INFINITY,
             lease_until: f64::NEG_INFINITY,
-            chance: nonce | 1,
+            chance: fastrand::Rng::with_seed(nonce),
         }
     }
 
@@ -145,12 +145,9 @@
         self.schools.values().map(|m| m.held.len()).sum()
     }
 
-    /// From 0.5 to 1.5 (xorshift; the numbers need no quality, only to differ between directors).
+    /// From 0.5 to 1.5.
     fn spread(&mut self) -> f64 {
-        self.chance ^= self.chance << 13;
-        self.chance ^= self.chance >> 7;
-        self.chance ^= self.chance << 17;
-        0.5 + (self.chance >> 11) as f64 / (1u64 << 53) as f64
+        0.5 + self.chance.f64()
     }
 
     fn pend(&mut self, now: f64) -> Pending {
@@ -313,7 +310,12 @@
     ) -> Vec<Out> {
         let Some(mine) = self.schools.get_mut(school) else { return Vec::new() };
         let (school, named) = (school.clone(), token.clone());
-        if mine.waiting.get(token).is_some_and(|w| w.pending.n == n) {
+        if let Some(wait) = mine.waiting.get_mut(token).filter(|w| w.pending.n == n) {
+            if mine.lent > 0 && matches!(why, RefusedWhy::Full { .. }) {
+                // Full but for what was lent to us: the wait is over now, and the loan is used.
+                wait.until = f64::NEG_INFINITY;
+                return Vec::new();
+            }
             mine.waiting.remove(token);
             return vec![Out::Refused { school, token: named, why }];
         }
--- a/crates/kelpdoor-seats/src/ledger.rs
+++ b/crates/kelpdoor-seats/src/ledger.rs
@@ -266,7 +266,11 @@
         expires: f64, n: u64, spent: bool,
     ) -> Vec<(DirectorId, FromKeeper)> {
         let (school, token) = (school.clone(), token.clone());
-        let pool = self.pools.entry(school.clone()).or_default();
+        let Some(pool) = self.pools.get(&school) else {
+            // No such school: nothing is kept of it.
+            let come_back = self.lease.lasts;
+            return vec![(director, FromKeeper::Full { epoch, school, token, n, come_back })];
+        };
         let overtaken = pool.released.get(&(epoch, token.clone())).is_some_and(|r| r.0 >= n);
         let held = pool.seats.get(&token).cloned();
         let granted = FromKeeper::Granted { epoch, school: school.clone(), token: token.clone(), n };
@@ -350,14 +354,22 @@
             self.change(Change::Freed { school: school.clone(), token: token.clone() });
         }
         let until = now + self.lease.lasts;
-        let pool = self.pools.entry(school).or_default();
+        let Some(pool) = self.pools.get_mut(&school) else { return };
         let seen = pool.released.entry((epoch, token)).or_insert((n, until));
         *seen = (seen.0.max(n), until);
     }
 
     fn lend(&mut self, now: f64, epoch: Epoch, school: &School, want: u32, n: u64) -> FromKeeper {
         let directors = self.current.len().max(1) as u32;
-        let pool = self.pools.entry(school.clone()).or_default();
+        let Some(pool) = self.pools.get(school) else {
+            return FromKeeper::Lent {
+                epoch,
+                school: school.clone(),
+                count: 0,
+                until: now + self.lease.lasts,
+                n,
+            };
+        };
         let (have, until, last) = pool.lent.get(&epoch).copied().unwrap_or((0, 0.0, 0));
         if n <= last {
             return FromKeeper::Lent { epoch, school: school.clone(), count: have, until, n: last };
