--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -77,7 +77,6 @@
 const SETUP_WAIT_PART: f64 = 0.45; // of the time to the start target; then another still starts in time
 const COLD_USE: f64 = 0.8; // of the cold budget that all directors use; SETUPs differ in weight
 const COLD_OPEN: f64 = 0.35; // of a slot of two windows, used where a window bears few: one SETUP in each
-const COLD_MANY: f64 = 12.0; // SETUPs a window; from here on the unused part covers a change of slots
 const COLD_FRESH: f64 = 5.0; // s; a director just started takes all nodes for just started: lists lag
 
 /// Sessions and the rungs that they are to have.
@@ -602,14 +601,10 @@
             return now - last >= (f.directors - 1.0).max(2.0) * f.fall_window / budget.max(1e-3);
         }
         // Slots get shorter while the node warms. Where few SETUPs fit a window, one more at such a change
-        // could push it over: there slots halve, so that one at most lies across a change, by the budget of a
+        // could push it over: so slots only halve, and one at most lies across a change, by the budget of a
         // window ago. One SETUP for each slot, one for the window's edge and one for the change must fit.
         let before = budget * self.warmth(now - f.fall_window, i) / self.warmth(now, i).max(1e-9);
-        let slots = if budget >= COLD_MANY {
-            budget.floor() - 1.0
-        } else {
-            (before - 1.0).min(before / COLD_USE - 2.0).max(0.5).log2().floor().exp2()
-        };
+        let slots = (before - 1.0).min(before / COLD_USE - 2.0).max(0.5).log2().floor().exp2();
         let few = slots < 1.0;
         let slot = (f.fall_window / slots).max(1e-3);
         let turn = (now / slot).floor();
--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -742,7 +742,7 @@
         26 places, cold from 0.1, tip 2: 0.84 of the limit
         24 places, cold from 0.4, tip 3: 0.85 of the limit
         39 places, cold from 0.1, tip 4: 0.68 of the limit
-        60 places, cold from 0.2, tip 4: 0.68 of the limit
+        60 places, cold from 0.2, tip 4: 0.60 of the limit
         20 places, cold from 0, tip 8: 0.66 of the limit
     "#]]
     .assert_eq(&shown);
