--- a/crates/kelpdoor-api/src/lib.rs
+++ b/crates/kelpdoor-api/src/lib.rs
@@ -11,6 +11,8 @@
 pub const SUBPROTOCOL: &str = "kelpdoor.session.v1";
 /// Bytes of a message from a player at most.
 pub const MAX_MESSAGE: usize = 4096;
+/// Bytes of an entitlement token at most.
+pub const MAX_TOKEN: usize = 2048;
 /// Bytes of a request key: long enough that nobody guesses another's.
 pub const KEY_LEN: (usize, usize) = (8, 64);
 /// Bytes of a group's or title's name at most.
@@ -36,7 +38,12 @@
         best_rung: u8,
         /// Seconds until the viewer gives up.
         setup_timeout: f64,
+        /// An entitlement (JWT), for groups that need one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        token: Option<String>,
     },
+    /// Shows a token with the same school and id and a later expiry, for a session that runs.
+    Renew { key: RequestKey, token: String },
     /// The viewer is done, or no longer wants the answer.
     Stop { key: RequestKey },
     /// Asks for a `pong` with the same number.
@@ -70,6 +77,16 @@
         key: RequestKey,
         rung: u8,
     },
+    /// The session's token runs out; unless it is renewed, the session ends `after` seconds from now.
+    Expiring {
+        key: RequestKey,
+        after: f64,
+    },
+    /// The session's token is good for so many seconds from now.
+    Renewed {
+        key: RequestKey,
+        lasts: f64,
+    },
     /// A session that played is over.
     Ended {
         key: RequestKey,
@@ -93,6 +110,12 @@
     NoAnswer,
     /// The player stopped it before an answer.
     Stopped,
+    /// Its token expired before an answer.
+    Expired,
+    /// Its token's seat went to a later request.
+    SeatMoved,
+    /// Its seat could not be kept: the keeper of seats was away for too long.
+    SeatLost,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -108,6 +131,12 @@
     Shifted,
     /// The director shuts down.
     Closing,
+    /// Its token expired without a renewal.
+    Expired,
+    /// Its token's seat went to a later request, here or at another director.
+    SeatMoved,
+    /// Its seat could not be kept: the keeper of seats was away for too long.
+    SeatLost,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -123,8 +152,12 @@
     KeyConflict,
     /// No session has that key.
     UnknownKey,
-    /// More messages a second than a socket may send.
+    /// More messages or tokens a second than a socket may send, or more tokens than the director verifies.
     TooFast,
+    /// The group needs a token, and none came.
+    TokenMissing,
+    /// The token is not taken; the message says why, and what helps.
+    TokenRefused,
 }
 
 /// Why a text is no message of a player.
@@ -138,6 +171,8 @@
     Key { len: usize },
     #[error("{field}: {len} bytes, 1 to {MAX_NAME} are allowed")]
     Name { field: &'static str, len: usize },
+    #[error("token: {len} bytes, 1 to {MAX_TOKEN} are allowed")]
+    Token { len: usize },
     #[error("setup_timeout: {0}, above 0 and up to {MAX_SETUP_TIMEOUT} s are allowed")]
     SetupTimeout(String),
 }
@@ -175,7 +210,17 @@
             return Err(Fault::TooLong(text.len()));
         }
         let message: FromPlayer = untag(text).map_err(|e| Fault::Malformed(e.to_string()))?;
-        if let FromPlayer::Start { key, .. } | FromPlayer::Stop { key } = &message {
+        let token = match &message {
+            FromPlayer::Start { token, .. } => token.as_deref(),
+            FromPlayer::Renew { token, .. } => Some(token.as_str()),
+            _ => None,
+        };
+        if let Some(len) = token.map(str::len).filter(|len| !(1..=MAX_TOKEN).contains(len)) {
+            return Err(Fault::Token { len });
+        }
+        if let FromPlayer::Start { key, .. } | FromPlayer::Stop { key } | FromPlayer::Renew { key, .. } =
+            &message
+        {
             let plain = key.0.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_');
             let len = key.0.len();
             if !plain || !(KEY_LEN.0..=KEY_LEN.1).contains(&len) {
@@ -220,6 +265,8 @@
             | ToPlayer::Busy { key, .. }
             | ToPlayer::Failed { key, .. }
             | ToPlayer::Rung { key, .. }
+            | ToPlayer::Expiring { key, .. }
+            | ToPlayer::Renewed { key, .. }
             | ToPlayer::Ended { key, .. } => Some(key),
             ToPlayer::Error { key, .. } => key.as_ref(),
             ToPlayer::Pong { .. } => None,
--- a/crates/kelpdoor-api/tests/messages.rs
+++ b/crates/kelpdoor-api/tests/messages.rs
@@ -33,7 +33,7 @@
     expect![[r#"
         not a message: expected value at line 1 column 1
         not a message: missing field `type`
-        not a message: unknown variant `jump`, expected one of `start`, `stop`, `ping`
+        not a message: unknown variant `jump`, expected one of `start`, `renew`, `stop`, `ping`
         not a message: missing field `n`
         not a message: unknown field `m`, expected `n`
         key: 5 bytes of letters, digits, - and _ are asked for, 8 to 64
@@ -66,8 +66,7 @@
         key in "[A-Za-z0-9_-]{8,64}", title in "[a-z]{1,20}", rung in any::<u8>(), timeout in 0.001..60.0f64,
     ) {
         let start = FromPlayer::Start {
-            key: RequestKey(key), group: "g".into(), title, best_rung: rung, setup_timeout: timeout,
-        };
+            key: RequestKey(key), group: "g".into(), title, best_rung: rung, setup_timeout: timeout, token: None };
         prop_assert_eq!(FromPlayer::read(&start.text()), Ok(start));
     }
 }
--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -5,6 +5,8 @@
 //! with its answer when reached: sessions held (`busy`), requests out to a node (its link is closed), remembered
 //! answers (the oldest are forgotten).
 
+mod seats;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use kelpdoor::ids::{GroupId, NodeId, SessId, TitleId};
@@ -15,8 +17,10 @@
 use kelpdoor_api::{EndedWhy, ErrorCode, FailedWhy, FromPlayer, RequestKey, ToPlayer};
 use kelpdoor_rtsp::{Asked as AskedOf, Load, Message, Method, Request, Response, names, reasons};
 use kelpdoor_script::Deployment;
+use kelpdoor_seats::Holder;
+use kelpdoor_tokens::Entitlement;
 
-use crate::effect::{Effect, Input, NodeWord};
+use crate::effect::{Effect, Input, NodeWord, Shown};
 use crate::link::{Asked, Line, Link};
 use crate::roster::{FromRoster, Phase, RosterList, RosterNode, ToRoster};
 use crate::session::{Attempt, Session, Stage};
@@ -63,6 +67,9 @@
     list: RosterList,
     titles: BTreeMap<String, TitleId>,
     over: VecDeque<u64>,
+    /// Seats of schools, if a group needs them, and the session that has or waits for each.
+    holder: Option<Holder>,
+    seat_of: BTreeMap<seats::SeatName, u64>,
     /// Sessions whose answer is owed, and these together with those that play.
     owed: usize,
     held: usize,
@@ -93,6 +100,8 @@
     pub fn new(book: &Deployment, seed: u64, now: f64) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let director = Director::new(&book.terms(), rng.u64(..), now);
+        // Of its own chance, so that seats change no other draw.
+        let nonce = fastrand::Rng::with_seed(seed ^ now.to_bits()).u64(..);
         let hands = Hands {
             book: book.clone(),
             now,
@@ -106,6 +115,8 @@
             list: RosterList::default(),
             titles: BTreeMap::new(),
             over: VecDeque::new(),
+            holder: seats::holder(book, || nonce),
+            seat_of: BTreeMap::new(),
             owed: 0,
             held: 0,
             timers: Timers::default(),
@@ -131,7 +142,12 @@
         let h = &mut self.hands;
         h.now = h.now.max(now);
         match input {
-            Input::Player { sock, message } => h.player(sock, message, waited.max(0.0)),
+            Input::Player { sock, message } => h.player(sock, message, waited.max(0.0), Shown::Nothing),
+            Input::Shown { sock, message, shown } => h.shown(sock, message, waited.max(0.0), shown),
+            Input::Keeper(word) => {
+                let out = h.holder.as_mut().map(|holder| holder.heard(h.now, &word)).unwrap_or_default();
+                h.seats_out(out);
+            }
             Input::SocketLost { sock } => h.socket_lost(sock),
             Input::Node { node, link, word } => h.node(node, link, word),
             Input::Roster(message) => h.roster(message),
@@ -150,6 +166,7 @@
             // We stood still, so the links' silence is ours.
             h.links.values_mut().for_each(|l| l.heard += gap);
         }
+        h.seats_tick();
         while let Some(timer) = h.timers.pop(h.now) {
             h.fire(timer);
         }
@@ -169,7 +186,8 @@
     pub fn wake_at(&self) -> f64 {
         let h = &self.hands;
         let more = !h.round.ended.is_empty() || !h.round.departures.is_empty();
-        let due = [h.wake, h.timers.next(), more.then_some(h.now)];
+        let seats = h.holder.as_ref().map(Holder::next);
+        let due = [h.wake, h.timers.next(), more.then_some(h.now), seats];
         due.into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
 
@@ -205,14 +223,17 @@
 
     // Players.
 
-    fn player(&mut self, sock: u64, message: FromPlayer, waited: f64) {
+    fn player(&mut self, sock: u64, message: FromPlayer, waited: f64, shown: Shown) {
         match message {
             FromPlayer::Ping { n } => self.say(Some(sock), ToPlayer::Pong { n }),
             FromPlayer::Stop { key } => match self.keys.get(&key).copied() {
                 Some(id) => self.stop(id),
                 None => self.error(sock, &key, ErrorCode::UnknownKey, "no session has this key"),
             },
-            FromPlayer::Start { key, group, title, best_rung, setup_timeout } => {
+            FromPlayer::Renew { key, .. } => {
+                self.error(sock, &key, ErrorCode::TokenMissing, "no token is asked for here");
+            }
+            FromPlayer::Start { key, group, title, best_rung, setup_timeout, token: _ } => {
                 let g = self.book.groups.iter().position(|g| g.name == group);
                 let Some(g) = g else {
                     return self.error(sock, &key, ErrorCode::UnknownGroup, format!("no group {group:?}"));
@@ -220,7 +241,11 @@
                 if let Some(&id) = self.keys.get(&key) {
                     return self.again(sock, id, g, &title);
                 }
-                self.start(sock, key, g, title, best_rung, setup_timeout, waited);
+                let e = match self.entitled(g, shown) {
+                    Ok(e) => e,
+                    Err((code, what)) => return self.error(sock, &key, code, what),
+                };
+                self.start(sock, key, g, title, best_rung, setup_timeout, waited, e);
             }
         }
     }
@@ -253,6 +278,7 @@
     #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
     fn start(
         &mut self, sock: u64, key: RequestKey, g: usize, title: String, best: u8, timeout: f64, waited: f64,
+        entitled: Option<Entitlement>,
     ) {
         let Some(lies) = self.list.titles.get(&title).cloned() else {
             return self.error(sock, &key, ErrorCode::UnknownTitle, format!("no title {title:?}"));
@@ -273,15 +299,27 @@
             self.next_title += 1;
             TitleId(self.next_title)
         });
+        let wanted = NewSession {
+            sess: SessId(id),
+            group: GroupId(g as u8),
+            title: title_id,
+            setup_timeout: left,
+            first_cell: lies.first_cell,
+            cells: lies.cells,
+            best_rung: best.min(self.book.ladder.rates.len() as u8 - 1),
+        };
         let session = Session {
             key: key.clone(),
             sock: None,
             losses: 0,
             group: g as u8,
             title_name: title,
+            due: self.now + left,
             deadline: self.now - waited + timeout,
             stage: Stage::Asked,
             rung: group.floor,
+            seat: None,
+            wanted: Some(wanted),
             attempt: None,
             setups: 0,
             answer: None,
@@ -297,16 +335,25 @@
             self.answer(id, |key| ToPlayer::Busy { key, come_back });
             return self.over(id);
         }
-        self.round.new_sessions.push(NewSession {
-            sess: SessId(id),
-            group: GroupId(g as u8),
-            title: title_id,
-            setup_timeout: left,
-            first_cell: lies.first_cell,
-            cells: lies.cells,
-            best_rung: best.min(self.book.ladder.rates.len() as u8 - 1),
-        });
         self.timers.set(self.now + left, Timer::AnswerDue { sess: id });
+        match entitled {
+            None => self.admit(id),
+            Some(e) => self.ask_seat(id, left, e),
+        }
+    }
+
+    /// Hands a request to the decisions, with what is left of its time.
+    fn admit(&mut self, id: u64) {
+        let Some(s) = self.sess.get_mut(&id).filter(|s| s.stage == Stage::Asked) else { return };
+        let Some(mut wanted) = s.wanted.take() else { return };
+        wanted.setup_timeout = s.due - self.now;
+        if wanted.setup_timeout < LEAST_LEFT {
+            // Its seat came too late, as after a pause of ours: nothing ran.
+            let come_back = self.book.director.come_back;
+            self.answer(id, |key| ToPlayer::Busy { key, come_back });
+            return self.over(id);
+        }
+        self.round.new_sessions.push(wanted);
     }
 
     /// The viewer is done or gone.
@@ -317,21 +364,24 @@
             Stage::Asked => {
                 if s.attempt.is_some() {
                     self.give_up(id, Ending::Withdrawn, true);
-                } else {
+                } else if s.wanted.is_none() {
                     self.round.departures.push(SessId(id));
                 }
                 self.answer(id, |key| ToPlayer::Failed { key, why: FailedWhy::Stopped });
                 self.over(id);
             }
-            Stage::Playing => {
-                self.tear_down(id);
-                self.tell_ended(id, EndedWhy::Stopped);
-                if let Some(s) = self.sess.get_mut(&id) {
-                    s.stage = Stage::Ending;
-                }
-                self.timers.set(self.now + TEARDOWN_WAIT, Timer::TornDown { sess: id });
-            }
+            Stage::Playing => self.end_playing(id, EndedWhy::Stopped),
+        }
+    }
+
+    /// Takes a session off its node; it is over when that is done.
+    fn end_playing(&mut self, id: u64, why: EndedWhy) {
+        self.tear_down(id);
+        self.tell_ended(id, why);
+        if let Some(s) = self.sess.get_mut(&id) {
+            s.stage = Stage::Ending;
         }
+        self.timers.set(self.now + TEARDOWN_WAIT, Timer::TornDown { sess: id });
     }
 
     fn socket_lost(&mut self, sock: u64) {
@@ -371,12 +421,14 @@
         self.owed -= usize::from(s.stage == Stage::Asked);
         s.stage = Stage::Over;
         s.attempt = None;
+        s.wanted = None;
         if let Some(of) = s.sock.take().and_then(|sock| self.socks.get_mut(&sock)) {
             of.remove(&id);
         }
         self.held -= 1;
         self.over.push_back(id);
         self.timers.set(self.now + self.book.players.remember, Timer::Forget { sess: id });
+        self.give_back(id);
         while self.over.len() > REMEMBERED * self.book.players.sessions {
             if let Some(oldest) = self.over.pop_front() {
                 self.forget(oldest);
@@ -692,6 +744,7 @@
             self.reading(id, node, asked);
         }
         self.answer(id, |key| ToPlayer::Playing { key, uri, rung, resume_for });
+        self.watch_seat(id);
     }
 
     fn reading(&mut self, id: u64, node: u32, asked: AskedOf) {
@@ -866,6 +919,12 @@
             }
             Timer::AnswerDue { sess } => {
                 let owed = self.sess.get(&sess).filter(|s| s.stage == Stage::Asked);
+                if owed.is_some_and(|s| s.wanted.is_some()) {
+                    // Still waiting for its seat: nothing ran.
+                    let come_back = self.book.director.come_back;
+                    self.answer(sess, |key| ToPlayer::Busy { key, come_back });
+                    return self.over(sess);
+                }
                 match owed.map(|s| s.attempt.is_some()) {
                     None => {}
                     Some(true) => self.give_up(sess, Ending::TimedOut, false),
@@ -884,6 +943,7 @@
                     }
                 }
             }
+            Timer::SeatEnds { sess, turn } => self.warn_expiring(sess, turn),
             Timer::Resume { sess, losses } => {
                 if self.sess.get(&sess).is_some_and(|s| s.sock.is_none() && s.losses == losses) {
                     self.stop(sess);
--- /dev/null
+++ b/crates/kelpdoor-director/src/desk/seats.rs
@@ -0,0 +1,231 @@
+//! Sessions that need a token and a seat: the way of a request from its token to the decisions, and what becomes of
+//! a session whose seat ends. The seats themselves are the [`Holder`](kelpdoor_seats::Holder)'s.
+//!
+//! A request with a good token waits for its seat, half of its time at most, and is answered `busy` without one.
+//! A seat goes with the latest request that shows its token: the one before it is ended.
+
+use kelpdoor::ids::SessId;
+use kelpdoor::round::Ending;
+use kelpdoor_api::{EndedWhy, ErrorCode, FailedWhy, FromPlayer, RequestKey, ToPlayer};
+use kelpdoor_seats::{self as seats, Holder, Out, RefusedWhy, School, TokenId};
+use kelpdoor_tokens::Entitlement;
+
+use super::Hands;
+use crate::effect::{Effect, Shown};
+use crate::session::{Seat, Stage};
+use crate::timers::Timer;
+
+/// Of the time that a request has left; it waits so long for its seat at most, so that a SETUP still fits.
+const SEAT_PART: f64 = 0.5;
+
+/// One seat of a school.
+pub(super) type SeatName = (School, TokenId);
+
+impl Hands {
+    /// A message that came with a token.
+    pub(super) fn shown(&mut self, sock: u64, message: FromPlayer, waited: f64, shown: Shown) {
+        match message {
+            FromPlayer::Renew { key, .. } => self.renew(sock, &key, shown),
+            message => self.player(sock, message, waited, shown),
+        }
+    }
+
+    /// What of the token allows a session of the group, or the error that its player gets.
+    pub(super) fn entitled(
+        &self, group: usize, shown: Shown,
+    ) -> Result<Option<Entitlement>, (ErrorCode, String)> {
+        let group = &self.book.groups[group];
+        if !group.token || self.holder.is_none() {
+            return Ok(None);
+        }
+        match shown {
+            Shown::Nothing => Err((ErrorCode::TokenMissing, format!("group {:?} needs a token", group.name))),
+            Shown::Bad(why) => Err((ErrorCode::TokenRefused, why)),
+            Shown::TooFast => Err((ErrorCode::TooFast, "too many tokens a second".to_owned())),
+            Shown::Good(e) if e.group.as_ref().is_some_and(|g| *g != group.name) => {
+                let of = e.group.unwrap_or_default();
+                Err((ErrorCode::TokenRefused, format!("the token is for group {of:?}")))
+            }
+            Shown::Good(e) => Ok(Some(*e)),
+        }
+    }
+
+    /// Asks for a session's seat; the answer may come at once.
+    pub(super) fn ask_seat(&mut self, id: u64, left: f64, e: Entitlement) {
+        let now = self.now;
+        // What time has brought comes first: a lease that ran out while we stood still gives nothing any more.
+        self.seats_tick();
+        let name: SeatName = (e.school, e.token);
+        if let Some(s) = self.sess.get_mut(&id) {
+            s.seat = Some(Seat { name: name.clone(), expires: e.expires, turn: 0, waiting: true });
+        }
+        if let Some(before) = self.seat_of.insert(name.clone(), id) {
+            self.lose_seat(before, seats::EndedWhy::Moved);
+        }
+        let Some(holder) = &mut self.holder else { return };
+        let out = holder.ask(now, &name.0, &name.1, e.expires, left * SEAT_PART);
+        self.seats_out(out);
+    }
+
+    fn renew(&mut self, sock: u64, key: &RequestKey, shown: Shown) {
+        let e = match shown {
+            Shown::Good(e) => e,
+            Shown::Bad(why) => return self.error(sock, key, ErrorCode::TokenRefused, why),
+            Shown::TooFast => return self.error(sock, key, ErrorCode::TooFast, "too many tokens a second"),
+            Shown::Nothing => return self.error(sock, key, ErrorCode::TokenMissing, "no token came"),
+        };
+        self.seats_tick();
+        let Some(&id) = self.keys.get(key) else {
+            return self.error(sock, key, ErrorCode::UnknownKey, "no session has this key");
+        };
+        let now = self.now;
+        let live = self.sess.get_mut(&id).filter(|s| matches!(s.stage, Stage::Asked | Stage::Playing));
+        let Some(seat) = live.and_then(|s| s.seat.as_mut()) else {
+            return self.error(sock, key, ErrorCode::UnknownKey, "no session with a seat has this key");
+        };
+        if seat.name != (e.school.clone(), e.token.clone()) {
+            let what = "the token is not a renewal of the session's: its school or id is another";
+            return self.error(sock, key, ErrorCode::TokenRefused, what);
+        }
+        if e.expires > seat.expires {
+            seat.expires = e.expires;
+            seat.turn += 1;
+        }
+        let (waiting, lasts) = (seat.waiting, seat.expires - now);
+        self.bind(id, sock);
+        let Some(holder) = &mut self.holder else { return };
+        let out = holder.ask(now, &e.school, &e.token, e.expires, f64::INFINITY);
+        if !waiting {
+            self.watch_seat(id);
+        }
+        self.say(Some(sock), ToPlayer::Renewed { key: key.clone(), lasts });
+        self.seats_out(out);
+    }
+
+    /// Sets when the player is told that its token runs out.
+    pub(super) fn watch_seat(&mut self, id: u64) {
+        let warn = self.book.tokens.as_ref().map_or(0.0, |t| t.warn);
+        let Some(s) = self.sess.get(&id).filter(|s| s.stage == Stage::Playing) else { return };
+        if let Some(seat) = &s.seat {
+            let at = (seat.expires - warn).max(self.now);
+            self.timers.set(at, Timer::SeatEnds { sess: id, turn: seat.turn });
+        }
+    }
+
+    pub(super) fn warn_expiring(&mut self, id: u64, turn: u32) {
+        let now = self.now;
+        let Some(s) = self.sess.get(&id).filter(|s| s.stage == Stage::Playing) else { return };
+        if let Some(seat) = s.seat.as_ref().filter(|seat| seat.turn == turn && seat.expires > now) {
+            let message = ToPlayer::Expiring { key: s.key.clone(), after: seat.expires - now };
+            self.say(s.sock, message);
+        }
+    }
+
+    pub(super) fn seats_tick(&mut self) {
+        let out = self.holder.as_mut().map(|h| h.tick(self.now)).unwrap_or_default();
+        self.seats_out(out);
+    }
+
+    /// Does what the holder says.
+    pub(super) fn seats_out(&mut self, out: Vec<Out>) {
+        for o in out {
+            match o {
+                Out::Send(word) => self.effects.push(Effect::Keeper(word)),
+                Out::Granted { school, token } => match self.seat_of.get(&(school.clone(), token.clone())) {
+                    Some(&id) => self.seated(id),
+                    None => {
+                        let back = self.holder.as_mut().map(|h| h.release(self.now, &school, &token));
+                        self.seats_out(back.unwrap_or_default());
+                    }
+                },
+                Out::Refused { school, token, why } => {
+                    if let Some(id) = self.seat_of.remove(&(school, token)) {
+                        self.no_seat(id, why);
+                    }
+                }
+                Out::Ended { school, token, why } => {
+                    if let Some(id) = self.seat_of.remove(&(school, token)) {
+                        self.lose_seat(id, why);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A request has its seat: the decisions get it, unless it had it before.
+    fn seated(&mut self, id: u64) {
+        let Some(seat) = self.sess.get_mut(&id).and_then(|s| s.seat.as_mut()) else { return };
+        if std::mem::replace(&mut seat.waiting, false) {
+            self.admit(id);
+        }
+    }
+
+    fn no_seat(&mut self, id: u64, why: RefusedWhy) {
+        let most = self.book.director.come_back;
+        if let Some(s) = self.sess.get_mut(&id) {
+            s.seat = None;
+        }
+        match why {
+            RefusedWhy::Full { come_back } => {
+                let come_back = Some(most.map_or(come_back, |most| come_back.min(most)));
+                self.answer(id, |key| ToPlayer::Busy { key, come_back });
+            }
+            RefusedWhy::NoKeeper => self.answer(id, |key| ToPlayer::Busy { key, come_back: most }),
+            RefusedWhy::Expired => {
+                self.answer(id, |key| ToPlayer::Failed { key, why: FailedWhy::Expired });
+            }
+        }
+        self.over(id);
+    }
+
+    /// A session's seat is no more its own: it ends, wherever it is.
+    fn lose_seat(&mut self, id: u64, why: seats::EndedWhy) {
+        let Some(s) = self.sess.get_mut(&id) else { return };
+        let waiting = s.seat.take().is_some_and(|seat| seat.waiting);
+        let (stage, out) = (s.stage, s.attempt.is_some());
+        match stage {
+            Stage::Over | Stage::Ending => {}
+            Stage::Asked => {
+                match (waiting, out) {
+                    (true, _) => {}
+                    (false, true) => self.give_up(id, Ending::Withdrawn, true),
+                    (false, false) => self.round.departures.push(SessId(id)),
+                }
+                let why = match why {
+                    seats::EndedWhy::Expired => FailedWhy::Expired,
+                    seats::EndedWhy::Moved => FailedWhy::SeatMoved,
+                    seats::EndedWhy::Lapsed => FailedWhy::SeatLost,
+                };
+                self.answer(id, |key| ToPlayer::Failed { key, why });
+                self.over(id);
+            }
+            Stage::Playing => self.end_playing(
+                id,
+                match why {
+                    seats::EndedWhy::Expired => EndedWhy::Expired,
+                    seats::EndedWhy::Moved => EndedWhy::SeatMoved,
+                    seats::EndedWhy::Lapsed => EndedWhy::SeatLost,
+                },
+            ),
+        }
+    }
+
+    /// The session holds nothing any more: its seat goes back.
+    pub(super) fn give_back(&mut self, id: u64) {
+        let Some(seat) = self.sess.get_mut(&id).and_then(|s| s.seat.take()) else { return };
+        if self.seat_of.get(&seat.name) == Some(&id) {
+            self.seat_of.remove(&seat.name);
+            let back = self.holder.as_mut().map(|h| h.release(self.now, &seat.name.0, &seat.name.1));
+            self.seats_out(back.unwrap_or_default());
+        }
+    }
+}
+
+/// The director's side of the seats, if any group needs them.
+pub(super) fn holder(book: &kelpdoor_script::Deployment, nonce: impl FnOnce() -> u64) -> Option<Holder> {
+    let k = book.keeper.as_ref().filter(|_| book.groups.iter().any(|g| g.token))?;
+    let lease = seats::Lease { lasts: k.lease, clock_error: k.clock_error };
+    let resend = (k.wait.min(k.beat_every) / 2.0, k.beat_every * 2.0);
+    let patience = seats::Patience { claim: k.wait, beat_every: k.beat_every, resend, ahead: k.ahead };
+    Some(Holder::new(seats::DirectorId(book.director.me), nonce(), lease, patience))
+}
--- a/crates/kelpdoor-director/src/effect.rs
+++ b/crates/kelpdoor-director/src/effect.rs
@@ -5,6 +5,8 @@
 
 use kelpdoor_api::{FromPlayer, ToPlayer};
 use kelpdoor_rtsp::Message;
+use kelpdoor_seats::{FromKeeper, ToKeeper};
+use kelpdoor_tokens::Entitlement;
 use serde::{Deserialize, Serialize};
 
 use crate::roster::{FromRoster, RosterList, ToRoster};
@@ -21,6 +23,17 @@
     Said(Message),
 }
 
+/// What a token that came with a message turned out to be. The token itself stays with its socket.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Shown {
+    Nothing,
+    Good(Box<Entitlement>),
+    /// Why it is refused, in words for the player.
+    Bad(String),
+    /// More tokens than are verified in a second.
+    TooFast,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Input {
     /// A message from a player on that socket.
@@ -28,6 +41,14 @@
         sock: u64,
         message: FromPlayer,
     },
+    /// A message that came with a token, which is taken out.
+    Shown {
+        sock: u64,
+        message: FromPlayer,
+        shown: Shown,
+    },
+    /// A word of the keeper's of seats.
+    Keeper(FromKeeper),
     /// A socket is gone; its sessions may be taken up on another one.
     SocketLost {
         sock: u64,
@@ -69,6 +90,8 @@
         link: u64,
     },
     AskRoster(ToRoster),
+    /// For the keeper of seats; lost where it cannot be reached, and said again by the desk.
+    Keeper(ToKeeper),
     SaveList(Box<RosterList>),
     /// For the log.
     Note {
--- a/crates/kelpdoor-director/src/lib.rs
+++ b/crates/kelpdoor-director/src/lib.rs
@@ -2,22 +2,24 @@
 //! effects, without I/O; [`serve`] owns sockets and timers round it and has no rule of its own. Two directors in
 //! one process share nothing.
 
-mod clock;
 mod desk;
 pub mod effect;
 mod gate;
 pub mod journal;
+mod keeping;
 mod link;
 mod roster;
 mod session;
 mod shell;
 mod store;
 mod timers;
+mod verify;
 
-pub use clock::{Clock, Slew};
 pub use desk::{Counts, Desk};
-pub use effect::{Effect, Input, NodeWord};
+pub use effect::{Effect, Input, NodeWord, Shown};
 pub use gate::{Gate, Pass};
+pub use keeping::keeper_options;
+pub use kelpdoor_clock::{Clock, Slew};
 pub use roster::{FromRoster, MAX_LINE, Phase, RosterFault, RosterList, RosterNode, RosterTitle, ToRoster};
 pub use shell::{Running, ServeOptions, serve};
 pub use store::{StoreFault, load_list, save_list};
--- a/crates/kelpdoor-director/src/session.rs
+++ b/crates/kelpdoor-director/src/session.rs
@@ -1,6 +1,8 @@
 //! A session as the desk holds it, from the moment its request is read to when its answer is forgotten.
 
+use kelpdoor::round::NewSession;
 use kelpdoor_api::{RequestKey, ToPlayer};
+use kelpdoor_seats::{School, TokenId};
 
 /// The SETUP that is out, or that the session plays by.
 #[derive(Clone, Debug)]
@@ -29,6 +31,17 @@
     Over,
 }
 
+/// The seat that a session has, or waits for.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    pub name: (School, TokenId),
+    pub expires: f64,
+    /// Of renewals.
+    pub turn: u32,
+    /// The decisions do not know of the session yet.
+    pub waiting: bool,
+}
+
 #[derive(Clone, Debug)]
 pub struct Session {
     pub key: RequestKey,
@@ -36,10 +49,14 @@
     pub losses: u32,
     pub group: u8,
     pub title_name: String,
-    /// When the player gives up.
+    /// When the answer is due, and when the player gives up.
+    pub due: f64,
     pub deadline: f64,
     pub stage: Stage,
     pub rung: u8,
+    pub seat: Option<Seat>,
+    /// What the decisions are given when it has its seat.
+    pub wanted: Option<NewSession>,
     pub attempt: Option<Attempt>,
     pub setups: u8,
     /// The final answer, said again to each retry.
--- a/crates/kelpdoor-director/src/shell.rs
+++ b/crates/kelpdoor-director/src/shell.rs
@@ -12,7 +12,10 @@
 
 use futures_util::{SinkExt, StreamExt};
 use kelpdoor_api::{ErrorCode, FromPlayer, MAX_MESSAGE, SUBPROTOCOL, ToPlayer};
+use kelpdoor_clock::Clock;
+use kelpdoor_keeper::RunningKeeper;
 use kelpdoor_script::Deployment;
+use kelpdoor_seats::ToKeeper;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
@@ -25,13 +28,14 @@
 use tokio_tungstenite::tungstenite::protocol::{CloseFrame, Message, WebSocketConfig};
 use tokio_tungstenite::tungstenite::{Error as WsError, error::CapacityError};
 
-use crate::clock::Clock;
 use crate::desk::{Counts, Desk};
 use crate::effect::{Effect, Input, NodeWord};
 use crate::gate::{Gate, Pass};
 use crate::journal;
+use crate::keeping;
 use crate::roster::{FromRoster, MAX_LINE, RosterList, ToRoster};
 use crate::store::{load_list, save_list};
+use crate::verify::Verifier;
 
 /// Inputs waiting for the desk at most; readers wait beyond it, and so do their peers.
 const INPUTS: usize = 8192;
@@ -55,6 +59,8 @@
 const REFUSALS: usize = 64;
 /// Messages read and dropped after a close frame at most.
 const MOST_DRAINED: usize = 10_000;
+/// Words to the keeper of seats waiting at most; more are dropped, and said again by the desk.
+const WORDS: usize = 8192;
 /// Wait before the roster is connected again, at first and at most.
 const ROSTER_WAIT: (f64, f64) = (0.1, 5.0);
 
@@ -132,6 +138,7 @@
 /// Where the address cannot be bound or the journal not be written.
 pub async fn serve(options: ServeOptions) -> io::Result<Running> {
     let book = Arc::new(options.deployment);
+    let verifier = Verifier::new(&book)?;
     let listener = TcpListener::bind(book.director.listen).await?;
     let address = listener.local_addr()?;
     let seed = book.director.seed.unwrap_or_else(|| fastrand::u64(..));
@@ -143,7 +150,17 @@
     let mut tasks = JoinSet::new();
     let (save, saved) = watch::channel(None);
     let saver = tokio::spawn(keep_list(book.roster.cache.clone(), saved));
-    tasks.spawn(accept(listener, book.clone(), inputs.clone(), socks));
+    let mut keeper = None;
+    let mut words = None;
+    let mut keeping = JoinSet::new();
+    if let (Some(of), Some(verifier)) = (&book.keeper, &verifier) {
+        let (at, running) = keeping::find(of, &book.schools).await?;
+        let (to, from) = mpsc::channel(WORDS);
+        keeping.spawn(keeping::follow(at, inputs.clone(), from));
+        (keeper, words) = (running, Some(to));
+        tasks.spawn(verifier.clone().follow_keys());
+    }
+    tasks.spawn(accept(listener, book.clone(), inputs.clone(), socks, verifier));
     tasks.spawn(follow(book.clone(), inputs.clone(), asked));
     let shell = Shell {
         book: book.clone(),
@@ -156,6 +173,9 @@
         tell,
         save,
         saver,
+        keeper,
+        words,
+        keeping,
         tasks,
     };
     let task = tokio::spawn(shell.run(input, sock, seed));
@@ -174,6 +194,10 @@
     /// The list to be kept: the latest, if one is being written when another comes.
     save: watch::Sender<Option<Box<RosterList>>>,
     saver: JoinHandle<()>,
+    /// The keeper of seats, if it runs here; words to it, and what carries them.
+    keeper: Option<RunningKeeper>,
+    words: Option<mpsc::Sender<ToKeeper>>,
+    keeping: JoinSet<()>,
     /// Ended with the shell.
     tasks: JoinSet<()>,
 }
@@ -320,6 +344,11 @@
                 Effect::AskRoster(ask) => {
                     let _ = self.ask.send(ask);
                 }
+                Effect::Keeper(word) => {
+                    if let Some(to) = &self.words {
+                        let _ = to.try_send(word);
+                    }
+                }
                 Effect::SaveList(list) => {
                     self.save.send_replace(Some(list));
                 }
@@ -383,6 +412,7 @@
     ) {
         // The saver ends when it has written the latest.
         drop(self.save);
+        drop(self.words);
         let mut open = self.socks.len() + self.links.len();
         for sock in self.socks.values() {
             let _ = sock.to.send(Out::Close(CloseCode::Away, "shutting down"));
@@ -402,6 +432,12 @@
         };
         let _ = timeout(LAST_WORDS, ends).await;
         let _ = timeout(LAST_WORDS, self.saver).await;
+        // Seats that went back are said so before the end.
+        let _ = timeout(LAST_WORDS, self.keeping.join_next()).await;
+        if let Some(mut keeper) = self.keeper {
+            keeper.shut_down().await;
+            let _ = timeout(LAST_WORDS, keeper.ended()).await;
+        }
     }
 }
 
@@ -479,7 +515,7 @@
 
 async fn accept(
     listener: TcpListener, book: Arc<Deployment>, inputs: mpsc::Sender<Came>,
-    socks: mpsc::UnboundedSender<ToSocks>,
+    socks: mpsc::UnboundedSender<ToSocks>, verifier: Option<Arc<Verifier>>,
 ) {
     let room = Arc::new(Semaphore::new(book.players.sockets));
     let refusals = Arc::new(Semaphore::new(REFUSALS));
@@ -506,11 +542,12 @@
             continue;
         };
         let (sock, book, inputs, socks) = (next, book.clone(), inputs.clone(), socks.clone());
+        let verifier = verifier.clone();
         next += 1;
         tasks.spawn(async move {
             let _ = stream.set_nodelay(true);
             match timeout(HANDSHAKE, greet(stream)).await {
-                Ok(Ok(ws)) => attend(sock, ws, &book, &inputs, &socks).await,
+                Ok(Ok(ws)) => attend(sock, ws, &book, &inputs, &socks, verifier.as_deref()).await,
                 Ok(Err(e)) => tracing::info!(sock, %e, "handshake refused"),
                 Err(_) => tracing::info!(sock, "handshake not finished in time"),
             }
@@ -556,10 +593,29 @@
     tokio_tungstenite::accept_hdr_async_with_config(stream, check, Some(limits)).await
 }
 
+/// Takes the token out of a message that came with one and says what it is.
+fn show(sock: u64, mut message: FromPlayer, by: Option<(&Verifier, &mut Gate)>) -> Input {
+    let token = match &mut message {
+        FromPlayer::Start { group, token, .. } => {
+            let token = token.take();
+            token.filter(|_| by.as_ref().is_some_and(|(verifier, _)| verifier.wanted(group)))
+        }
+        FromPlayer::Renew { token, .. } => Some(std::mem::take(token)),
+        _ => None,
+    };
+    match (token, by) {
+        (Some(token), Some((verifier, gate))) => {
+            let shown = verifier.look(&token, gate);
+            Input::Shown { sock, message, shown }
+        }
+        _ => Input::Player { sock, message },
+    }
+}
+
 /// A player's socket, to its end.
 async fn attend(
     sock: u64, ws: WebSocketStream<TcpStream>, book: &Deployment, inputs: &mpsc::Sender<Came>,
-    socks: &mpsc::UnboundedSender<ToSocks>,
+    socks: &mpsc::UnboundedSender<ToSocks>, verifier: Option<&Verifier>,
 ) {
     let (mut sink, mut stream) = ws.split();
     let (to, mut from) = mpsc::unbounded_channel();
@@ -574,6 +630,7 @@
     let started = Instant::now();
     let reader = async {
         let mut gate = Gate::new(book.players.messages_a_second, 0.0);
+        let mut tokens = verifier.map(Verifier::socket_gate);
         loop {
             let message = match timeout(idle, stream.next()).await {
                 Err(_) => return Some((CloseCode::Policy, "nothing came for too long")),
@@ -605,7 +662,8 @@
                 Message::Text(text) => match FromPlayer::read(text.as_str()) {
                     Ok(message) => {
                         let came = Instant::now();
-                        if inputs.send((came, Input::Player { sock, message })).await.is_err() {
+                        let input = show(sock, message, verifier.zip(tokens.as_mut()));
+                        if inputs.send((came, input)).await.is_err() {
                             return None;
                         }
                     }
--- a/crates/kelpdoor-director/src/timers.rs
+++ b/crates/kelpdoor-director/src/timers.rs
@@ -18,6 +18,11 @@
         sess: u64,
         losses: u32,
     },
+    /// A session's token runs out soon, unless it was renewed since.
+    SeatEnds {
+        sess: u64,
+        turn: u32,
+    },
     /// No answer came to a TEARDOWN.
     TornDown {
         sess: u64,
--- a/crates/kelpdoor-director/tests/common/mod.rs
+++ b/crates/kelpdoor-director/tests/common/mod.rs
@@ -15,6 +15,10 @@
 group("zoned", utility = 1, start_target = 1, repeat = "zone", repeat_window = 2)
 group("paid", utility = 1, start_target = 1, repeat = "never")
 group("seated", utility = 1, start_target = 1, seats = 2, floor = 1)
+group("ticket", utility = 1, start_target = 1, token = True)
+tokens(keys = "keys.json", audience = "kelpdoor", warn = 2)
+keeper(lease = 12, clock_error = 1, wait = 0.5, beat_every = 2, ahead = 1)
+school("olaf", seats = 3)
 fleet(zones = ["east", "west"], kinds = {"box": 8}, cells = 6, racks = 2, link_unit = 2000, seen_after = 1,
       told_every = 3, cold_from = 0.4, warm_within = 8, tip_multiple = 4, fall_window = 2, drain_grace = 1)
 further(free = 3, per_taken = 0.2, span = 10)
@@ -124,6 +128,7 @@
         title: title.into(),
         best_rung: 3,
         setup_timeout: 3.0,
+        token: None,
     }
 }
 
--- a/crates/kelpdoor-director/tests/desk.rs
+++ b/crates/kelpdoor-director/tests/desk.rs
@@ -8,8 +8,10 @@
 
 use common::{Bench, book, roster};
 use kelpdoor_api::{FromPlayer, RequestKey, ToPlayer};
-use kelpdoor_director::{Effect, Input, NodeWord, Phase};
+use kelpdoor_director::{Effect, Input, NodeWord, Phase, Shown};
 use kelpdoor_rtsp::{Message, Method, Response, names};
+use kelpdoor_seats::{Lease, Ledger, School, ToKeeper, TokenId};
+use kelpdoor_tokens::Entitlement;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -57,6 +59,18 @@
     Stall {
         s: u8,
     },
+    /// Asks with a token; renews one.
+    Ticket {
+        key: u8,
+        token: u8,
+        lasts: u8,
+        renew: bool,
+    },
+    /// The keeper reads so many words and answers, or so many are lost.
+    Keeper {
+        words: u8,
+        lost: bool,
+    },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -74,6 +88,9 @@
         1 => (0..6u8, 0..3u8).prop_map(|(node, phase)| Step::List { node, phase }),
         6 => (1..800u16).prop_map(|ms| Step::Wait { ms }),
         1 => (1..12u8).prop_map(|s| Step::Stall { s }),
+        5 => (30..50u8, 0..6u8, 0..8u8, prop::bool::weighted(0.2))
+            .prop_map(|(key, token, lasts, renew)| Step::Ticket { key, token, lasts, renew }),
+        5 => (1..9u8, prop::bool::weighted(0.15)).prop_map(|(words, lost)| Step::Keeper { words, lost }),
     ]
 }
 
@@ -89,6 +106,12 @@
     sock: Option<u8>,
 }
 
+fn ledger() -> Ledger {
+    let mut ledger = Ledger::new(Lease { lasts: 12.0, clock_error: 1.0 });
+    ledger.buy(&School("olaf".into()), 3);
+    ledger
+}
+
 /// The peers' side: what the desk has out, and what it was told.
 struct Peers {
     bench: Bench,
@@ -102,6 +125,11 @@
     rtsp: BTreeMap<String, (u32, u64, String)>,
     next: u32,
     done: bool,
+    /// The keeper, words on their way to it, and the token that each key showed.
+    ledger: Ledger,
+    words: Vec<ToKeeper>,
+    tokens: BTreeMap<String, u8>,
+    keeping: bool,
 }
 
 impl Peers {
@@ -116,6 +144,10 @@
             rtsp: BTreeMap::new(),
             next: 0,
             done: false,
+            ledger: ledger(),
+            words: Vec::new(),
+            tokens: BTreeMap::new(),
+            keeping: false,
         }
     }
 
@@ -149,6 +181,7 @@
                     self.done = true;
                     assert_eq!(self.bench.desk.counts().owed, 0, "done, with answers owed");
                 }
+                Effect::Keeper(word) => self.words.push(word),
                 Effect::AskRoster(_) | Effect::SaveList(_) | Effect::Note { .. } => {}
             }
         }
@@ -161,6 +194,10 @@
             let key = r.headers.get(names::KEY).expect("a key").to_owned();
             let other = self.live.values().find(|(k, _, _)| *k == key);
             assert!(other.is_none(), "two SETUPs of {key} are out or play: {other:?}");
+            if let Some(token) = self.tokens.get(&key) {
+                let same = self.live.values().find(|(k, _, _)| self.tokens.get(k) == Some(token));
+                assert!(same.is_none(), "two sessions sit on the seat of {token}: {key} and {same:?}");
+            }
             self.live.insert(pipe.clone(), (key, node, link));
         }
         if r.method == Method::Teardown {
@@ -188,10 +225,26 @@
         let end = self.bench.now + seconds;
         while let Some(effects) = self.bench.wake_before(end) {
             self.take(effects);
+            if self.keeping {
+                self.keep(u8::MAX, false);
+            }
         }
         self.bench.now = end;
     }
 
+    fn keep(&mut self, words: u8, lost: bool) {
+        for _ in 0..words {
+            if self.words.is_empty() {
+                return;
+            }
+            let word = self.words.remove(0);
+            if !lost {
+                let answers = self.ledger.take(self.bench.now, &word);
+                answers.into_iter().for_each(|(_, word)| self.input(Input::Keeper(word)));
+            }
+        }
+    }
+
     /// A key is not used again once its answer may have been forgotten.
     fn key(&self, key: u8) -> String {
         format!("key-{key:03}-{}", ((self.bench.now - common::START) / 8.0) as u64)
@@ -220,9 +273,40 @@
                         title: format!("t{title}"),
                         best_rung: 3,
                         setup_timeout: timeout,
+                        token: None,
                     },
                 });
             }
+            Step::Ticket { key, token, lasts, renew } => {
+                let name = self.key(key);
+                let shown = Shown::Good(Box::new(Entitlement {
+                    school: School("olaf".into()),
+                    token: TokenId(format!("t{token}")),
+                    group: None,
+                    expires: self.bench.now + f64::from(lasts),
+                }));
+                let key = RequestKey(name.clone());
+                if renew {
+                    let message = FromPlayer::Renew { key, token: String::new() };
+                    return self.input(Input::Shown { sock: 0, message, shown });
+                }
+                let due = self.bench.now + 1.0;
+                let seen = self.seen.entry(name.clone()).or_default();
+                let known = seen.asked > 0;
+                seen.asked += 1;
+                let lost = seen.sock.is_none();
+                seen.sock = Some(0);
+                if !known || lost {
+                    seen.due = due;
+                }
+                self.tokens.entry(name).or_insert(token);
+                let mut message = common::start(&key.0, "ticket", "t1");
+                if let FromPlayer::Start { setup_timeout, .. } = &mut message {
+                    *setup_timeout = 1.0;
+                }
+                self.input(Input::Shown { sock: 0, message, shown });
+            }
+            Step::Keeper { words, lost } => self.keep(words, lost),
             Step::Stop { key, sock } => {
                 let key = RequestKey(self.key(key));
                 self.input(Input::Player { sock: sock.into(), message: FromPlayer::Stop { key } });
@@ -340,7 +424,8 @@
         for step in &steps {
             peers.step(step);
         }
-        // All ends: sockets go, time passes, answers are forgotten.
+        // All ends: the keeper is there, sockets go, time passes, answers are forgotten.
+        peers.keeping = true;
         peers.wait(4.0);
         for sock in 0..5 {
             peers.input(Input::SocketLost { sock });
@@ -350,6 +435,10 @@
         let counts = peers.bench.desk.counts();
         prop_assert_eq!((counts.owed, counts.playing, counts.known), (0, 0, 0), "left: {:?}", counts);
         prop_assert!(counts.timers < 60, "timers left: {:?}", counts);
+        let now = peers.bench.now;
+        peers.ledger.expire(now);
+        let seats = peers.ledger.standing(&School("olaf".into()));
+        prop_assert_eq!((seats.held, seats.free + seats.lent), (0, 3), "seats left: {:?}", seats);
     }
 
     #[test]
--- /dev/null
+++ b/crates/kelpdoor-keeper/src/lib.rs
@@ -0,0 +1,13 @@
+//! The keeper of seats: [`Ledger`](kelpdoor_seats::Ledger) with a log on disk and directors on sockets.
+//!
+//! What changed is on disk before any answer that tells of it goes out; changes that wait together are written
+//! together. The log holds records of changes, each with its length and checksums: one cut short at the end was never
+//! answered for and is dropped, anything else that is not as it was written is named and nothing is loaded.
+
+mod log;
+mod serve;
+mod wire;
+
+pub use log::{Log, LogFault, Opened};
+pub use serve::{KeeperOptions, RunningKeeper, start};
+pub use wire::{Ask, MAX_LINE, SchoolStanding, Tell};
--- /dev/null
+++ b/crates/kelpdoor-keeper/src/serve.rs
@@ -0,0 +1,356 @@
+//! The keeper's sockets and its one loop.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpdoor_clock::Clock;
+use kelpdoor_seats::{DirectorId, Lease, Ledger, School, ToKeeper};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
+
+use crate::log::{Log, Opened};
+use crate::wire::{Ask, MAX_LINE, SchoolStanding, Tell};
+
+/// Connections at most; more are closed at once, and directors come again.
+const CONNS: usize = 1024;
+/// Lines waiting for the loop at most; readers wait beyond it.
+const ASKS: usize = 4096;
+/// Lines written down together at most.
+const BATCH: usize = 1024;
+/// Answers waiting for one connection at most; beyond it the connection is closed.
+const ANSWERS: usize = 8192;
+/// Bytes of log before it is written anew, and how many times its size when last written anew.
+const REWRITE: (u64, u64) = (4 << 20, 4);
+/// s; tokens that run out so soon are shown as expiring.
+const EXPIRING: f64 = 300.0;
+/// Runs out are looked for so often though nobody asks.
+const IDLE: Duration = Duration::from_secs(1);
+
+pub struct KeeperOptions {
+    pub listen: SocketAddr,
+    /// Without one a restart forgets who holds what; leases then end what was held.
+    pub ledger: Option<PathBuf>,
+    pub lease: Lease,
+    pub schools: Vec<(School, u32)>,
+}
+
+enum Come {
+    Opened(u64, mpsc::Sender<Tell>),
+    Closed(u64),
+    Asked(u64, Ask),
+    Bought(Vec<(School, u32)>),
+    End,
+}
+
+/// A keeper at work.
+pub struct RunningKeeper {
+    pub address: SocketAddr,
+    to: mpsc::Sender<Come>,
+    task: JoinHandle<Result<(), String>>,
+}
+
+impl RunningKeeper {
+    /// Schools and their seats from now on; a school that is not named any more has none.
+    pub async fn buy(&self, schools: Vec<(School, u32)>) {
+        let _ = self.to.send(Come::Bought(schools)).await;
+    }
+
+    /// Ends when what was asked so far is written down.
+    pub async fn shut_down(&self) {
+        let _ = self.to.send(Come::End).await;
+    }
+
+    /// # Errors
+    /// Why the keeper ended, if not by [`shut_down`](Self::shut_down): its log could not be written.
+    pub async fn ended(&mut self) -> Result<(), String> {
+        (&mut self.task).await.unwrap_or_else(|e| Err(e.to_string()))
+    }
+
+    /// Ends at once, as a kill would.
+    pub fn abort(&self) {
+        self.task.abort();
+    }
+}
+
+/// Reads the ledger, binds, and starts.
+///
+/// # Errors
+/// Where the ledger is not as it was written or the address cannot be bound.
+pub async fn start(options: KeeperOptions) -> io::Result<RunningKeeper> {
+    let mut clock = Clock::default();
+    let now = clock.now().0;
+    let mut ledger = Ledger::new(options.lease);
+    let mut log = None;
+    if let Some(path) = options.ledger {
+        let opened = tokio::task::spawn_blocking(move || Log::open(&path)).await?;
+        let Opened { log: of, changes, torn } = opened.map_err(io::Error::other)?;
+        if torn > 0 {
+            tracing::warn!(
+                torn,
+                "the ledger's last record was cut short and is dropped; it was never answered"
+            );
+        }
+        changes.iter().for_each(|c| ledger.apply(c));
+        ledger.resumed(now);
+        log = Some(of);
+    }
+    let listener = TcpListener::bind(options.listen).await?;
+    let address = listener.local_addr()?;
+    let (to, from) = mpsc::channel(ASKS);
+    let mut keeper = Keeper {
+        clock,
+        ledger,
+        rewrite_at: REWRITE.0,
+        log,
+        conns: HashMap::new(),
+        at: HashMap::new(),
+        out: Vec::new(),
+    };
+    keeper.buy(options.schools);
+    keeper.keep().await.map_err(io::Error::other)?;
+    let task = tokio::spawn(keeper.run(from, listener, to.clone()));
+    Ok(RunningKeeper { address, to, task })
+}
+
+impl Drop for RunningKeeper {
+    fn drop(&mut self) {
+        self.abort();
+    }
+}
+
+struct Keeper {
+    clock: Clock,
+    ledger: Ledger,
+    log: Option<Log>,
+    rewrite_at: u64,
+    conns: HashMap<u64, mpsc::Sender<Tell>>,
+    /// Where each director was last heard.
+    at: HashMap<DirectorId, u64>,
+    /// Answers that wait for the log.
+    out: Vec<(u64, Tell)>,
+}
+
+fn director(word: &ToKeeper) -> DirectorId {
+    match word {
+        ToKeeper::Hello { director, .. }
+        | ToKeeper::Beat { director, .. }
+        | ToKeeper::Claim { director, .. }
+        | ToKeeper::Spent { director, .. }
+        | ToKeeper::Release { director, .. }
+        | ToKeeper::Lend { director, .. } => *director,
+    }
+}
+
+impl Keeper {
+    fn now(&mut self) -> f64 {
+        let (now, stepped) = self.clock.now();
+        if let Some(by) = stepped {
+            tracing::warn!(by, "the wall clock was stepped; leases go on by our own time");
+        }
+        now
+    }
+
+    async fn run(
+        mut self, mut from: mpsc::Receiver<Come>, listener: TcpListener, to: mpsc::Sender<Come>,
+    ) -> Result<(), String> {
+        // Ended with this task, however that ends.
+        let mut listen = JoinSet::new();
+        listen.spawn(accept(listener, to));
+        self.work(&mut from).await
+    }
+
+    async fn work(&mut self, from: &mut mpsc::Receiver<Come>) -> Result<(), String> {
+        loop {
+            let first = tokio::select! {
+                first = from.recv() => first,
+                () = sleep(IDLE) => None,
+            };
+            let now = self.now();
+            let mut end = false;
+            self.ledger.sweep(now);
+            if let Some(first) = first {
+                end |= self.come(now, first);
+            }
+            for _ in 0..BATCH {
+                let Ok(next) = from.try_recv() else { break };
+                end |= self.come(now, next);
+            }
+            self.keep().await?;
+            for (conn, tell) in std::mem::take(&mut self.out) {
+                if self.conns.get(&conn).is_some_and(|to| to.try_send(tell).is_err()) {
+                    // It does not read: closed, and words are said again on a new connection.
+                    self.conns.remove(&conn);
+                }
+            }
+            if end {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Whether that was the end.
+    fn come(&mut self, now: f64, come: Come) -> bool {
+        match come {
+            Come::Opened(conn, to) => {
+                self.conns.insert(conn, to);
+            }
+            Come::Closed(conn) => {
+                self.conns.remove(&conn);
+                self.at.retain(|_, at| *at != conn);
+            }
+            Come::Asked(conn, Ask::Word(word)) => {
+                self.at.insert(director(&word), conn);
+                for (to, word) in self.ledger.take(now, &word) {
+                    if let Some(conn) = self.at.get(&to) {
+                        self.out.push((*conn, Tell::Word(word)));
+                    }
+                }
+            }
+            Come::Asked(conn, Ask::Standing) => {
+                let tell = self.standing(now);
+                self.out.push((conn, tell));
+            }
+            Come::Bought(schools) => self.buy(schools),
+            Come::End => return true,
+        }
+        false
+    }
+
+    fn standing(&self, now: f64) -> Tell {
+        let of = |school: &School| {
+            let s = self.ledger.standing(school);
+            let expiring = self.ledger.expiring(school, now + EXPIRING);
+            let school = school.0.clone();
+            SchoolStanding { school, bought: s.bought, held: s.held, lent: s.lent, free: s.free, expiring }
+        };
+        Tell::Standing {
+            directors: self.ledger.directors(),
+            schools: self.ledger.schools().map(of).collect(),
+        }
+    }
+
+    fn buy(&mut self, schools: Vec<(School, u32)>) {
+        let mut all: HashMap<School, u32> = self.ledger.schools().map(|s| (s.clone(), 0)).collect();
+        all.extend(schools);
+        let mut all: Vec<_> = all.into_iter().collect();
+        all.sort();
+        for (school, seats) in all {
+            if self.ledger.standing(&school).bought != seats || !self.ledger.schools().any(|s| *s == school) {
+                self.ledger.buy(&school, seats);
+            }
+        }
+    }
+
+    /// What changed goes to disk, in one write with one sync.
+    async fn keep(&mut self) -> Result<(), String> {
+        let changes = self.ledger.changes();
+        if changes.is_empty() {
+            return Ok(());
+        }
+        let Some(mut log) = self.log.take() else { return Ok(()) };
+        let whole = (log.bytes() > self.rewrite_at).then(|| self.ledger.standing_changes());
+        let kept = tokio::task::spawn_blocking(move || {
+            // All that stands has these changes in it. A log that cannot be replaced is written on.
+            let rewritten = whole.is_some_and(|whole| log.rewrite(&whole).is_ok());
+            if !rewritten {
+                log.append(&changes)?;
+            }
+            io::Result::Ok((log, rewritten))
+        });
+        let (log, rewritten) =
+            kept.await.map_err(|e| e.to_string())?.map_err(|e| format!("the ledger's log: {e}"))?;
+        if rewritten {
+            self.rewrite_at = (log.bytes() * REWRITE.1).max(REWRITE.0);
+        }
+        self.log = Some(log);
+        Ok(())
+    }
+}
+
+async fn accept(listener: TcpListener, to: mpsc::Sender<Come>) {
+    let room = Arc::new(Semaphore::new(CONNS));
+    let mut tasks = JoinSet::new();
+    let mut next = 0;
+    loop {
+        while tasks.try_join_next().is_some() {}
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                tracing::warn!(%e, "a connection was not accepted");
+                sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let Ok(permit) = room.clone().try_acquire_owned() else { continue };
+        next += 1;
+        let (conn, to) = (next, to.clone());
+        tasks.spawn(async move {
+            let _ = stream.set_nodelay(true);
+            attend(conn, stream, &to).await;
+            let _ = to.send(Come::Closed(conn)).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn attend(conn: u64, stream: TcpStream, to: &mpsc::Sender<Come>) {
+    let (read, mut write) = stream.into_split();
+    let (tell, mut told) = mpsc::channel::<Tell>(ANSWERS);
+    if to.send(Come::Opened(conn, tell)).await.is_err() {
+        return;
+    }
+    let writer = async {
+        while let Some(tell) = told.recv().await {
+            let mut text = serde_json::to_vec(&tell).expect("plain data");
+            text.push(b'\n');
+            // What waits together goes out together.
+            while text.len() < 1 << 16
+                && let Ok(more) = told.try_recv()
+            {
+                text.extend(serde_json::to_vec(&more).expect("plain data"));
+                text.push(b'\n');
+            }
+            if write.write_all(&text).await.is_err() {
+                return;
+            }
+        }
+    };
+    let fault = tokio::select! {
+        fault = listen(conn, read, to) => fault,
+        () = writer => None,
+    };
+    if let Some(fault) = fault {
+        tracing::warn!(conn, %fault, "closing a connection");
+        let mut text = serde_json::to_vec(&Tell::Fault(fault)).expect("plain data");
+        text.push(b'\n');
+        let _ = write.write_all(&text).await;
+    }
+}
+
+/// Reads lines to the connection's end; what was wrong with one.
+async fn listen(conn: u64, read: OwnedReadHalf, to: &mpsc::Sender<Come>) -> Option<String> {
+    let mut lines = BufReader::new(read);
+    let mut line = Vec::new();
+    loop {
+        line.clear();
+        match (&mut lines).take(MAX_LINE as u64).read_until(b'\n', &mut line).await {
+            Ok(0) | Err(_) => return None,
+            Ok(_) if !line.ends_with(b"\n") => {
+                return (line.len() >= MAX_LINE).then(|| format!("a line of more than {MAX_LINE} bytes"));
+            }
+            Ok(_) => {}
+        }
+        match serde_json::from_slice::<Ask>(&line) {
+            Err(e) => return Some(format!("not a message: {e}")),
+            Ok(ask) => to.send(Come::Asked(conn, ask)).await.ok()?,
+        }
+    }
+}
--- a/crates/kelpdoor-lab/scripts/bad-day.star
+++ b/crates/kelpdoor-lab/scripts/bad-day.star
@@ -1,6 +1,11 @@
 # The default bad day: three directors, sixteen nodes in four racks and two rooms, 300 players.
 day(seconds = 60, directors = 3, nodes = 16, racks = 4, zones = ["east", "west"], players = 270, class_of = 30,
-    class_at = 12, watch = 14, roster_lag = 1, seed = 1)
+    class_at = 12, watch = 14, roster_lag = 1, seed = 1, schools = 2, seats = 6, tickets = 90, token_lasts = 6)
+
+# The keeper of seats dies and comes back, the key of the tokens changes, and later the keeper stands still.
+keeper_roll(at = 14, notice = 2)
+new_key(at = 22, lasts = 6)
+keeper_stall(at = 40, lasts = 5)
 
 # Two nodes die and come back cold, one goes silent.
 crash(at = 6, nodes = [2, 9], lasts = 6)
--- a/crates/kelpdoor-lab/src/check.rs
+++ b/crates/kelpdoor-lab/src/check.rs
@@ -1,10 +1,12 @@
-//! Judges the six rules from a record alone. It shares no code with the director: it reads the messages as text
+//! Judges the six rules, and a seventh of schools' seats, from a record alone. It shares no code with the director: it reads the messages as text
 //! and the settings as JSON.
 //!
 //! Times are those at which stand-ins read or wrote, so two sockets may be seen a little out of order: [`SKEW`].
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use hdrhistogram::Histogram;
 use serde_json::Value;
 
@@ -15,6 +17,9 @@
 /// s; a roster line takes no longer from the stand-in to the director.
 const HEARD: f64 = 0.1;
 
+/// s; a seat that moved is said to its first director at once, and at each of its beats from then on.
+const TOLD_WITHIN: f64 = 4.0;
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Broken {
     pub rule: u8,
@@ -37,6 +42,10 @@
     /// Starts whose director was killed or stood still before their timeout, with no answer in time.
     pub excused: usize,
     pub falls: usize,
+    /// Sessions with tokens that played, and most seats of a school in use at once, of how many.
+    pub ticketed: usize,
+    pub seats_used: (usize, usize),
+    pub tokens: usize,
     /// Most SETUPs that a cold node got in a window, over the limit there.
     pub cold_use: f64,
     /// Utility played by sessions answered within the start target, over the utility asked for.
@@ -61,6 +70,9 @@
             rung_changes: 0,
             excused: 0,
             falls: 0,
+            ticketed: 0,
+            seats_used: (0, 0),
+            tokens: 0,
             cold_use: 0.0,
             service: 0.0,
             start_times,
@@ -145,6 +157,13 @@
     }
 }
 
+/// School, id and expiry in a token's claims, unverified.
+fn claims(token: &str) -> Option<(String, String, f64)> {
+    let bytes = URL_SAFE_NO_PAD.decode(token.split('.').nth(1)?).ok()?;
+    let v: Value = serde_json::from_slice(&bytes).ok()?;
+    Some((v["school"].as_str()?.to_owned(), v["jti"].as_str()?.to_owned(), v["exp"].as_f64()?))
+}
+
 /// A director as it ran: number and boot.
 type Run = (u32, u32);
 
@@ -210,6 +229,10 @@
     told_nodes: BTreeMap<u32, BTreeSet<u32>>,
     lives: BTreeMap<u32, NodeLife>,
     wishes: Vec<(String, u64, f64)>,
+    /// Seats of each school; by request, the school, the token's id and its latest expiry.
+    schools: Option<usize>,
+    tokens: BTreeMap<(Run, String), (String, String, f64)>,
+    keeper_down: Vec<(f64, f64)>,
 }
 
 impl Checker {
@@ -244,6 +267,16 @@
             What::NodeConn { node, conn, open: false } => {
                 self.end_where(t, |s| (s.node, s.conn) == (*node, *conn))
             }
+            What::Schools { seats } => self.schools = Some(*seats as usize),
+            What::SeatsLeft { held } => {
+                if *held > 0 {
+                    self.broken(7, n, format!("{held} seats are held though nobody holds any"));
+                }
+            }
+            What::Keeper { event } => match event.as_str() {
+                "killed" | "stalled" => self.keeper_down.push((t, f64::INFINITY)),
+                _ => self.keeper_down.iter_mut().for_each(|d| d.1 = d.1.min(t)),
+            },
             What::NodeConn { .. } | What::Trouble { .. } | What::PlayerSock { .. } => {}
             What::Node { node, conn, got, text } => self.rtsp(n, t, *node, *conn, *got, text),
             What::Stream { node, key, share, .. } => {
@@ -459,6 +492,10 @@
         let kind = v["type"].as_str().unwrap_or("");
         let Some(key) = v["key"].as_str().map(str::to_owned) else { return };
         let known = self.by_key.get(&(run, key.clone())).copied();
+        if !got && let Some((school, id, exp)) = v["token"].as_str().and_then(claims) {
+            let of = self.tokens.entry((run, key.clone())).or_insert((school, id, exp));
+            of.2 = of.2.max(exp);
+        }
         match (got, kind) {
             (false, "start") => match known {
                 Some(k) => self.starts[k].sent += 1,
@@ -614,6 +651,53 @@
         found.into_iter().for_each(|(line, what)| self.broken(5, line, what));
     }
 
+    /// Seats of schools: by what played at nodes, never more tokens of a school at once than it has seats, and no token
+    /// at two directors for longer than word of it takes.
+    fn tickets(&mut self) {
+        let Some(seats) = self.schools else { return };
+        // From, to, token, line and director of each stretch of play.
+        type Stretch<'a> = (f64, f64, &'a str, usize, Run);
+        let mut by_school: BTreeMap<&str, Vec<Stretch<'_>>> = BTreeMap::new();
+        let mut ids = BTreeSet::new();
+        for s in &self.setups {
+            let Some((school, id, exp)) = self.tokens.get(&(s.run, s.key.clone())) else { continue };
+            let Some(from) = s.plays else { continue };
+            let end = s.ended.unwrap_or(f64::INFINITY) - SKEW;
+            // One that stands still cannot take an expired session off its node; the seat is counted to its expiry.
+            let end = if end > *exp && self.gap(s.run, *exp - SKEW, end) { *exp } else { end };
+            ids.insert((school.as_str(), id.as_str()));
+            if end > from {
+                by_school.entry(school).or_default().push((from, end, id, s.line, s.run));
+            }
+        }
+        let mut found = Vec::new();
+        let (mut most, mut ticketed) = (0, 0);
+        for (school, of) in &by_school {
+            ticketed += of.len();
+            for (from, _, id, line, run) in of {
+                let at: Vec<_> = of.iter().filter(|o| o.0 <= *from && o.1 > *from).collect();
+                let held: BTreeSet<&str> = at.iter().map(|o| o.2).collect();
+                most = most.max(held.len());
+                if held.len() > seats {
+                    found.push((*line, format!("{school}: {} of {seats} seats in use", held.len())));
+                }
+                let twice = at.iter().find(|o| o.2 == *id && o.3 != *line && o.1 > *from + TOLD_WITHIN);
+                if let Some(o) = twice {
+                    let away = |(a, b): &(f64, f64)| *a <= from + TOLD_WITHIN && *b >= *from - TOLD_WITHIN;
+                    let excused = self.keeper_down.iter().any(away)
+                        || self.gap(o.4, *from - TOLD_WITHIN, o.1)
+                        || self.gap(*run, *from - TOLD_WITHIN, o.1);
+                    if !excused {
+                        let what = format!("{school}: {id} plays at two directors, since line {} too", o.3);
+                        found.push((*line, what));
+                    }
+                }
+            }
+        }
+        (self.v.ticketed, self.v.seats_used, self.v.tokens) = (ticketed, (most, seats), ids.len());
+        found.into_iter().for_each(|(line, what)| self.broken(7, line, what));
+    }
+
     fn budget(&mut self) {
         let mut seen: BTreeMap<(Run, &str), usize> = BTreeMap::new();
         let mut further: BTreeMap<Run, Vec<(f64, usize)>> = BTreeMap::new();
@@ -690,6 +774,7 @@
     checker.answers();
     checker.repeats();
     checker.seats();
+    checker.tickets();
     checker.budget();
     checker.service(lines.last().map_or(0.0, |l| l.t));
     checker.v.broken.sort_by_key(|b| (b.rule, b.line));
--- a/crates/kelpdoor-lab/src/day.rs
+++ b/crates/kelpdoor-lab/src/day.rs
@@ -11,10 +11,13 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::fleet::{Fold, World, settings};
-use crate::player::{Wish, play};
+use crate::player::{Ticket, Wish, play};
 use crate::record::{Recorder, What};
+use crate::tickets;
 use crate::trouble::{Kind, Script, Trouble};
 
+/// s; a lease, a clock error and a sweep of the keeper's, after its restart.
+const LAST_LEASE: f64 = 16.0;
 /// The default bad day.
 pub const DEFAULT: &str = include_str!("../scripts/bad-day.star");
 /// A short one.
@@ -42,6 +45,7 @@
         setup_timeout: timeout,
         retries: rng.f64() < 0.25,
         second_socket: rng.f64() < 0.4,
+        ticket: None,
     }
 }
 
@@ -66,6 +70,21 @@
         let title = if t.title.is_empty() { "title-11" } else { &t.title };
         crowd(t.at, t.players, title, &mut rng, t.lasts.max(0.1));
     }
+    // Of their own chance, so that they change nothing of the others.
+    let mut rng = Rng::with_seed(size.seed ^ 0x71c8);
+    for k in 0..size.tickets {
+        let mut wish = draw_wish(script, &mut rng, next + k, None);
+        wish.group = "ticket".into();
+        wish.seconds = size.token_lasts * (0.5 + 2.0 * rng.f64());
+        wish.setup_timeout = 3.0;
+        wish.ticket = Some(Ticket {
+            school: tickets::school(k % size.schools.max(1)),
+            lasts: size.token_lasts * (0.7 + 0.6 * rng.f64()),
+            renews: rng.f64() < 0.8,
+            elsewhere: rng.f64() < 0.5,
+        });
+        all.push((rng.f64() * span, wish));
+    }
     all.sort_by(|a, b| a.0.total_cmp(&b.0));
     all
 }
@@ -188,6 +207,34 @@
                 ids.iter().for_each(|&id| nodes.kill(id, "its room was lost"));
                 self.each_back(&ids, t.lasts).await;
             }
+            Kind::KeeperRoll => {
+                if let Some(keeper) = self.fold.lock().await.keeper.as_mut() {
+                    keeper.kill().await;
+                }
+                self.fold.lock().await.note_keeper("killed");
+                pause(t.notice).await;
+                let mut fold = self.fold.lock().await;
+                if let Some(keeper) = fold.keeper.as_mut() {
+                    if let Err(e) = keeper.again().await {
+                        tracing::error!(%e, "the keeper could not be started again");
+                    }
+                    fold.note_keeper("started");
+                }
+            }
+            Kind::KeeperStall => {
+                self.stall_keeper(true).await;
+                pause(t.lasts).await;
+                self.stall_keeper(false).await;
+            }
+            Kind::NewKey => {
+                let issuing = self.fold.lock().await.issuing.clone();
+                let Some(issuing) = issuing else { return };
+                let changed = issuing.next_key();
+                pause(t.lasts).await;
+                if let Err(e) = changed.and_then(|()| issuing.drop_old()) {
+                    tracing::error!(%e, "the key could not be changed");
+                }
+            }
             Kind::HotKey => {}
             Kind::Preempt => {
                 t.nodes.iter().for_each(|&id| nodes.drain(id, true));
@@ -203,6 +250,14 @@
         }
     }
 
+    async fn stall_keeper(&self, on: bool) {
+        let fold = self.fold.lock().await;
+        if let Some(keeper) = &fold.keeper {
+            fold.note_keeper(if on { "stalled" } else { "resumed" });
+            keeper.stall(on);
+        }
+    }
+
     fn links(&self, nodes: &[u32], factor: f64) {
         self.world.nodes.with_fleet(|f| {
             for id in nodes {
@@ -230,6 +285,29 @@
     pub journals: Vec<(PathBuf, PathBuf)>,
 }
 
+/// What the keeper counts as held when nobody holds anything any more: nothing, as soon as the leases of directors that
+/// were killed are over.
+async fn seats_left(fold: &mut Fold, recorder: &Recorder) -> Result<()> {
+    let Some(keeper) = &mut fold.keeper else { return Ok(()) };
+    // It may have been under trouble at the end of the day.
+    keeper.stall(false);
+    if keeper.standing().await.is_err() {
+        keeper.kill().await;
+        keeper.again().await?;
+    }
+    let end = Instant::now() + Duration::from_secs_f64(LAST_LEASE);
+    let held = loop {
+        let (held, _) = keeper.standing().await?;
+        if held == 0 || Instant::now() > end {
+            break held;
+        }
+        sleep(Duration::from_millis(200)).await;
+    };
+    recorder.put(What::SeatsLeft { held });
+    keeper.kill().await;
+    Ok(())
+}
+
 /// Plays a script to its end. `tick` is told how far the day is, in seconds.
 ///
 /// # Errors
@@ -243,9 +321,11 @@
     let shared = settings(size, other);
     let world = Arc::new(World::start(size, &shared, recorder.clone()).await?);
     let mut fold = Fold::new(size, &shared, program.into(), world.roster_at, recorder.clone(), dir, journal);
+    fold.start_keeper().await?;
     for d in 0..size.directors as usize {
         fold.start(d).await?;
     }
+    let issuing = fold.issuing.clone();
     let directors = fold.directors.clone();
     let fold = Arc::new(Mutex::new(fold));
     let script = Arc::new(script.clone());
@@ -260,11 +340,11 @@
     }
     let mut players = JoinSet::new();
     for (at, wish) in arrivals(&script) {
-        let (directors, recorder) = (directors.clone(), recorder.clone());
+        let (directors, recorder, issuing) = (directors.clone(), recorder.clone(), issuing.clone());
         let seed = script.size.seed ^ (u64::from(wish.player) << 20);
         players.spawn(async move {
             sleep_until(started + Duration::from_secs_f64(at)).await;
-            play(wish, directors, recorder, seed).await;
+            play(wish, directors, recorder, issuing, seed).await;
         });
     }
     let end = started + Duration::from_secs_f64(script.size.seconds);
@@ -283,6 +363,7 @@
         }
     }
     players.shutdown().await;
+    seats_left(&mut *fold.lock().await, &recorder).await?;
     let journals = {
         let fold = fold.lock().await;
         (0..script.size.directors as usize).map(|d| (fold.script_path(d), fold.journal_path(d))).collect()
--- a/crates/kelpdoor-lab/src/fleet.rs
+++ b/crates/kelpdoor-lab/src/fleet.rs
@@ -19,6 +19,7 @@
 use crate::player::Directors;
 use crate::record::{Recorder, What};
 use crate::roster::Roster;
+use crate::tickets::{self, Issuing, KeeperProcess};
 use crate::trouble::Size;
 
 /// kB a second for each unit of a node's size.
@@ -49,6 +50,12 @@
 
 /// The settings that all directors of a lab share, but for their own lines; `other` replaces the usual ones.
 pub fn settings(size: &Size, other: &str) -> String {
+    let ticket = if other.is_empty() {
+        "utility = 1, start_target = 1.5, top = 3"
+    } else {
+        "utility = 1, start_target = 0.4, top = 1, repeat = \"never\""
+    };
+    let tickets = tickets::settings(size, ticket);
     let (other, cold) = if other.is_empty() {
         (USUAL, "cold_from = 0.4, warm_within = 8, tip_multiple = 4, fall_window = 2, drain_grace = 1")
     } else {
@@ -57,7 +64,7 @@
     let cells = size.nodes;
     let zones = size.zones.iter().map(|z| format!("{z:?}")).collect::<Vec<_>>().join(", ");
     format!(
-        r#"{other}fleet(zones = [{zones}], kinds = {{"box-2c": 26, "box-3c": 39}}, cells = {cells}, racks = {racks},
+        r#"{other}{tickets}fleet(zones = [{zones}], kinds = {{"box-2c": 26, "box-3c": 39}}, cells = {cells}, racks = {racks},
       link_unit = {LINK_UNIT}, rack_uplink = {uplink}, seen_after = 0.6, told_every = 2.0, {cold},
       cross_zone_price = 0.02)
 "#,
@@ -169,6 +176,9 @@
     dir: PathBuf,
     recorder: Recorder,
     journal: bool,
+    /// Where the day has schools.
+    pub keeper: Option<KeeperProcess>,
+    pub issuing: Option<std::sync::Arc<Issuing>>,
 }
 
 impl Fold {
@@ -189,6 +199,8 @@
             dir: dir.to_owned(),
             recorder,
             journal,
+            keeper: None,
+            issuing: None,
         }
     }
 
@@ -197,6 +209,20 @@
         self.recorder.put(What::Director { director, boot, event: event.to_owned() });
     }
 
+    /// Starts the keeper and the issuing of tokens, where the day has schools; before any director.
+    pub async fn start_keeper(&mut self) -> Result<()> {
+        if self.size.schools > 0 {
+            self.issuing = Some(Issuing::new(&self.dir)?);
+            self.keeper = Some(KeeperProcess::start(&self.program, &self.dir, &self.size).await?);
+            self.recorder.put(What::Schools { seats: self.size.seats });
+        }
+        Ok(())
+    }
+
+    pub fn note_keeper(&self, event: &str) {
+        self.recorder.put(What::Keeper { event: event.to_owned() });
+    }
+
     pub fn script_path(&self, d: usize) -> PathBuf {
         self.dir.join(format!("director-{d}.star"))
     }
@@ -207,7 +233,11 @@
 
     pub async fn start(&mut self, d: usize) -> Result<SocketAddr> {
         let cache = self.dir.join(format!("director-{d}.list"));
-        let script = director_script(&self.shared, &self.size, d as u32, self.roster_at, &cache);
+        let mut script = director_script(&self.shared, &self.size, d as u32, self.roster_at, &cache);
+        if let (Some(keeper), Some(issuing)) = (&self.keeper, &self.issuing) {
+            script = script.replace(tickets::KEYS, &issuing.keys().display().to_string());
+            script = script.replace(tickets::KEEPER, &keeper.address);
+        }
         let path = self.script_path(d);
         std::fs::File::create(&path)?.write_all(script.as_bytes())?;
         self.boots[d] += 1;
--- a/crates/kelpdoor-lab/src/lib.rs
+++ b/crates/kelpdoor-lab/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod record;
 pub mod relay;
 pub mod roster;
+pub mod tickets;
 pub mod trouble;
--- a/crates/kelpdoor-lab/src/load.rs
+++ b/crates/kelpdoor-lab/src/load.rs
@@ -110,8 +110,7 @@
                     group: "story".into(),
                     title: format!("title-{:02}", (count + u64::from(me) * 7) % 40),
                     best_rung: 2,
-                    setup_timeout: 3.0,
-                };
+                    setup_timeout: 3.0, token: None };
                 out.insert(key, Instant::now());
                 with(&|t| t.started += 1);
                 socket.say(&start).await?;
--- a/crates/kelpdoor-lab/src/main.rs
+++ b/crates/kelpdoor-lab/src/main.rs
@@ -14,6 +14,7 @@
 use kelpdoor_lab::fleet::{Fold, ODD, World, settings};
 use kelpdoor_lab::record::{self, Recorder};
 use kelpdoor_lab::trouble::Script;
+use kelpdoor_tokens::{Audience, Claims};
 use tokio::io::AsyncBufReadExt;
 use tokio::sync::Mutex;
 
@@ -77,6 +78,26 @@
         #[command(subcommand)]
         what: TroubleAct,
     },
+    /// Issue a token for trying a deployment out. Key pair and key set are made in the folder if it has none.
+    Token {
+        /// Holds the key pair, and `keys.json`, the key set for `tokens(keys = ..)`.
+        #[arg(long)]
+        keys: PathBuf,
+        #[arg(long)]
+        school: String,
+        /// Names the seat, with the school; a renewal has the same one.
+        #[arg(long)]
+        id: String,
+        #[arg(long, default_value = "kelpdoor")]
+        audience: String,
+        #[arg(long)]
+        group: Option<String>,
+        #[arg(long)]
+        seat_class: Option<String>,
+        /// s
+        #[arg(long, default_value_t = 600.0)]
+        lasts: f64,
+    },
     /// Judge a record again.
     Check { record: PathBuf },
 }
@@ -114,6 +135,8 @@
             format!("{:.0} ms, {:.0} ms", ms(0.5), ms(0.99))
         }),
         ("most of a cold node's limit used", format!("{:.0} %", 100.0 * v.cold_use)),
+        ("tokens, sessions played with them", format!("{}, {}", v.tokens, v.ticketed)),
+        ("most seats of a school in use, of", format!("{}, {}", v.seats_used.0, v.seats_used.1)),
         ("cold nodes pushed over", v.falls.to_string()),
         ("service", format!("{:.3}", v.service)),
     ];
@@ -130,6 +153,7 @@
         "cold nodes not pushed",
         "floors and seats",
         "budget for further SETUPs",
+        "seats of schools counted once, freed once",
     ];
     for (k, name) in names.iter().enumerate() {
         let count = v.broken.iter().filter(|b| usize::from(b.rule) == k + 1).count();
@@ -193,12 +217,18 @@
         dir.path(),
         false,
     );
+    fold.start_keeper().await?;
     for d in 0..2 {
         println!("director {d}: ws://{}/", fold.start(d).await?);
     }
     println!(
         "subprotocol kelpdoor.session.v1; groups lecture, story, reading, paid; titles title-00 to title-39"
     );
+    if let (Some(keeper), Some(issuing)) = (&fold.keeper, &fold.issuing) {
+        let token = issuing.token(&kelpdoor_lab::tickets::school(0), "by-hand", 600.0)?;
+        println!("group ticket needs a token, as this one, good for ten minutes: {token}");
+        println!("keeper of seats: {}, for kelpdoord seats --keeper", keeper.address);
+    }
     println!("settings and logs in {}; Ctrl-C ends", dir.path().display());
     println!(
         "a line of a trouble script does that trouble now, as in: crash(at = 0, nodes = [2], lasts = 5)"
@@ -258,6 +288,15 @@
             println!("{}: good, {} troubles", script.display(), read.troubles.len());
             Ok(true)
         }
+        Act::Token { keys, school, id, audience, group, seat_class, lasts } => {
+            let now = record::now();
+            let aud = Audience::One(audience);
+            let claims =
+                Claims { aud, school, group, seat_class, jti: id, iat: now, nbf: None, exp: now + lasts };
+            let issuer = kelpdoor_lab::tickets::kept_issuer(&keys)?;
+            println!("{}", issuer.sign(&claims).map_err(|e| anyhow::anyhow!(e))?);
+            Ok(true)
+        }
         Act::Check { record } => {
             let lines = record::read(&record).context("reading the record")?;
             if lines.is_empty() {
--- a/crates/kelpdoor-lab/src/player.rs
+++ b/crates/kelpdoor-lab/src/player.rs
@@ -18,6 +18,7 @@
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 use crate::record::{Recorder, What};
+use crate::tickets::Issuing;
 
 /// A director's address, boot and zone.
 pub type Place = (SocketAddr, u32, String);
@@ -35,6 +36,14 @@
         all[director] = at;
     }
 
+    /// Another one than that, if any is up.
+    fn draw_other(&self, than: u32, rng: &mut Rng) -> Option<(u32, SocketAddr, u32)> {
+        let all = self.0.lock().unwrap_or_else(|e| e.into_inner());
+        let up = all.iter().enumerate().filter_map(|(d, at)| at.as_ref().map(|(a, b, _)| (d as u32, *a, *b)));
+        let up: Vec<_> = up.filter(|u| u.0 != than).collect();
+        (!up.is_empty()).then(|| up[rng.usize(..up.len())])
+    }
+
     /// One of the zone if any is up, else any.
     fn draw(&self, zone: &str, rng: &mut Rng) -> Option<(u32, SocketAddr, u32)> {
         let all = self.0.lock().unwrap_or_else(|e| e.into_inner());
@@ -63,6 +72,18 @@
     /// Sends its request again while the answer is out, on the same socket or on a second one.
     pub retries: bool,
     pub second_socket: bool,
+    pub ticket: Option<Ticket>,
+}
+
+/// A viewer's entitlement, shown with each request.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    pub school: String,
+    /// s; of each token.
+    pub lasts: f64,
+    pub renews: bool,
+    /// Where it retries, it goes to another director with the same token.
+    pub elsewhere: bool,
 }
 
 /// A socket to a director, its messages recorded.
@@ -130,6 +151,16 @@
     }
 }
 
+/// Hears a request out that its viewer has left for another director.
+async fn listen_on(mut socket: Socket, patience: Instant) {
+    let until = patience + Duration::from_secs(5);
+    while let Ok(Some(m)) = timeout_at(until, socket.hear()).await {
+        if matches!(m, ToPlayer::Ended { .. } | ToPlayer::Busy { .. } | ToPlayer::Failed { .. }) {
+            return;
+        }
+    }
+}
+
 /// How a try ended.
 enum Try {
     /// Watched to the end.
@@ -139,7 +170,9 @@
 }
 
 /// Plays one viewer's part to its end.
-pub async fn play(wish: Wish, directors: Directors, recorder: Recorder, seed: u64) {
+pub async fn play(
+    wish: Wish, directors: Directors, recorder: Recorder, issuing: Option<Arc<Issuing>>, seed: u64,
+) {
     let mut rng = Rng::with_seed(seed);
     recorder.put(What::Wish {
         player: wish.player,
@@ -151,7 +184,12 @@
     let mut tries = 0;
     while Instant::now() + Duration::from_secs(2) < end && tries < 20 {
         tries += 1;
-        match one_try(&wish, &directors, &recorder, tries, end, &mut rng).await {
+        let token = || {
+            let ticket = wish.ticket.as_ref()?;
+            let id = format!("viewer-{}", wish.player);
+            issuing.as_ref()?.token(&ticket.school, &id, ticket.lasts).ok()
+        };
+        match one_try(&wish, &directors, &recorder, tries, end, &mut rng, &token).await {
             Try::Done => return,
             Try::Again(wait) => sleep(Duration::from_secs_f64(wait)).await,
         }
@@ -160,18 +198,20 @@
 
 async fn one_try(
     wish: &Wish, directors: &Directors, recorder: &Recorder, tries: u32, end: Instant, rng: &mut Rng,
+    token: &impl Fn() -> Option<String>,
 ) -> Try {
     let soon = 0.3 + rng.f64();
     let Some(to) = directors.draw(&wish.zone, rng) else { return Try::Again(soon) };
     let opened = timeout(Duration::from_secs(3), Socket::open(recorder, wish.player, to)).await;
     let Ok(Ok(mut socket)) = opened else { return Try::Again(soon) };
-    let key = RequestKey(format!("p{:05}-{tries:02}-{:08x}", wish.player, rng.u32(..)));
-    let start = FromPlayer::Start {
+    let mut key = RequestKey(format!("p{:05}-{tries:02}-{:08x}", wish.player, rng.u32(..)));
+    let mut start = FromPlayer::Start {
         key: key.clone(),
         group: wish.group.clone(),
         title: wish.title.clone(),
         best_rung: wish.best_rung,
         setup_timeout: wish.setup_timeout,
+        token: token(),
     };
     if socket.say(&start).await.is_err() {
         return Try::Again(soon);
@@ -187,6 +227,24 @@
             Ok(Some(m)) if m.is_final() && m.key() == Some(&key) => break Some(m),
             Ok(Some(ToPlayer::Error { .. })) | Ok(None) => break None,
             Ok(Some(_)) => {}
+            Err(_) if retry_at.is_some() && wish.ticket.as_ref().is_some_and(|t| t.elsewhere) => {
+                retry_at = None;
+                // The same token at another director, while the first answer is out.
+                if let Some(other) = directors.draw_other(to.0, rng)
+                    && let Ok(Ok(new)) =
+                        timeout(Duration::from_secs(1), Socket::open(recorder, wish.player, other)).await
+                {
+                    let first = std::mem::replace(&mut socket, new);
+                    tokio::spawn(listen_on(first, patience));
+                    if let FromPlayer::Start { key: of, .. } = &mut start {
+                        of.0.push_str("-b");
+                        key = of.clone();
+                    }
+                    if socket.say(&start).await.is_err() {
+                        break None;
+                    }
+                }
+            }
             Err(_) if retry_at.take().is_some() => {
                 if wish.second_socket {
                     // The first socket is let go: the answer comes on the new one.
@@ -216,6 +274,12 @@
             () = sleep_until(end) => break,
             heard = socket.hear() => match heard {
                 Some(ToPlayer::Ended { .. }) | None => return Try::Again(0.6 + 1.5 * rng.f64()),
+                Some(ToPlayer::Expiring { .. }) if wish.ticket.as_ref().is_some_and(|t| t.renews) => {
+                    let Some(token) = token() else { continue };
+                    if socket.say(&FromPlayer::Renew { key: key.clone(), token }).await.is_err() {
+                        return Try::Again(0.6 + 1.5 * rng.f64());
+                    }
+                }
                 Some(_) => {}
             },
         }
--- a/crates/kelpdoor-lab/src/record.rs
+++ b/crates/kelpdoor-lab/src/record.rs
@@ -86,6 +86,18 @@
     Trouble {
         text: String,
     },
+    /// What each school bought.
+    Schools {
+        seats: u32,
+    },
+    /// The keeper of seats: `killed`, `started`, `stalled`, `resumed`.
+    Keeper {
+        event: String,
+    },
+    /// What it still counts as held at the very end.
+    SeatsLeft {
+        held: u32,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/kelpdoor-lab/src/relay.rs
+++ b/crates/kelpdoor-lab/src/relay.rs
@@ -154,6 +154,7 @@
                 let Ok(message) = FromPlayer::read(text.as_str()) else { continue };
                 let mut s = lock(&shared);
                 match message {
+                    FromPlayer::Renew { .. } => {}
                     FromPlayer::Start { key, group, title, .. } => {
                         let Some(t) = s.list.titles.get(&title).cloned() else { continue };
                         let cells = s.list.nodes.len() as u16;
--- /dev/null
+++ b/crates/kelpdoor-lab/src/tickets.rs
@@ -0,0 +1,202 @@
+//! Schools, their tokens and the keeper of their seats in a lab: an issuer whose key changes, and a keeper process that is
+//! killed, stalled and started again.
+
+use std::io::Write as _;
+use std::os::unix::fs::OpenOptionsExt as _;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex};
+use std::{fs, io};
+
+use anyhow::{Context, Result, anyhow};
+use kelpdoor_keeper::{Ask, Tell};
+use kelpdoor_tokens::{Audience, Claims, Issuer, key_set};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, ChildStdin, Command};
+
+use crate::record::now;
+use crate::trouble::Size;
+
+/// Stand in the settings for what is known only when a lab runs.
+pub const KEYS: &str = "keys-of-the-lab.json";
+pub const KEEPER: &str = "127.0.0.1:1";
+/// Whom tokens are meant for.
+pub const AUDIENCE: &str = "kelpdoor-lab";
+
+/// What directors and keeper agree on.
+const LEASE: &str = "lease = 14, clock_error = 0.5, beat_every = 1.5";
+
+/// The lines of a director's settings; none where the day has no schools.
+pub fn settings(size: &Size, group: &str) -> String {
+    if size.schools == 0 {
+        return String::new();
+    }
+    format!(
+        "group(\"ticket\", {group}, token = True)\n\
+         tokens(keys = \"{KEYS}\", audience = \"{AUDIENCE}\", warn = 1.5, reread = 0.2, longest = 600)\n\
+         keeper(address = \"{KEEPER}\", {LEASE}, wait = 0.4, ahead = 2)\n"
+    )
+}
+
+pub fn school(k: u32) -> String {
+    format!("school-{k}")
+}
+
+/// Issues the tokens of all schools.
+pub struct Issuing {
+    keys: PathBuf,
+    /// The latest signs.
+    issuers: Mutex<Vec<Issuer>>,
+}
+
+impl Issuing {
+    pub fn new(dir: &Path) -> Result<Arc<Self>> {
+        let issuing = Issuing { keys: dir.join(KEYS), issuers: Mutex::new(Vec::new()) };
+        issuing.next_key()?;
+        Ok(Arc::new(issuing))
+    }
+
+    pub fn keys(&self) -> &Path {
+        &self.keys
+    }
+
+    fn write(&self, issuers: &[Issuer]) -> io::Result<()> {
+        let new = self.keys.with_extension("new");
+        fs::write(&new, key_set(issuers))?;
+        fs::rename(new, &self.keys)
+    }
+
+    /// Another key signs from now on; those before it stay good.
+    pub fn next_key(&self) -> Result<()> {
+        let mut issuers = self.issuers.lock().unwrap_or_else(|e| e.into_inner());
+        let kid = format!("key-{}", issuers.len() + 1);
+        issuers.push(Issuer::new(&kid).map_err(|e| anyhow!(e))?);
+        Ok(self.write(&issuers)?)
+    }
+
+    /// Only the latest key is good from now on.
+    pub fn drop_old(&self) -> Result<()> {
+        let mut issuers = self.issuers.lock().unwrap_or_else(|e| e.into_inner());
+        let old = issuers.len().saturating_sub(1);
+        issuers.drain(..old);
+        Ok(self.write(&issuers)?)
+    }
+
+    /// A token that is good for so many seconds.
+    pub fn token(&self, school: &str, id: &str, lasts: f64) -> Result<String> {
+        let now = now();
+        let claims = Claims {
+            aud: Audience::One(AUDIENCE.into()),
+            school: school.into(),
+            group: Some("ticket".into()),
+            seat_class: None,
+            jti: id.into(),
+            iat: now,
+            nbf: None,
+            exp: now + lasts,
+        };
+        let issuers = self.issuers.lock().unwrap_or_else(|e| e.into_inner());
+        let latest = issuers.last().context("no key")?;
+        latest.sign(&claims).map_err(|e| anyhow!(e))
+    }
+}
+
+/// The key pair kept in a folder, made there with its key set if there is none.
+pub fn kept_issuer(folder: &Path) -> Result<Issuer> {
+    fs::create_dir_all(folder).with_context(|| folder.display().to_string())?;
+    let path = folder.join("issuer.pk8");
+    if !path.exists() {
+        let issuer = Issuer::new("key-1").map_err(|e| anyhow!(e))?;
+        let mut file = fs::OpenOptions::new().write(true).create_new(true).mode(0o600).open(&path)?;
+        file.write_all(issuer.pkcs8())?;
+        fs::write(folder.join("keys.json"), key_set([&issuer]))?;
+    }
+    let pkcs8 = fs::read(&path).with_context(|| path.display().to_string())?;
+    Issuer::from_pkcs8("key-1", &pkcs8).map_err(|e| anyhow!("{}: {e}", path.display()))
+}
+
+/// The keeper as a process of its own.
+pub struct KeeperProcess {
+    program: PathBuf,
+    dir: PathBuf,
+    schools: u32,
+    seats: u32,
+    /// Fixed from the first start on.
+    pub address: String,
+    child: Option<(Child, Option<ChildStdin>)>,
+}
+
+impl KeeperProcess {
+    pub async fn start(program: &Path, dir: &Path, size: &Size) -> Result<Self> {
+        let mut keeper = KeeperProcess {
+            program: program.to_owned(),
+            dir: dir.to_owned(),
+            schools: size.schools,
+            seats: size.seats,
+            address: "127.0.0.1:0".into(),
+            child: None,
+        };
+        keeper.again().await?;
+        Ok(keeper)
+    }
+
+    fn script(&self) -> String {
+        let ledger = self.dir.join("ledger").display().to_string();
+        let mut text = format!("keeper(listen = \"{}\", ledger = {ledger:?}, {LEASE})\n", self.address);
+        for k in 0..self.schools {
+            text += &format!("school({:?}, seats = {})\n", school(k), self.seats);
+        }
+        text
+    }
+
+    /// Starts it where it listened before.
+    pub async fn again(&mut self) -> Result<()> {
+        let path = self.dir.join("keeper.star");
+        fs::write(&path, self.script())?;
+        let log = fs::OpenOptions::new().create(true).append(true).open(self.dir.join("keeper.log"))?;
+        let mut command = Command::new(&self.program);
+        command.args(["director", "keeper", "--stay-with-stdin", "--config"]).arg(&path);
+        let mut child = command
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::from(log))
+            .kill_on_drop(true)
+            .spawn()
+            .context("starting the keeper")?;
+        let out = child.stdout.take().context("the keeper's output")?;
+        let line = BufReader::new(out).lines().next_line().await?.context("the keeper ended at once")?;
+        self.address = line.rsplit(' ').next().unwrap_or("").to_owned();
+        let stdin = child.stdin.take();
+        self.child = Some((child, stdin));
+        Ok(())
+    }
+
+    pub async fn kill(&mut self) {
+        if let Some((mut child, _)) = self.child.take() {
+            let _ = child.kill().await;
+        }
+    }
+
+    pub fn stall(&self, on: bool) {
+        let signal = if on { Signal::SIGSTOP } else { Signal::SIGCONT };
+        if let Some(pid) = self.child.as_ref().and_then(|c| c.0.id()) {
+            let _ = kill(Pid::from_raw(pid as i32), signal);
+        }
+    }
+
+    /// Seats held and lent over all schools, as the keeper says.
+    pub async fn standing(&self) -> Result<(u32, u32)> {
+        let mut stream = TcpStream::connect(&self.address).await?;
+        let mut ask = serde_json::to_vec(&Ask::Standing)?;
+        ask.push(b'\n');
+        stream.write_all(&ask).await?;
+        let line = BufReader::new(stream).lines().next_line().await?.context("no answer")?;
+        let Tell::Standing { schools, .. } = serde_json::from_str(&line)? else {
+            return Err(anyhow!("not a standing: {line}"));
+        };
+        Ok((schools.iter().map(|s| s.held).sum(), schools.iter().map(|s| s.lent).sum()))
+    }
+}
--- a/crates/kelpdoor-lab/src/trouble.rs
+++ b/crates/kelpdoor-lab/src/trouble.rs
@@ -24,6 +24,11 @@
     /// How late the roster tells, s.
     pub roster_lag: f64,
     pub seed: u64,
+    /// Schools with so many seats each, viewers with tokens of theirs, and how long a token lasts, s.
+    pub schools: u32,
+    pub seats: u32,
+    pub tickets: u32,
+    pub token_lasts: f64,
 }
 
 impl Default for Size {
@@ -40,6 +45,10 @@
             watch: 14.0,
             roster_lag: 1.0,
             seed: 1,
+            schools: 0,
+            seats: 0,
+            tickets: 0,
+            token_lasts: 6.0,
         }
     }
 }
@@ -62,9 +71,14 @@
     HotKey,
     Preempt,
     Drain,
+    /// The keeper of seats is killed and started again; or stands still.
+    KeeperRoll,
+    KeeperStall,
+    /// Tokens are signed by a new key, and the old ones are taken out after a while.
+    NewKey,
 }
 
-const KINDS: [(&str, Kind); 15] = [
+const KINDS: [(&str, Kind); 18] = [
     ("crash", Kind::Crash),
     ("vanish", Kind::Vanish),
     ("slow", Kind::Slow),
@@ -80,6 +94,9 @@
     ("hot_key", Kind::HotKey),
     ("preempt", Kind::Preempt),
     ("drain", Kind::Drain),
+    ("keeper_roll", Kind::KeeperRoll),
+    ("keeper_stall", Kind::KeeperStall),
+    ("new_key", Kind::NewKey),
 ];
 
 /// One trouble. Which fields count depends on its kind; `docs/bad-day.md` has the table.
@@ -141,6 +158,8 @@
                     let fleet = (1..=200).contains(&size.nodes) && (1..=20).contains(&size.directors);
                     let racks = size.racks >= 1 && u32::from(size.racks) <= size.nodes;
                     let few = size.players <= 20_000 && size.class_of <= 2_000 && !size.zones.is_empty();
+                    let few =
+                        few && size.tickets <= 20_000 && size.schools <= 1000 && size.token_lasts >= 1.0;
                     if !(sane && fleet && racks && few && size.watch >= 3.0 && size.roster_lag >= 0.0) {
                         faults.push(call.fault(file, "day: a figure is out of range"));
                     }
@@ -203,6 +222,7 @@
         Kind::BalancerRoll | Kind::BalancerStall => needs(t.directors.is_empty(), "directors"),
         Kind::ZoneLoss if !size.zones.contains(&t.zone) => Some(format!("no zone {:?}", t.zone)),
         Kind::HotKey => needs(t.players == 0 || t.players > 5000, "players, 1 to 5000,"),
+        Kind::KeeperRoll | Kind::KeeperStall | Kind::NewKey => needs(size.schools == 0, "schools in the day"),
         Kind::ZoneLoss | Kind::DiscoveryStale | Kind::ReportLate => None,
     }
 }
--- a/crates/kelpdoor-lab/tests/sockets.rs
+++ b/crates/kelpdoor-lab/tests/sockets.rs
@@ -75,6 +75,7 @@
         title: title.into(),
         best_rung: 3,
         setup_timeout: 3.0,
+        token: None,
     }
 }
 
@@ -318,7 +319,7 @@
     (0..4).for_each(|id| world.nodes.silence(id));
     let FromPlayer::Start { key: _, group, title, best_rung, .. } = start("x", "title-01") else { return };
     let key = RequestKey("key-00002".into());
-    let long = FromPlayer::Start { key, group, title, best_rung, setup_timeout: 50.0 };
+    let long = FromPlayer::Start { key, group, title, best_rung, setup_timeout: 50.0, token: None };
     player.say(&long).await.unwrap();
     player.say(&FromPlayer::Ping { n: 1 }).await.unwrap();
     while within(5, player.hear()).await != Some(ToPlayer::Pong { n: 1 }) {}
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -55,6 +55,81 @@
     /// Sessions of one title that a director may hold; 0: any number.
     #[serde(default)]
     pub seats: u32,
+    /// Sessions need an entitlement token and a seat of its school.
+    #[serde(default)]
+    pub token: bool,
+}
+
+/// What entitlement tokens have to keep to.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tokens {
+    /// A JWK set; read again while running.
+    pub keys: PathBuf,
+    pub audience: String,
+    /// s; from issue to expiry at most.
+    #[serde(default = "a_day")]
+    pub longest: f64,
+    /// s; issuers' clocks may differ by so much.
+    #[serde(default = "two")]
+    pub clock_error: f64,
+    /// Verified a second, by the director and for one socket.
+    #[serde(default = "a_thousand")]
+    pub a_second: f64,
+    #[serde(default = "five")]
+    pub socket_a_second: f64,
+    /// s; the player is told so long before its token runs out.
+    #[serde(default = "a_minute")]
+    pub warn: f64,
+    /// s; the key set is looked at so often.
+    #[serde(default = "two")]
+    pub reread: f64,
+}
+
+/// Who counts the seats: another process at an address, or this one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Keeper {
+    /// Of the keeper; absent: it runs in this process.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
+    #[serde(default)]
+    pub listen: Option<SocketAddr>,
+    /// Where it writes its ledger; without one a restart forgets who holds what.
+    #[serde(default)]
+    pub ledger: Option<PathBuf>,
+    /// s; what a director holds outlives its last word by so much, and so does a director its keeper's.
+    #[serde(default = "two_minutes")]
+    pub lease: f64,
+    /// s; clocks of directors and keeper may differ by so much.
+    #[serde(default = "two")]
+    pub clock_error: f64,
+    /// s; a request waits for the keeper so long before a seat lent ahead is used.
+    #[serde(default = "one")]
+    pub wait: f64,
+    /// s; between a director's beats.
+    #[serde(default = "five")]
+    pub beat_every: f64,
+    /// Seats that a director has lent ahead for each school that is asked for.
+    #[serde(default = "two_seats")]
+    pub ahead: u32,
+}
+
+/// Seats that a school bought.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct School {
+    pub name: String,
+    pub seats: u32,
+    #[serde(default)]
+    pub seat_class: Option<String>,
+}
+
+/// All settings of a keeper that is a process of its own.
+#[derive(Clone, Debug, Serialize)]
+pub struct KeeperBook {
+    pub keeper: Keeper,
+    pub schools: Vec<School>,
 }
 
 /// What is known of the media nodes beforehand.
@@ -200,6 +275,38 @@
     pub roster: Roster,
     pub players: Players,
     pub node_links: NodeLinks,
+    pub tokens: Option<Tokens>,
+    pub keeper: Option<Keeper>,
+    /// Of a keeper in this process.
+    pub schools: Vec<School>,
+}
+
+fn a_day() -> f64 {
+    86_400.0
+}
+
+fn a_minute() -> f64 {
+    60.0
+}
+
+fn two_minutes() -> f64 {
+    120.0
+}
+
+fn a_thousand() -> f64 {
+    1000.0
+}
+
+fn two() -> f64 {
+    2.0
+}
+
+fn five() -> f64 {
+    5.0
+}
+
+fn two_seats() -> u32 {
+    2
 }
 
 fn freely() -> RepeatWord {
@@ -252,6 +359,79 @@
     }
 }
 
+impl Reader<'_> {
+    fn keeper(&mut self, needed: bool) -> (Option<Keeper>, Vec<School>) {
+        let keeper = self.one::<Keeper>("keeper", needed);
+        if let Some((k, call)) = &keeper {
+            let times = [k.lease, k.clock_error, k.wait, k.beat_every];
+            self.check(call, sane(&times) && k.wait > 0.0, "figures of at least 0, wait above");
+            self.check(call, k.beat_every >= 0.1, "beat_every of 0.1 s at least");
+            self.check(
+                call,
+                k.lease >= 3.0 * k.beat_every + k.clock_error,
+                "lease of three beats and the clock error at least",
+            );
+            let outside = k.address.is_some();
+            self.check(
+                call,
+                !(outside && (k.ledger.is_some() || k.listen.is_some())),
+                "listen and ledger are settings of a keeper in this process, address of one outside",
+            );
+        }
+        let mut schools: Vec<School> = Vec::new();
+        for call in self.calls.iter().filter(|c| c.word == "school") {
+            match call.to::<School>(self.file) {
+                Err(fault) => self.faults.push(fault),
+                Ok(s) => {
+                    let names = [Some(&s.name), s.seat_class.as_ref()];
+                    let good = |n: &String| !n.is_empty() && n.len() <= 128 && !n.contains(':');
+                    self.check(
+                        call,
+                        names.into_iter().flatten().all(good),
+                        "names of 1 to 128 bytes, no colon",
+                    );
+                    let taken = schools.iter().any(|o| (&o.name, &o.seat_class) == (&s.name, &s.seat_class));
+                    self.check(call, !taken, "the name is taken");
+                    self.check(call, s.seats <= 1_000_000, "a million seats at most");
+                    let inside = keeper.as_ref().is_some_and(|(k, _)| k.address.is_none());
+                    self.check(call, inside, "schools are settings of the process that the keeper runs in");
+                    schools.push(s);
+                }
+            }
+        }
+        (keeper.map(|k| k.0), schools)
+    }
+}
+
+impl KeeperBook {
+    /// Reads the settings of a keeper's own process.
+    ///
+    /// # Errors
+    /// Every fault found, each with its place.
+    pub fn read(path: &std::path::Path) -> Result<Self, Vec<Fault>> {
+        KeeperBook::from_calls(&path.display().to_string(), &crate::run::read(path, crate::KEEPER)?)
+    }
+
+    /// As [`read`](Self::read), from a script's calls.
+    ///
+    /// # Errors
+    /// Every fault found, each with its place.
+    pub fn from_calls(file: &str, calls: &[Call]) -> Result<Self, Vec<Fault>> {
+        let mut r = Reader { file, calls, faults: Vec::new() };
+        let (keeper, schools) = r.keeper(true);
+        match keeper {
+            Some(keeper) if r.faults.is_empty() && keeper.address.is_none() => {
+                Ok(KeeperBook { keeper, schools })
+            }
+            Some(_) if r.faults.is_empty() => {
+                let what = "a keeper's own settings have listen, not address".to_owned();
+                Err(vec![Fault { file: file.to_owned(), at: Place::default(), what }])
+            }
+            _ => Err(r.faults),
+        }
+    }
+}
+
 fn sane(values: &[f64]) -> bool {
     values.iter().all(|v| v.is_finite() && *v >= 0.0)
 }
@@ -351,6 +531,20 @@
                 "quiet under dead_after, back_off rising",
             );
         }
+        let tokens = r.one::<Tokens>("tokens", false);
+        if let Some((t, call)) = &tokens {
+            let all = [t.longest, t.clock_error, t.a_second, t.socket_a_second, t.warn, t.reread];
+            r.check(call, sane(&all), "figures of at least 0");
+            r.check(call, t.a_second >= 1.0 && t.socket_a_second >= 1.0, "one token a second at least");
+            r.check(call, t.reread >= 0.05, "reread of 0.05 s at least");
+            r.check(call, !t.audience.is_empty(), "audience is empty");
+        }
+        let needed = groups.iter().any(|g| g.token);
+        let (keeper, schools) = r.keeper(needed);
+        if needed && tokens.is_none() && r.faults.is_empty() {
+            let what = "a group needs tokens, and tokens(..) is missing".to_owned();
+            r.faults.push(Fault { file: file.to_owned(), at: Place::default(), what });
+        }
         match (ladder, fleet, director, roster) {
             (Some((ladder, _)), Some((fleet, _)), Some((director, _)), Some((roster, _)))
                 if r.faults.is_empty() =>
@@ -364,6 +558,9 @@
                     roster,
                     players: players.map(|p| p.0).unwrap_or_default(),
                     node_links: links.map(|l| l.0).unwrap_or_default(),
+                    tokens: tokens.map(|t| t.0),
+                    keeper,
+                    schools,
                 })
             }
             _ => Err(r.faults),
--- a/crates/kelpdoor-script/src/lib.rs
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -7,13 +7,28 @@
 mod run;
 
 pub use deployment::{
-    Deployment, Director, Fleet, Further, Group, Ladder, NodeLinks, Players, RepeatWord, Roster,
+    Deployment, Director, Fleet, Further, Group, Keeper, KeeperBook, Ladder, NodeLinks, Players, RepeatWord,
+    Roster, School, Tokens,
 };
 pub use run::{Call, Fault, Place, read, run};
 
 /// Words of a deployment's settings.
-pub const DEPLOYMENT: &[&str] =
-    &["ladder", "group", "fleet", "director", "further", "roster", "players", "node_links"];
+pub const DEPLOYMENT: &[&str] = &[
+    "ladder",
+    "group",
+    "fleet",
+    "director",
+    "further",
+    "roster",
+    "players",
+    "node_links",
+    "tokens",
+    "keeper",
+    "school",
+];
+
+/// Words of a keeper's settings.
+pub const KEEPER: &[&str] = &["keeper", "school"];
 
 /// Words of a trouble script.
 pub const TROUBLE: &[&str] = &[
@@ -33,4 +48,7 @@
     "hot_key",
     "preempt",
     "drain",
+    "keeper_roll",
+    "keeper_stall",
+    "new_key",
 ];
--- a/crates/kelpdoor-seats/src/holder.rs
+++ b/crates/kelpdoor-seats/src/holder.rs
@@ -74,6 +74,8 @@
 #[derive(Clone, Debug)]
 struct Held {
     expires: f64,
+    /// Of the latest claim of it.
+    n: u64,
     /// Told or asked of the keeper and not confirmed yet.
     pending: Option<Pending>,
     /// Given out of a loan and not confirmed as a seat of its own.
@@ -97,6 +99,8 @@
     lending: Option<Pending>,
     /// When a loan was last asked for or answered.
     lend_at: f64,
+    /// When a seat was last asked for.
+    used_at: f64,
 }
 
 /// See the module.
@@ -114,6 +118,8 @@
     next_beat: f64,
     /// Until when what is held is held.
     lease_until: f64,
+    /// Nothing is due before; kept so that a word or a request costs no walk over all that is held.
+    due: f64,
     chance: fastrand::Rng,
 }
 
@@ -132,6 +138,7 @@
             beat: None,
             next_beat: f64::NEG_INFINITY,
             lease_until: f64::NEG_INFINITY,
+            due: f64::NEG_INFINITY,
             chance: fastrand::Rng::with_seed(nonce),
         }
     }
@@ -153,7 +160,9 @@
     fn pend(&mut self, now: f64) -> Pending {
         self.n += 1;
         let wait = self.patience.resend.0;
-        Pending { n: self.n, again: now + wait * self.spread(), wait }
+        let again = now + wait * self.spread();
+        self.due = self.due.min(again);
+        Pending { n: self.n, again, wait }
     }
 
     fn later(&mut self, now: f64, p: Pending) -> Pending {
@@ -161,8 +170,9 @@
         Pending { n: p.n, again: now + wait * self.spread(), wait }
     }
 
-    /// A request or session asks for its token's seat, or for a longer one after a renewal.
-    pub fn ask(&mut self, now: f64, school: &School, token: &TokenId, expires: f64) -> Vec<Out> {
+    /// A request or session asks for its token's seat, or for a longer one after a renewal. It waits for the keeper no
+    /// longer than `most`, s.
+    pub fn ask(&mut self, now: f64, school: &School, token: &TokenId, expires: f64, most: f64) -> Vec<Out> {
         let mut out = Vec::new();
         let (school, token) = (school.clone(), token.clone());
         if now >= expires {
@@ -170,13 +180,15 @@
             return vec![Out::Refused { school, token, why }];
         }
         let pending = self.pend(now);
-        let until = now + self.patience.claim;
+        let until = now + self.patience.claim.min(most);
+        self.due = self.due.min(until).min(expires);
         let epoch = self.epoch;
         let mine = self.schools.entry(school.clone()).or_default();
+        mine.used_at = now;
         mine.releasing.remove(&token);
         if let Some(held) = mine.held.get_mut(&token) {
             if expires > held.expires {
-                held.expires = expires;
+                (held.expires, held.n) = (expires, pending.n);
                 held.pending = Some(pending);
                 let spent = held.spent;
                 out.extend(self.word(&school, &token, expires, pending.n, spent));
@@ -228,6 +240,7 @@
                 self.hello = None;
                 self.lease_until = now;
                 self.next_beat = now;
+                self.due = now;
             }
             FromKeeper::Fenced { epoch } if Some(*epoch) == self.epoch => out.extend(self.lapse(now)),
             FromKeeper::Alive { epoch, n } if Some(*epoch) == self.epoch => {
@@ -246,12 +259,8 @@
             FromKeeper::Expired { epoch, school, token, n } if Some(*epoch) == self.epoch => {
                 out.extend(self.refused(school, token, *n, RefusedWhy::Expired, EndedWhy::Expired));
             }
-            FromKeeper::Moved { epoch, school, token } if Some(*epoch) == self.epoch => {
-                let had = self.schools.get_mut(school).is_some_and(|m| m.held.remove(token).is_some());
-                if had {
-                    let (school, token) = (school.clone(), token.clone());
-                    out.push(Out::Ended { school, token, why: EndedWhy::Moved });
-                }
+            FromKeeper::Moved { epoch, school, token, n } if Some(*epoch) == self.epoch => {
+                out.extend(self.moved(now, school, token, *n));
             }
             FromKeeper::Freed { epoch, school, token, n } if Some(*epoch) == self.epoch => {
                 if let Some(mine) = self.schools.get_mut(school)
@@ -279,10 +288,31 @@
         out
     }
 
+    /// The seat went elsewhere; unless it was claimed here anew since, it is held here no more. Said so until the
+    /// keeper hears that it is.
+    fn moved(&mut self, now: f64, school: &School, token: &TokenId, n: u64) -> Vec<Out> {
+        let pending = self.pend(now);
+        let (director, Some(epoch)) = (self.director, self.epoch) else { return Vec::new() };
+        let mine = self.schools.entry(school.clone()).or_default();
+        let mut out = Vec::new();
+        let (school, token) = (school.clone(), token.clone());
+        if mine.waiting.contains_key(&token) || mine.held.get(&token).is_some_and(|h| h.n > n) {
+            return out;
+        }
+        mine.releasing.insert(token.clone(), pending);
+        if mine.held.remove(&token).is_some() {
+            let (school, token) = (school.clone(), token.clone());
+            out.push(Out::Ended { school, token, why: EndedWhy::Moved });
+        }
+        out.push(Out::Send(ToKeeper::Release { director, epoch, school, token, n: pending.n }));
+        out
+    }
+
     fn granted(&mut self, now: f64, school: &School, token: &TokenId, n: u64) -> Vec<Out> {
         let mine = self.schools.entry(school.clone()).or_default();
         if let Some(wait) = mine.waiting.remove(token) {
-            mine.held.insert(token.clone(), Held { expires: wait.expires, pending: None, spent: false });
+            let held = Held { expires: wait.expires, n: wait.pending.n, pending: None, spent: false };
+            mine.held.insert(token.clone(), held);
             return vec![Out::Granted { school: school.clone(), token: token.clone() }];
         }
         if let Some(held) = mine.held.get_mut(token) {
@@ -314,6 +344,7 @@
             if mine.lent > 0 && matches!(why, RefusedWhy::Full { .. }) {
                 // Full but for what was lent to us: the wait is over now, and the loan is used.
                 wait.until = f64::NEG_INFINITY;
+                self.due = f64::NEG_INFINITY;
                 return Vec::new();
             }
             mine.waiting.remove(token);
@@ -333,6 +364,7 @@
         self.epoch = None;
         self.beat = None;
         self.hello = None;
+        self.due = now;
         // Another start, as far as the keeper is concerned.
         self.nonce = self.nonce.wrapping_add(1 << 32);
         for (school, mine) in &mut self.schools {
@@ -349,13 +381,17 @@
 
     /// When [`tick`](Self::tick) has something to do.
     pub fn next(&self) -> f64 {
-        let mut at = self.next_beat;
-        if let Some(p) = self.hello {
-            at = p.again;
-        }
-        if self.epoch.is_some() {
-            at = at.min(self.lease_until.max(self.next_beat));
+        self.due
+    }
+
+    fn next_of_all(&self) -> f64 {
+        if self.epoch.is_none() {
+            // Without an epoch nothing but hellos is sent again.
+            let at = self.hello.map_or(f64::NEG_INFINITY, |p| p.again);
+            let waits = self.schools.values().flat_map(|m| m.waiting.values());
+            return waits.fold(at, |at, w| at.min(w.until));
         }
+        let mut at = self.next_beat.min(self.lease_until.max(self.next_beat));
         for mine in self.schools.values() {
             at = mine.waiting.values().fold(at, |at, w| at.min(w.until).min(w.pending.again));
             at =
@@ -368,6 +404,15 @@
 
     /// What time brings: waits that are over, leases, expiries, words sent again.
     pub fn tick(&mut self, now: f64) -> Vec<Out> {
+        if now < self.due {
+            return Vec::new();
+        }
+        let out = self.all(now);
+        self.due = self.next_of_all();
+        out
+    }
+
+    fn all(&mut self, now: f64) -> Vec<Out> {
         let mut out = Vec::new();
         let director = self.director;
         if self.epoch.is_some()
@@ -436,7 +481,7 @@
         }
         for (school, token, expires) in spends {
             let pending = self.pend(now);
-            let held = Held { expires, pending: Some(pending), spent: true };
+            let held = Held { expires, n: pending.n, pending: Some(pending), spent: true };
             self.schools.entry(school.clone()).or_default().held.insert(token.clone(), held);
             out.extend(self.word(&school, &token, expires, pending.n, true));
             out.push(Out::Granted { school, token });
@@ -449,6 +494,11 @@
         let schools: Vec<School> = self.schools.keys().cloned().collect();
         for school in schools {
             let Some(mut mine) = self.schools.remove(&school) else { continue };
+            let idle = mine.held.is_empty() && mine.waiting.is_empty() && mine.releasing.is_empty();
+            if idle && now > mine.used_at + self.lease.lasts {
+                // Forgotten; what was lent runs out by itself.
+                continue;
+            }
             for (token, w) in mine.waiting.iter_mut().filter(|(_, w)| now >= w.pending.again) {
                 w.pending = self.later(now, w.pending);
                 out.extend(self.word(&school, token, w.expires, w.pending.n, false));
--- a/crates/kelpdoor-seats/src/ledger.rs
+++ b/crates/kelpdoor-seats/src/ledger.rs
@@ -40,6 +40,9 @@
     /// release must not take a seat for nobody. Not kept over a restart: the director then releases again.
     #[serde(skip)]
     released: BTreeMap<(Epoch, TokenId), (u64, f64)>,
+    /// Seats that moved away from an epoch that has not said so yet, and the word it held them by.
+    #[serde(skip)]
+    moved: BTreeSet<(Epoch, TokenId, u64)>,
 }
 
 impl Pool {
@@ -55,12 +58,46 @@
 /// A change as it is kept.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Change {
-    Bought { school: School, seats: u32 },
-    Epoch { director: DirectorId, nonce: u64, epoch: Epoch, at: f64 },
-    Held { school: School, token: TokenId, director: DirectorId, epoch: Epoch, expires: f64, n: u64, at: f64 },
-    Freed { school: School, token: TokenId },
-    Lent { school: School, epoch: Epoch, count: u32, until: f64, n: u64 },
-    Lapsed { epoch: Epoch },
+    Bought {
+        school: School,
+        seats: u32,
+    },
+    Epoch {
+        director: DirectorId,
+        nonce: u64,
+        epoch: Epoch,
+        at: f64,
+    },
+    Held {
+        school: School,
+        token: TokenId,
+        director: DirectorId,
+        epoch: Epoch,
+        expires: f64,
+        n: u64,
+        at: f64,
+    },
+    Freed {
+        school: School,
+        token: TokenId,
+    },
+    Lent {
+        school: School,
+        epoch: Epoch,
+        count: u32,
+        until: f64,
+        n: u64,
+    },
+    Lapsed {
+        epoch: Epoch,
+    },
+    /// The seat that an epoch held by that word moved away; kept where a whole ledger is written down.
+    Away {
+        school: School,
+        token: TokenId,
+        epoch: Epoch,
+        n: u64,
+    },
 }
 
 /// A school's seats at the moment.
@@ -79,6 +116,13 @@
     heard: f64,
 }
 
+/// s; what has run out is looked for so often. Later frees nothing too early.
+const SWEEP_EVERY: f64 = 0.25;
+/// Starts of directors whose leases run, at most; more hellos are not answered.
+const MAX_EPOCHS: usize = 20_000;
+/// Moves told again with one beat, of one school, at most.
+const MOVED_AGAIN: usize = 100;
+
 /// See the module.
 pub struct Ledger {
     lease: Lease,
@@ -86,6 +130,7 @@
     epochs: BTreeMap<Epoch, Known>,
     current: BTreeMap<DirectorId, Epoch>,
     last: Epoch,
+    swept_at: f64,
     changes: Vec<Change>,
 }
 
@@ -97,6 +142,7 @@
             epochs: BTreeMap::new(),
             current: BTreeMap::new(),
             last: Epoch(0),
+            swept_at: f64::NEG_INFINITY,
             changes: Vec::new(),
         }
     }
@@ -121,6 +167,17 @@
         self.pools.keys()
     }
 
+    /// Directors whose leases run.
+    pub fn directors(&self) -> usize {
+        self.current.len()
+    }
+
+    /// Seats of a school whose tokens run out before that time.
+    pub fn expiring(&self, school: &School, before: f64) -> u32 {
+        let pool = self.pools.get(school);
+        pool.map_or(0, |p| p.seats.values().filter(|s| s.expires < before).count() as u32)
+    }
+
     /// The director and epoch that hold a token's seat.
     pub fn holder(&self, school: &School, token: &TokenId) -> Option<(DirectorId, Epoch)> {
         self.pools.get(school)?.seats.get(token).map(|s| (s.director, s.epoch))
@@ -140,11 +197,18 @@
             Change::Epoch { director, nonce, epoch, at } => {
                 self.last = self.last.max(*epoch);
                 self.epochs.insert(*epoch, Known { director: *director, nonce: *nonce, heard: *at });
-                self.current.insert(*director, *epoch);
+                let current = self.current.entry(*director).or_insert(*epoch);
+                *current = (*current).max(*epoch);
             }
             Change::Held { school, token, director, epoch, expires, n, at } => {
                 let seat = Seat { director: *director, epoch: *epoch, expires: *expires, n: *n };
-                self.pools.entry(school.clone()).or_default().seats.insert(token.clone(), seat);
+                let pool = self.pools.entry(school.clone()).or_default();
+                if !pool.moved.is_empty() {
+                    pool.moved.retain(|m| (m.0, &m.1) != (*epoch, token));
+                }
+                if let Some(before) = pool.seats.insert(token.clone(), seat).filter(|b| b.epoch != *epoch) {
+                    pool.moved.insert((before.epoch, token.clone(), before.n));
+                }
                 if let Some(known) = self.epochs.get_mut(epoch) {
                     known.heard = known.heard.max(*at);
                 }
@@ -158,18 +222,61 @@
                 let pool = self.pools.entry(school.clone()).or_default();
                 pool.lent.insert(*epoch, (*count, *until, *n));
             }
+            Change::Away { school, token, epoch, n } => {
+                let pool = self.pools.entry(school.clone()).or_default();
+                pool.moved.insert((*epoch, token.clone(), *n));
+            }
             Change::Lapsed { epoch } => {
+                // Its number is never given out again, also when a whole ledger was written down after its end.
+                self.last = self.last.max(*epoch);
                 self.epochs.remove(epoch);
                 self.current.retain(|_, e| e != epoch);
                 for pool in self.pools.values_mut() {
                     pool.seats.retain(|_, s| s.epoch != *epoch);
                     pool.lent.remove(epoch);
                     pool.released.retain(|(e, _), _| e != epoch);
+                    pool.moved.retain(|m| m.0 != *epoch);
                 }
             }
         }
     }
 
+    /// All that stands, as changes: what a new log begins with.
+    pub fn standing_changes(&self) -> Vec<Change> {
+        let mut all = vec![Change::Lapsed { epoch: self.last }];
+        for (epoch, k) in &self.epochs {
+            let (director, nonce, at) = (k.director, k.nonce, k.heard);
+            all.push(Change::Epoch { director, nonce, epoch: *epoch, at });
+        }
+        for (school, pool) in &self.pools {
+            let school = school.clone();
+            all.push(Change::Bought { school: school.clone(), seats: pool.bought });
+            all.extend(pool.seats.iter().map(|(token, s)| Change::Held {
+                school: school.clone(),
+                token: token.clone(),
+                director: s.director,
+                epoch: s.epoch,
+                expires: s.expires,
+                n: s.n,
+                at: 0.0,
+            }));
+            all.extend(pool.lent.iter().map(|(epoch, &(count, until, n))| Change::Lent {
+                school: school.clone(),
+                epoch: *epoch,
+                count,
+                until,
+                n,
+            }));
+            all.extend(pool.moved.iter().map(|(epoch, token, n)| Change::Away {
+                school: school.clone(),
+                token: token.clone(),
+                epoch: *epoch,
+                n: *n,
+            }));
+        }
+        all
+    }
+
     /// After a restart from kept changes: nobody could be heard meanwhile, so every lease runs anew from now.
     pub fn resumed(&mut self, now: f64) {
         self.epochs.values_mut().for_each(|k| k.heard = k.heard.max(now));
@@ -177,6 +284,7 @@
 
     /// Frees what has run out: seats of expired tokens, loans past their time, all of directors not heard.
     pub fn expire(&mut self, now: f64) {
+        self.swept_at = now;
         let Lease { lasts, clock_error } = self.lease;
         let lapsed: Vec<Epoch> = self
             .epochs
@@ -204,12 +312,19 @@
         self.pools.values_mut().for_each(|p| p.released.retain(|_, (_, until)| now < *until));
     }
 
+    /// As [`expire`](Self::expire), unless that was done a moment ago.
+    pub fn sweep(&mut self, now: f64) {
+        if now >= self.swept_at + SWEEP_EVERY {
+            self.expire(now);
+        }
+    }
+
     /// Takes a word in; answers go to the directors named.
     pub fn take(&mut self, now: f64, word: &ToKeeper) -> Vec<(DirectorId, FromKeeper)> {
-        self.expire(now);
+        self.sweep(now);
         let (director, epoch) = match word {
             ToKeeper::Hello { director, nonce } => {
-                return vec![(*director, self.hello(now, *director, *nonce))];
+                return self.hello(now, *director, *nonce).map(|w| (*director, w)).into_iter().collect();
             }
             ToKeeper::Beat { director, epoch, .. }
             | ToKeeper::Claim { director, epoch, .. }
@@ -225,7 +340,17 @@
         }
         match word {
             ToKeeper::Hello { .. } => Vec::new(),
-            ToKeeper::Beat { n, .. } => vec![(director, FromKeeper::Alive { epoch, n: *n })],
+            ToKeeper::Beat { n, .. } => {
+                let mut out = vec![(director, FromKeeper::Alive { epoch, n: *n })];
+                for (school, pool) in &self.pools {
+                    let of = pool.moved.iter().filter(|m| m.0 == epoch).take(MOVED_AGAIN);
+                    out.extend(of.map(|(_, token, n)| {
+                        let (school, token, n) = (school.clone(), token.clone(), *n);
+                        (director, FromKeeper::Moved { epoch, school, token, n })
+                    }));
+                }
+                out
+            }
             ToKeeper::Claim { school, token, expires, n, .. } => {
                 self.claim(now, (director, epoch), school, token, *expires, *n, false)
             }
@@ -245,19 +370,20 @@
 
     /// A new epoch for a new start. The old one's loans and seats stay until its lease lapses or the viewers come
     /// again: the old process may live on somewhere, cut off from us.
-    fn hello(&mut self, now: f64, director: DirectorId, nonce: u64) -> FromKeeper {
+    fn hello(&mut self, now: f64, director: DirectorId, nonce: u64) -> Option<FromKeeper> {
         let same =
             self.current.get(&director).filter(|e| self.epochs.get(e).is_some_and(|k| k.nonce == nonce));
         let epoch = match same {
             // Its first hello was heard, our answer was not.
             Some(epoch) => *epoch,
+            None if self.epochs.len() >= MAX_EPOCHS => return None,
             None => {
                 let epoch = Epoch(self.last.0 + 1);
                 self.change(Change::Epoch { director, nonce, epoch, at: now });
                 epoch
             }
         };
-        FromKeeper::Welcome { nonce, epoch }
+        Some(FromKeeper::Welcome { nonce, epoch })
     }
 
     #[expect(clippy::too_many_arguments, reason = "the fields of one word")]
@@ -309,7 +435,7 @@
                 if let Some(pool) = self.pools.get_mut(&school) {
                     pool.released.insert((before.epoch, token.clone()), (before.n, until));
                 }
-                let moved = FromKeeper::Moved { epoch: before.epoch, school, token };
+                let moved = FromKeeper::Moved { epoch: before.epoch, school, token, n: before.n };
                 vec![(director, granted), (before.director, moved)]
             }
             None if spent && lent > 0 => {
@@ -355,6 +481,7 @@
         }
         let until = now + self.lease.lasts;
         let Some(pool) = self.pools.get_mut(&school) else { return };
+        pool.moved.retain(|m| (m.0, &m.1) != (epoch, &token) || m.2 > n);
         let seen = pool.released.entry((epoch, token)).or_insert((n, until));
         *seen = (seen.0.max(n), until);
     }
--- a/crates/kelpdoor-seats/src/lib.rs
+++ b/crates/kelpdoor-seats/src/lib.rs
@@ -122,11 +122,13 @@
         token: TokenId,
         n: u64,
     },
-    /// The token's seat went to another director, where its viewer came again.
+    /// The token's seat, held since that word, went to another director, where its viewer came again. Said again at
+    /// each beat until the director releases it.
     Moved {
         epoch: Epoch,
         school: School,
         token: TokenId,
+        n: u64,
     },
     /// So many are lent now, until then.
     Lent {
--- a/crates/kelpdoor-seats/tests/simulated.rs
+++ b/crates/kelpdoor-seats/tests/simulated.rs
@@ -144,7 +144,7 @@
 
     fn ask(&mut self, d: u32, token: &TokenId, expires: f64) {
         let (now, school) = (self.clock(d), self.school.clone());
-        let out = self.holders[d as usize].ask(now, &school, token, expires);
+        let out = self.holders[d as usize].ask(now, &school, token, expires, 1.0);
         self.done(d, out);
     }
 
