Seats: free nothing by expiry alone, count a moved seat until it is let go

A thousand token lifetimes on sockets found 18 of 16 seats in use: a keeper back from five seconds away freed seats whose renewals were still on their way to it, and a director that stood still played on with seats already given away. Directors now give expired seats back themselves, the keeper waits a lease before it does so for them, and a seat that moved counts until the director it moved from lets go. A lease that ran out was noticed up to a beat late: mended.

--- /dev/null
+++ b/crates/kelpdoor-keeper/tests/kept.rs
@@ -0,0 +1,202 @@
+//! The ledger on disk, cut and flipped at every byte; the keeper on sockets, killed between writing and answering, fed
+//! with lines that are none, and with its pool shrunk.
+
+use std::path::Path;
+use std::time::Duration;
+
+use kelpdoor_keeper::{Ask, KeeperOptions, Log, RunningKeeper, SchoolStanding, Tell, start};
+use kelpdoor_seats::{Change, DirectorId, Epoch, FromKeeper, Lease, Ledger, School, ToKeeper, TokenId};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::timeout;
+
+const LEASE: Lease = Lease { lasts: 60.0, clock_error: 1.0 };
+
+fn school() -> School {
+    School("olaf".into())
+}
+
+fn some_changes() -> Vec<Vec<Change>> {
+    let mut ledger = Ledger::new(LEASE);
+    ledger.buy(&school(), 2);
+    let mut all = vec![ledger.changes()];
+    let director = DirectorId(0);
+    ledger.take(1.0, &ToKeeper::Hello { director, nonce: 5 });
+    all.push(ledger.changes());
+    for n in 1..4 {
+        let (school, token) = (school(), TokenId(format!("t{n}")));
+        ledger.take(1.0, &ToKeeper::Claim { director, epoch: Epoch(1), school, token, expires: 9.0, n });
+        all.push(ledger.changes());
+    }
+    all.retain(|c| !c.is_empty());
+    all
+}
+
+#[test]
+fn any_cut_leaves_whole_records_and_any_flipped_byte_is_named() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("ledger");
+    let parts = some_changes();
+    let mut ends = vec![];
+    let mut log = Log::open(&path).expect("a new log").log;
+    for part in &parts {
+        log.append(part).expect("written");
+        ends.push(log.bytes() as usize);
+    }
+    drop(log);
+    let good = std::fs::read(&path).expect("readable");
+    for cut in 0..good.len() {
+        std::fs::write(&path, &good[..cut]).expect("written");
+        let whole = ends.iter().filter(|e| **e <= cut).count();
+        let opened = Log::open(&path).unwrap_or_else(|e| panic!("cut at {cut}: {e}"));
+        assert_eq!(opened.changes, parts[..whole].concat(), "cut at {cut}");
+        // And it can be written on.
+        let mut log = opened.log;
+        log.append(&parts[0]).expect("written");
+        let again = Log::open(&path).expect("good").changes;
+        assert_eq!(again.len(), parts[..whole].concat().len() + parts[0].len(), "cut at {cut}");
+    }
+    for at in 0..good.len() {
+        let mut bad = good.clone();
+        bad[at] ^= 0x10;
+        std::fs::write(&path, &bad).expect("written");
+        let fault = Log::open(&path).err().unwrap_or_else(|| panic!("byte {at} flipped, and not found"));
+        assert!(fault.to_string().contains("ledger"), "{fault}");
+        assert_eq!(std::fs::read(&path).expect("readable"), bad, "a bad file is left as it is");
+    }
+}
+
+#[test]
+fn a_log_written_anew_holds_the_same_and_is_smaller() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("ledger");
+    let mut ledger = Ledger::new(LEASE);
+    let mut log = Log::open(&path).expect("a new log").log;
+    ledger.buy(&school(), 50);
+    let director = DirectorId(0);
+    ledger.take(1.0, &ToKeeper::Hello { director, nonce: 5 });
+    for n in 0..400 {
+        let (school, token, epoch) = (school(), TokenId(format!("t{}", n % 40)), Epoch(1));
+        ledger.take(1.0, &ToKeeper::Claim { director, epoch, school, token, expires: 9.0 + n as f64, n });
+        log.append(&ledger.changes()).expect("written");
+    }
+    let before = log.bytes();
+    log.rewrite(&ledger.standing_changes()).expect("written anew");
+    log.append(&[]).expect("and on");
+    assert!(log.bytes() * 4 < before, "{} of {before}", log.bytes());
+    let mut again = Ledger::new(LEASE);
+    Log::open(&path).expect("good").changes.iter().for_each(|c| again.apply(c));
+    assert_eq!(again.standing_changes(), ledger.standing_changes());
+}
+
+struct Director {
+    lines: Lines<BufReader<OwnedReadHalf>>,
+    write: OwnedWriteHalf,
+}
+
+async fn within<T>(what: impl Future<Output = T>) -> T {
+    timeout(Duration::from_secs(10), what).await.expect("in time")
+}
+
+impl Director {
+    async fn connect(keeper: &RunningKeeper) -> Director {
+        let (read, write) = TcpStream::connect(keeper.address).await.expect("connected").into_split();
+        Director { lines: BufReader::new(read).lines(), write }
+    }
+
+    async fn say(&mut self, ask: &Ask) {
+        let mut text = serde_json::to_vec(ask).expect("plain data");
+        text.push(b'\n');
+        self.write.write_all(&text).await.expect("written");
+    }
+
+    async fn hear(&mut self) -> Tell {
+        let line = within(self.lines.next_line()).await.expect("readable").expect("a line");
+        serde_json::from_str(&line).expect("an answer")
+    }
+
+    async fn word(&mut self, word: ToKeeper) -> FromKeeper {
+        self.say(&Ask::Word(word)).await;
+        match self.hear().await {
+            Tell::Word(word) => word,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn standing(&mut self) -> SchoolStanding {
+        self.say(&Ask::Standing).await;
+        match self.hear().await {
+            Tell::Standing { mut schools, .. } => schools.remove(0),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+async fn keeper(ledger: &Path, seats: u32) -> RunningKeeper {
+    let options = KeeperOptions {
+        listen: "127.0.0.1:0".parse().expect("an address"),
+        ledger: Some(ledger.to_owned()),
+        lease: LEASE,
+        schools: vec![(school(), seats)],
+    };
+    start(options).await.expect("a keeper")
+}
+
+fn claim(token: &str, n: u64) -> ToKeeper {
+    let expires = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    let expires = expires.as_secs_f64() + 100.0;
+    let token = TokenId(token.into());
+    ToKeeper::Claim { director: DirectorId(4), epoch: Epoch(1), school: school(), token, expires, n }
+}
+
+#[tokio::test]
+async fn killed_between_write_and_answer_it_counts_the_seat_once() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("ledger");
+    let mut first = keeper(&path, 1).await;
+    let mut d = Director::connect(&first).await;
+    let hello = ToKeeper::Hello { director: DirectorId(4), nonce: 9 };
+    assert_eq!(d.word(hello.clone()).await, FromKeeper::Welcome { nonce: 9, epoch: Epoch(1) });
+    let before = std::fs::metadata(&path).expect("a ledger").len();
+    d.say(&Ask::Word(claim("a", 1))).await;
+    // As soon as the claim is on disk the keeper is gone, whether or not its answer went out.
+    within(async {
+        while std::fs::metadata(&path).expect("a ledger").len() == before {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    first.abort();
+    assert!(first.ended().await.is_err());
+    let second = keeper(&path, 1).await;
+    let mut d = Director::connect(&second).await;
+    // The same start of the director keeps its epoch, the same claim its seat, and no other gets one.
+    assert_eq!(d.word(hello).await, FromKeeper::Welcome { nonce: 9, epoch: Epoch(1) });
+    assert!(matches!(d.word(claim("a", 1)).await, FromKeeper::Granted { .. }));
+    assert!(matches!(d.word(claim("b", 2)).await, FromKeeper::Full { .. }));
+    let s = d.standing().await;
+    assert_eq!((s.bought, s.held, s.free), (1, 1, 0));
+}
+
+#[tokio::test]
+async fn a_line_that_is_none_ends_its_connection_alone_and_a_pool_may_shrink() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let keeper = keeper(&dir.path().join("ledger"), 2).await;
+    let mut good = Director::connect(&keeper).await;
+    good.word(ToKeeper::Hello { director: DirectorId(4), nonce: 9 }).await;
+    for bad in ["what?\n".to_owned(), "x".repeat(5000)] {
+        let mut other = Director::connect(&keeper).await;
+        other.write.write_all(bad.as_bytes()).await.expect("written");
+        assert!(matches!(other.hear().await, Tell::Fault(_)));
+        assert!(within(other.lines.next_line()).await.is_ok_and(|l| l.is_none()));
+    }
+    for (n, token) in ["a", "b"].into_iter().enumerate() {
+        assert!(matches!(good.word(claim(token, n as u64 + 1)).await, FromKeeper::Granted { .. }));
+    }
+    keeper.buy(vec![(school(), 1), (School("ida".into()), 3)]).await;
+    let s = good.standing().await;
+    assert_eq!(s.school, "ida");
+    assert!(matches!(good.word(claim("c", 3)).await, FromKeeper::Full { .. }));
+    assert!(matches!(good.word(claim("a", 4)).await, FromKeeper::Granted { .. }));
+}
--- a/crates/kelpdoor-seats/src/holder.rs
+++ b/crates/kelpdoor-seats/src/holder.rs
@@ -118,6 +118,8 @@
     next_beat: f64,
     /// Until when what is held is held.
     lease_until: f64,
+    /// A beat of this epoch was answered. Nothing is asked for before: there is no lease yet to hold it by.
+    begun: bool,
     /// Nothing is due before; kept so that a word or a request costs no walk over all that is held.
     due: f64,
     chance: fastrand::Rng,
@@ -138,6 +140,7 @@
             beat: None,
             next_beat: f64::NEG_INFINITY,
             lease_until: f64::NEG_INFINITY,
+            begun: false,
             due: f64::NEG_INFINITY,
             chance: fastrand::Rng::with_seed(nonce),
         }
@@ -210,7 +213,7 @@
     }
 
     fn word(&self, school: &School, token: &TokenId, expires: f64, n: u64, spent: bool) -> Option<Out> {
-        let (director, epoch) = (self.director, self.epoch?);
+        let (director, epoch) = (self.director, self.epoch.filter(|_| self.begun)?);
         let (school, token) = (school.clone(), token.clone());
         Some(Out::Send(if spent {
             ToKeeper::Spent { director, epoch, school, token, expires, n }
@@ -247,6 +250,11 @@
                 if let Some((_, sent)) = self.beat.filter(|(out, _)| out == n) {
                     self.beat = None;
                     self.lease_until = self.lease_until.max(sent + self.lease.lasts);
+                    if !std::mem::replace(&mut self.begun, true) {
+                        let waits = self.schools.values_mut().flat_map(|m| m.waiting.values_mut());
+                        waits.for_each(|w| w.pending.again = now);
+                        self.due = now;
+                    }
                 }
             }
             FromKeeper::Granted { epoch, school, token, n } if Some(*epoch) == self.epoch => {
@@ -362,6 +370,7 @@
     fn lapse(&mut self, now: f64) -> Vec<Out> {
         let mut out = Vec::new();
         self.epoch = None;
+        self.begun = false;
         self.beat = None;
         self.hello = None;
         self.due = now;
@@ -391,7 +400,7 @@
             let waits = self.schools.values().flat_map(|m| m.waiting.values());
             return waits.fold(at, |at, w| at.min(w.until));
         }
-        let mut at = self.next_beat.min(self.lease_until.max(self.next_beat));
+        let mut at = self.next_beat.min(self.ends());
         for mine in self.schools.values() {
             at = mine.waiting.values().fold(at, |at, w| at.min(w.until).min(w.pending.again));
             at =
@@ -415,11 +424,7 @@
     fn all(&mut self, now: f64) -> Vec<Out> {
         let mut out = Vec::new();
         let director = self.director;
-        if self.epoch.is_some()
-            && now > self.lease_until
-            && self.lease_until > f64::NEG_INFINITY
-            && self.old(now)
-        {
+        if self.epoch.is_some() && now >= self.ends() {
             out.extend(self.lapse(now));
         }
         let Some(epoch) = self.epoch else {
@@ -446,15 +451,15 @@
         out
     }
 
-    /// Whether the lease has run out, a first one included that never began.
-    fn old(&self, now: f64) -> bool {
-        now > self.lease_until + if self.held() == 0 { self.lease.lasts } else { 0.0 }
+    /// When the epoch is over for want of an answer; one that holds nothing has as long again.
+    fn ends(&self) -> f64 {
+        self.lease_until + if self.held() == 0 { self.lease.lasts } else { 0.0 }
     }
 
     /// Waits and tokens that are over.
     fn over(&mut self, now: f64, out: &mut Vec<Out>) {
         let lease = self.epoch.is_some() && now <= self.lease_until;
-        let mut spends = Vec::new();
+        let (mut spends, mut expired) = (Vec::new(), Vec::new());
         for (school, mine) in &mut self.schools {
             let due: Vec<TokenId> =
                 mine.waiting.iter().filter(|(_, w)| now >= w.until).map(|(t, _)| t.clone()).collect();
@@ -476,9 +481,16 @@
                 mine.held.iter().filter(|(_, h)| now >= h.expires).map(|(t, _)| t.clone()).collect();
             for token in ended {
                 mine.held.remove(&token);
+                expired.push((school.clone(), token.clone()));
                 out.push(Out::Ended { school: school.clone(), token, why: EndedWhy::Expired });
             }
         }
+        for (school, token) in expired {
+            let (director, pending) = (self.director, self.pend(now));
+            let (Some(epoch), Some(mine)) = (self.epoch, self.schools.get_mut(&school)) else { continue };
+            mine.releasing.insert(token.clone(), pending);
+            out.push(Out::Send(ToKeeper::Release { director, epoch, school, token, n: pending.n }));
+        }
         for (school, token, expires) in spends {
             let pending = self.pend(now);
             let held = Held { expires, n: pending.n, pending: Some(pending), spent: true };
--- a/crates/kelpdoor-seats/src/ledger.rs
+++ b/crates/kelpdoor-seats/src/ledger.rs
@@ -1,6 +1,7 @@
 //! The keeper's side.
 //!
-//! A seat is held by a token at one director's epoch, until the token expires or the director's lease lapses. Seats
+//! A seat is held by a token at one director's epoch, until that gives it back, as it does when the token expires, or its
+//! lease lapses. The keeper does not end seats by their expiry alone: a renewal may be under way to it. Seats
 //! lent ahead are counted as taken. At all times held + lent <= bought, but for a pool that was shrunk under what is
 //! held: then nothing is given out until enough came back.
 //!
@@ -46,8 +47,20 @@
 }
 
 impl Pool {
+    fn lent(&self) -> u32 {
+        self.lent.values().map(|l| l.0).sum()
+    }
+
+    /// Tokens given back by the director that they moved to, before the one they moved from has said that it let go:
+    /// it may stand still, with the session playing on.
+    fn moving(&self) -> u32 {
+        let left: BTreeSet<&TokenId> =
+            self.moved.iter().map(|m| &m.1).filter(|t| !self.seats.contains_key(t)).collect();
+        left.len() as u32
+    }
+
     fn taken(&self) -> u32 {
-        self.seats.len() as u32 + self.lent.values().map(|l| l.0).sum::<u32>()
+        self.seats.len() as u32 + self.lent() + self.moving()
     }
 
     fn free(&self) -> u32 {
@@ -106,6 +119,8 @@
     pub bought: u32,
     pub held: u32,
     pub lent: u32,
+    /// Given back where they moved to, not yet where they moved from.
+    pub moving: u32,
     pub free: u32,
 }
 
@@ -131,6 +146,8 @@
     current: BTreeMap<DirectorId, Epoch>,
     last: Epoch,
     swept_at: f64,
+    /// When this start of the keeper's began.
+    began: f64,
     changes: Vec<Change>,
 }
 
@@ -143,6 +160,7 @@
             current: BTreeMap::new(),
             last: Epoch(0),
             swept_at: f64::NEG_INFINITY,
+            began: f64::NEG_INFINITY,
             changes: Vec::new(),
         }
     }
@@ -159,8 +177,8 @@
 
     pub fn standing(&self, school: &School) -> Standing {
         let Some(pool) = self.pools.get(school) else { return Standing::default() };
-        let held = pool.seats.len() as u32;
-        Standing { bought: pool.bought, held, lent: pool.taken() - held, free: pool.free() }
+        let (held, lent, moving) = (pool.seats.len() as u32, pool.lent(), pool.moving());
+        Standing { bought: pool.bought, held, lent, moving, free: pool.free() }
     }
 
     pub fn schools(&self) -> impl Iterator<Item = &School> {
@@ -279,6 +297,7 @@
 
     /// After a restart from kept changes: nobody could be heard meanwhile, so every lease runs anew from now.
     pub fn resumed(&mut self, now: f64) {
+        self.began = now;
         self.epochs.values_mut().for_each(|k| k.heard = k.heard.max(now));
     }
 
@@ -295,7 +314,10 @@
         lapsed.into_iter().for_each(|epoch| self.change(Change::Lapsed { epoch }));
         let mut freed = Vec::new();
         for (school, pool) in &self.pools {
-            for (token, _) in pool.seats.iter().filter(|(_, s)| now > s.expires + clock_error) {
+            // A director that lives gives expired seats back itself, or has renewed them while we were away; one that
+            // does neither for a whole lease never will.
+            let over = |s: &Seat| now > s.expires.max(self.began) + lasts + clock_error;
+            for (token, _) in pool.seats.iter().filter(|(_, s)| over(s)) {
                 freed.push(Change::Freed { school: school.clone(), token: token.clone() });
             }
             for (epoch, (_, _, n)) in pool.lent.iter().filter(|(_, l)| l.0 > 0 && now > l.1 + clock_error) {
@@ -375,7 +397,13 @@
             self.current.get(&director).filter(|e| self.epochs.get(e).is_some_and(|k| k.nonce == nonce));
         let epoch = match same {
             // Its first hello was heard, our answer was not.
-            Some(epoch) => *epoch,
+            Some(epoch) => {
+                let epoch = *epoch;
+                if let Some(known) = self.epochs.get_mut(&epoch) {
+                    known.heard = known.heard.max(now);
+                }
+                epoch
+            }
             None if self.epochs.len() >= MAX_EPOCHS => return None,
             None => {
                 let epoch = Epoch(self.last.0 + 1);
@@ -512,8 +540,9 @@
     /// Whether the books are in order; what is wrong, else.
     pub fn audit(&self) -> Result<(), String> {
         for (school, pool) in &self.pools {
-            if pool.taken() > pool.bought && !pool.lent.values().all(|l| l.0 == 0) {
-                return Err(format!("{}: {} taken of {}, some lent", school.0, pool.taken(), pool.bought));
+            let taken = pool.seats.len() as u32 + pool.lent();
+            if taken > pool.bought && pool.lent() > 0 {
+                return Err(format!("{}: {taken} taken of {}, some lent", school.0, pool.bought));
             }
             let live: BTreeSet<&Epoch> = self.epochs.keys().collect();
             if let Some((token, s)) = pool.seats.iter().find(|(_, s)| !live.contains(&s.epoch)) {
--- a/crates/kelpdoor-seats/tests/simulated.rs
+++ b/crates/kelpdoor-seats/tests/simulated.rs
@@ -20,6 +20,8 @@
     /// The viewer of that token is done, or comes again elsewhere.
     Leave(TokenId),
     Again(TokenId),
+    /// Shows a later token where it plays.
+    Renew(TokenId),
     KeeperDown,
     KeeperUp,
     DirectorRestart,
@@ -184,6 +186,10 @@
                     // A retry with the same token.
                     self.ask(d, &token, expires);
                 }
+                if self.rng.f64() < 0.5 {
+                    let after = lasts * self.rng.f64();
+                    self.at(after, Event::Renew(token.clone()));
+                }
                 let after = lasts * 1.3 * self.rng.f64();
                 let next = if self.rng.f64() < 0.3 { Event::Again(token) } else { Event::Leave(token) };
                 self.at(after, next);
@@ -205,6 +211,13 @@
                     self.at(after, Event::Leave(token));
                 }
             }
+            Event::Renew(token) => {
+                if let Some((d, expires)) = self.tokens.get(&token).copied() {
+                    let expires = expires + 8.0;
+                    self.tokens.insert(token.clone(), (d, expires));
+                    self.ask(d, &token, expires);
+                }
+            }
             Event::KeeperDown => {
                 self.ledger = None;
                 let after = 0.5 + 12.0 * self.rng.f64();
