--- a/crates/kelpdoor-lab/tests/seats.rs
+++ b/crates/kelpdoor-lab/tests/seats.rs
@@ -235,3 +235,48 @@
     socket.say(&start).await.expect("said");
     assert!(matches!(answer(&mut socket).await, ToPlayer::Playing { .. }));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn with_one_director_the_keeper_runs_inside_it_and_outlives_its_restart() {
+    let hall = hall().await;
+    let ledger = hall.dir.path().join("inside").display().to_string();
+    let shared = settings(&hall.size, "")
+        .replace(tickets::KEYS, &hall.issuing.keys().display().to_string())
+        .replace(&format!("address = \"{}\"", tickets::KEEPER), &format!("ledger = {ledger:?}"));
+    let shared = format!("{shared}school({:?}, seats = 1)\n", tickets::school(0));
+    let script =
+        director_script(&shared, &hall.size, 0, hall.world.roster_at, Path::new("/nonexistent/list"));
+    let begin = async || {
+        let deployment = Deployment::run("test", &script).expect("good settings");
+        let running = serve(ServeOptions { deployment, journal: None }).await.expect("a director");
+        within(10, async {
+            while running.counts().links_up < 4 {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+        running
+    };
+    let mut running = begin().await;
+    let mut socket = open(&running).await;
+    ask(&mut socket, "key-00001", hall.token("a", 300.0)).await;
+    assert!(matches!(answer(&mut socket).await, ToPlayer::Playing { .. }));
+    ask(&mut socket, "key-00002", hall.token("b", 300.0)).await;
+    assert!(matches!(answer(&mut socket).await, ToPlayer::Busy { .. }));
+    // Ended well it gives the seat back; the ledger is the next one's.
+    running.shut_down().await;
+    within(10, running.ended()).await.expect("ended well");
+    let running = begin().await;
+    let mut socket = open(&running).await;
+    ask(&mut socket, "key-00003", hall.token("b", 300.0)).await;
+    assert!(matches!(answer(&mut socket).await, ToPlayer::Playing { .. }));
+    // Killed, its seat stands for the lease; only the viewer itself gets it before.
+    running.abort();
+    drop(running);
+    let running = begin().await;
+    let mut socket = open(&running).await;
+    ask(&mut socket, "key-00004", hall.token("c", 300.0)).await;
+    assert!(matches!(answer(&mut socket).await, ToPlayer::Busy { .. }));
+    ask(&mut socket, "key-00005", hall.token("b", 300.0)).await;
+    assert!(matches!(answer(&mut socket).await, ToPlayer::Playing { .. }));
+}
