The checker's rule on seats has a breaking record

Each rule had a record that breaks it but the seventh, so a checker that judged nothing would have passed. The new record plays two tokens of a one-seat school, one token at two requests, and leaves seats held; the checker names the lines 31, 36 and 40, and nothing in the record that keeps the rule.

--- a/crates/kelpdoor-lab/tests/checker.rs
+++ b/crates/kelpdoor-lab/tests/checker.rs
@@ -1,5 +1,7 @@
 //! The checker, rule by rule: a record that keeps it, and one in which it breaks, with the line that is named.
 
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use expect_test::{Expect, expect};
 use kelpdoor_lab::check::check;
 use kelpdoor_lab::fleet::{director_script, settings};
@@ -258,3 +260,45 @@
     "##]].assert_eq(&kelpdoor_lab::fromday::script(&day).expect("a script"));
     assert!(kelpdoor_lab::fromday::script("{}").is_err());
 }
+
+impl Tape {
+    /// A request with a token that plays from now on.
+    fn ticket(&mut self, key: &str, id: &str, node: u32) -> (u32, u32) {
+        let claims = URL_SAFE_NO_PAD.encode(format!(r#"{{"school":"olaf","jti":"{id}","exp":9e9}}"#));
+        self.player(
+            false,
+            format!(
+                r#"{{"type":"start","key":"{key}","group":"story","setup_timeout":3,"token":"h.{claims}.s"}}"#
+            ),
+        );
+        let out = self.setup(key, "story", node, 0);
+        let (node, pipe) = out;
+        let play = format!("PLAY rtsp://n/ RTSP/2.0\r\nCSeq: 8{pipe}\r\nPipelined-Requests: {pipe}\r\n\r\n");
+        self.put(What::Node { node, conn: 1, got: true, text: play });
+        let ok = format!("RTSP/2.0 200 OK\r\nCSeq: 8{pipe}\r\n\r\n");
+        self.put(What::Node { node, conn: 1, got: false, text: ok });
+        self.answer(key, "playing");
+        out
+    }
+}
+
+#[test]
+fn rule_7_seats_of_schools() {
+    let mut tape = Tape::new();
+    tape.put(What::Schools { seats: 1 });
+    let first = tape.ticket("key-good", "a", 0);
+    tape.wait(1.0).teardown(first);
+    let second = tape.wait(0.1).ticket("key-next", "b", 1);
+    // The same token at another request, told in time.
+    tape.wait(1.0).ticket("key-moved", "b", 0);
+    tape.wait(1.0).teardown(second);
+    tape.judge(expect![[""]]);
+    tape.wait(1.0).ticket("key-over", "c", 1);
+    tape.wait(0.1).ticket("key-twice", "b", 1);
+    tape.wait(6.0).put(What::SeatsLeft { held: 2 });
+    tape.judge(expect![[r#"
+        rule 7, line 31: olaf: 2 of 1 seats in use
+        rule 7, line 36: olaf: 2 of 1 seats in use
+        rule 7, line 36: olaf: b plays at two directors, since line 25 too
+        rule 7, line 40: 2 seats are held though nobody holds any"#]]);
+}
