Seats: old answers and late releases change nothing; tokens that ran out in line end no session

Found by reading the change again. A claim whose answer was lost stood at the keeper for nobody. A renewal that had run out while it lay in line ended its session's books without taking it off its node. Answers have to name the claim that is out, each claim renews the word that a seat is held by, a wait that is over gives back what it may have taken, expired tokens are errors.

Also bounded or mended: one expiry timer a session however often it is renewed, releases remembered, directors with a connection, the wait for a connection to the keeper; a log written anew is the log though its folder's sync failed; a keeper's end inside a director is logged; the waits' tuned parts stand with the seats' decisions.

--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -943,7 +943,7 @@
                     }
                 }
             }
-            Timer::SeatEnds { sess, turn } => self.warn_expiring(sess, turn),
+            Timer::SeatEnds { sess } => self.warn_expiring(sess),
             Timer::Resume { sess, losses } => {
                 if self.sess.get(&sess).is_some_and(|s| s.sock.is_none() && s.losses == losses) {
                     self.stop(sess);
--- a/crates/kelpdoor-director/src/desk/seats.rs
+++ b/crates/kelpdoor-director/src/desk/seats.rs
@@ -15,8 +15,7 @@
 use crate::session::{Seat, Stage};
 use crate::timers::Timer;
 
-/// Of the time that a request has left; it waits so long for its seat at most, so that a SETUP still fits.
-const SEAT_PART: f64 = 0.5;
+const EXPIRED: &str = "the token has expired: ask for a new one";
 
 /// One seat of a school.
 pub(super) type SeatName = (School, TokenId);
@@ -42,6 +41,8 @@
             Shown::Nothing => Err((ErrorCode::TokenMissing, format!("group {:?} needs a token", group.name))),
             Shown::Bad(why) => Err((ErrorCode::TokenRefused, why)),
             Shown::TooFast => Err((ErrorCode::TooFast, "too many tokens a second".to_owned())),
+            // It lay in line for that long.
+            Shown::Good(e) if e.expires <= self.now => Err((ErrorCode::TokenRefused, EXPIRED.to_owned())),
             Shown::Good(e) if e.group.as_ref().is_some_and(|g| *g != group.name) => {
                 let of = e.group.unwrap_or_default();
                 Err((ErrorCode::TokenRefused, format!("the token is for group {of:?}")))
@@ -57,18 +58,21 @@
         self.seats_tick();
         let name: SeatName = (e.school, e.token);
         if let Some(s) = self.sess.get_mut(&id) {
-            s.seat = Some(Seat { name: name.clone(), expires: e.expires, turn: 0, waiting: true });
+            s.seat = Some(Seat { name: name.clone(), expires: e.expires, waiting: true, watched: false });
         }
         if let Some(before) = self.seat_of.insert(name.clone(), id) {
             self.lose_seat(before, seats::EndedWhy::Moved);
         }
         let Some(holder) = &mut self.holder else { return };
-        let out = holder.ask(now, &name.0, &name.1, e.expires, left * SEAT_PART);
+        let out = holder.ask(now, &name.0, &name.1, e.expires, left);
         self.seats_out(out);
     }
 
     fn renew(&mut self, sock: u64, key: &RequestKey, shown: Shown) {
         let e = match shown {
+            Shown::Good(e) if e.expires <= self.now => {
+                return self.error(sock, key, ErrorCode::TokenRefused, EXPIRED);
+            }
             Shown::Good(e) => e,
             Shown::Bad(why) => return self.error(sock, key, ErrorCode::TokenRefused, why),
             Shown::TooFast => return self.error(sock, key, ErrorCode::TooFast, "too many tokens a second"),
@@ -89,7 +93,6 @@
         }
         if e.expires > seat.expires {
             seat.expires = e.expires;
-            seat.turn += 1;
         }
         let (waiting, lasts) = (seat.waiting, seat.expires - now);
         self.bind(id, sock);
@@ -102,22 +105,29 @@
         self.seats_out(out);
     }
 
-    /// Sets when the player is told that its token runs out.
+    /// Sets when the player is told that its token runs out. One timer for a session, however often it is renewed.
     pub(super) fn watch_seat(&mut self, id: u64) {
         let warn = self.book.tokens.as_ref().map_or(0.0, |t| t.warn);
-        let Some(s) = self.sess.get(&id).filter(|s| s.stage == Stage::Playing) else { return };
-        if let Some(seat) = &s.seat {
-            let at = (seat.expires - warn).max(self.now);
-            self.timers.set(at, Timer::SeatEnds { sess: id, turn: seat.turn });
+        let playing = self.sess.get_mut(&id).filter(|s| s.stage == Stage::Playing);
+        if let Some(seat) = playing.and_then(|s| s.seat.as_mut()).filter(|seat| !seat.watched) {
+            seat.watched = true;
+            self.timers.set((seat.expires - warn).max(self.now), Timer::SeatEnds { sess: id });
         }
     }
 
-    pub(super) fn warn_expiring(&mut self, id: u64, turn: u32) {
-        let now = self.now;
-        let Some(s) = self.sess.get(&id).filter(|s| s.stage == Stage::Playing) else { return };
-        if let Some(seat) = s.seat.as_ref().filter(|seat| seat.turn == turn && seat.expires > now) {
-            let message = ToPlayer::Expiring { key: s.key.clone(), after: seat.expires - now };
-            self.say(s.sock, message);
+    pub(super) fn warn_expiring(&mut self, id: u64) {
+        let warn = self.book.tokens.as_ref().map_or(0.0, |t| t.warn);
+        let Some(s) = self.sess.get_mut(&id).filter(|s| s.stage == Stage::Playing) else { return };
+        let Some(seat) = s.seat.as_mut() else { return };
+        seat.watched = false;
+        let after = seat.expires - self.now;
+        if after > warn {
+            // Renewed since.
+            return self.watch_seat(id);
+        }
+        let (sock, key) = (s.sock, s.key.clone());
+        if after > 0.0 {
+            self.say(sock, ToPlayer::Expiring { key, after });
         }
     }
 
@@ -225,7 +235,6 @@
 pub(super) fn holder(book: &kelpdoor_script::Deployment, nonce: impl FnOnce() -> u64) -> Option<Holder> {
     let k = book.keeper.as_ref().filter(|_| book.groups.iter().any(|g| g.token))?;
     let lease = seats::Lease { lasts: k.lease, clock_error: k.clock_error };
-    let resend = (k.wait.min(k.beat_every) / 2.0, k.beat_every * 2.0);
-    let patience = seats::Patience { claim: k.wait, beat_every: k.beat_every, resend, ahead: k.ahead };
+    let patience = seats::Patience::new(k.wait, k.beat_every, k.ahead);
     Some(Holder::new(seats::DirectorId(book.director.me), nonce(), lease, patience))
 }
--- a/crates/kelpdoor-director/src/keeping.rs
+++ b/crates/kelpdoor-director/src/keeping.rs
@@ -12,11 +12,12 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::effect::Input;
 use crate::roster::MAX_LINE;
 
-/// s; wait before the keeper is connected again, at first and at most.
+/// s; wait before the keeper is connected again, at first and at most; also the longest wait for a connection.
 const WAIT: (f64, f64) = (0.1, 5.0);
 
 /// What a keeper is started with, by its settings.
@@ -44,9 +45,11 @@
 ) {
     let mut wait = WAIT.0;
     loop {
-        let why = match TcpStream::connect(address).await {
-            Err(e) => e.to_string(),
-            Ok(stream) => {
+        let limit = Duration::from_secs_f64(WAIT.1);
+        let why = match timeout(limit, TcpStream::connect(address)).await {
+            Err(_) => "not connected in time".to_owned(),
+            Ok(Err(e)) => e.to_string(),
+            Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
                 tracing::info!(%address, "connected to the keeper of seats");
                 let began = Instant::now();
--- a/crates/kelpdoor-director/src/session.rs
+++ b/crates/kelpdoor-director/src/session.rs
@@ -36,8 +36,8 @@
 pub struct Seat {
     pub name: (School, TokenId),
     pub expires: f64,
-    /// Of renewals.
-    pub turn: u32,
+    /// A timer looks at its end.
+    pub watched: bool,
     /// The decisions do not know of the session yet.
     pub waiting: bool,
 }
--- a/crates/kelpdoor-director/src/timers.rs
+++ b/crates/kelpdoor-director/src/timers.rs
@@ -21,7 +21,6 @@
     /// A session's token runs out soon, unless it was renewed since.
     SeatEnds {
         sess: u64,
-        turn: u32,
     },
     /// No answer came to a TEARDOWN.
     TornDown {
--- a/crates/kelpdoor-director/tests/desk.rs
+++ b/crates/kelpdoor-director/tests/desk.rs
@@ -292,14 +292,17 @@
                 }
                 let due = self.bench.now + 1.0;
                 let seen = self.seen.entry(name.clone()).or_default();
-                let known = seen.asked > 0;
+                // What was refused as no message is a new request when it comes again.
+                let known = seen.asked > 0 && !(seen.refused && seen.finals.is_empty());
                 seen.asked += 1;
                 let lost = seen.sock.is_none();
                 seen.sock = Some(0);
                 if !known || lost {
                     seen.due = due;
                 }
-                self.tokens.entry(name).or_insert(token);
+                if !known {
+                    self.tokens.insert(name, token);
+                }
                 let mut message = common::start(&key.0, "ticket", "t1");
                 if let FromPlayer::Start { setup_timeout, .. } = &mut message {
                     *setup_timeout = 1.0;
--- a/crates/kelpdoor-director/tests/seats.rs
+++ b/crates/kelpdoor-director/tests/seats.rs
@@ -227,3 +227,30 @@
             SETUP key-00002
         20.3 1 < {"key":"key-00002","resume_for":5.0,"rung":1,"type":"playing","uri":"rtsp://127.0.0.1:7003/t1"}"#]]);
 }
+
+#[test]
+fn a_token_that_ran_out_in_line_touches_no_session() {
+    let mut hall = Hall::new();
+    hall.start("key-00001", hall.good("a", 30.0));
+    hall.lines.clear();
+    hall.renew("key-00001", hall.good("a", -1.0));
+    hall.start("key-00002", hall.good("a", -1.0));
+    // Renewed often, it is still told once.
+    for lasts in [31.0, 32.0, 33.0] {
+        hall.renew("key-00001", hall.good("a", lasts));
+    }
+    assert_eq!(hall.bench.desk.counts().playing, 1);
+    let timers = hall.bench.desk.counts().timers;
+    hall.renew("key-00001", hall.good("a", 34.0));
+    assert_eq!(hall.bench.desk.counts().timers, timers);
+    hall.wait(33.0);
+    hall.show(expect![[r#"
+        6.0 1 < {"code":"token_refused","key":"key-00001","message":"the token has expired: ask for a new one","type":"error"}
+        6.0 1 < {"code":"token_refused","key":"key-00002","message":"the token has expired: ask for a new one","type":"error"}
+        6.0 1 < {"key":"key-00001","lasts":31.0,"type":"renewed"}
+        6.0 1 < {"key":"key-00001","lasts":32.0,"type":"renewed"}
+        6.0 1 < {"key":"key-00001","lasts":33.0,"type":"renewed"}
+        6.0 1 < {"key":"key-00001","lasts":34.0,"type":"renewed"}
+        38.0 1 < {"after":1.9999989999923855,"key":"key-00001","type":"expiring"}"#]]);
+    assert_eq!(hall.held(), 1);
+}
--- a/crates/kelpdoor-keeper/src/log.rs
+++ b/crates/kelpdoor-keeper/src/log.rs
@@ -137,7 +137,7 @@
     /// Puts a new log of these changes in the place of this one, whole or not at all.
     ///
     /// # Errors
-    /// What the file system says; the old log stands then and may be written on.
+    /// What the file system says; the log, old or new, may be written on.
     pub fn rewrite(&mut self, changes: &[Change]) -> io::Result<()> {
         let folder = self.path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
         let mut new = tempfile::NamedTempFile::new_in(folder)?;
@@ -149,10 +149,10 @@
             bytes += part.len() as u64;
         }
         new.as_file().sync_all()?;
-        let file = new.persist(&self.path).map_err(|e| e.error)?;
-        File::open(folder)?.sync_all()?;
-        (self.file, self.bytes) = (file, bytes);
-        Ok(())
+        // From here on the new file is the log, whatever becomes of the folder's sync: the old one has no name any more.
+        self.file = new.persist(&self.path).map_err(|e| e.error)?;
+        self.bytes = bytes;
+        File::open(folder)?.sync_all()
     }
 
     pub fn bytes(&self) -> u64 {
--- a/crates/kelpdoor-keeper/src/serve.rs
+++ b/crates/kelpdoor-keeper/src/serve.rs
@@ -21,6 +21,8 @@
 
 /// Connections at most; more are closed at once, and directors come again.
 const CONNS: usize = 1024;
+/// Directors with a connection at most; words of more are not answered.
+const DIRECTORS: usize = 20_000;
 /// Lines waiting for the loop at most; readers wait beyond it.
 const ASKS: usize = 4096;
 /// Lines written down together at most.
@@ -164,7 +166,11 @@
         // Ended with this task, however that ends.
         let mut listen = JoinSet::new();
         listen.spawn(accept(listener, to));
-        self.work(&mut from).await
+        let done = self.work(&mut from).await;
+        if let Err(why) = &done {
+            tracing::error!(%why, "the keeper of seats ends");
+        }
+        done
     }
 
     async fn work(&mut self, from: &mut mpsc::Receiver<Come>) -> Result<(), String> {
@@ -207,7 +213,11 @@
                 self.at.retain(|_, at| *at != conn);
             }
             Come::Asked(conn, Ask::Word(word)) => {
-                self.at.insert(director(&word), conn);
+                let from = director(&word);
+                if self.at.len() >= DIRECTORS && !self.at.contains_key(&from) {
+                    return false;
+                }
+                self.at.insert(from, conn);
                 for (to, word) in self.ledger.take(now, &word) {
                     if let Some(conn) = self.at.get(&to) {
                         self.out.push((*conn, Tell::Word(word)));
--- a/crates/kelpdoor-seats/src/holder.rs
+++ b/crates/kelpdoor-seats/src/holder.rs
@@ -3,13 +3,18 @@
 //! A request with a token waits for the keeper no longer than [`Patience::claim`]; then a seat lent ahead is used, and
 //! without one the request is refused in time. What is held is held by the keeper's word or by a loan, both until the
 //! director's lease runs out: counted from when the last beat that was heard was *sent*, so it ends here before it
-//! ends at the keeper. One word of each kind is out for a school at a time, sent again after a growing, random wait,
-//! so that a keeper that comes back meets no herd.
+//! ends at the keeper. One word is out for each token, and one for a school's loan, sent again as it was after a
+//! growing, random wait.
 
 use std::collections::BTreeMap;
 
 use crate::{DirectorId, Epoch, FromKeeper, Lease, School, ToKeeper, TokenId};
 
+/// Of the time that a request has left; it waits so long for its seat at most, so that a SETUP still fits.
+const SEAT_PART: f64 = 0.5;
+/// Of the wait for the keeper, and of a beat's time: before a word is sent again, at first and at most.
+const RESEND: (f64, f64) = (0.5, 2.0);
+
 /// Waits of a director, s.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -22,6 +27,14 @@
     pub ahead: u32,
 }
 
+impl Patience {
+    /// From what operators set: s, s, and seats.
+    pub fn new(claim: f64, beat_every: f64, ahead: u32) -> Self {
+        let resend = (claim.min(beat_every) * RESEND.0, beat_every * RESEND.1);
+        Patience { claim, beat_every, resend, ahead }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RefusedWhy {
     /// All taken; come back after so long.
@@ -179,9 +192,9 @@
         Pending { n: p.n, again: now + wait * self.spread(), wait }
     }
 
-    /// A request or session asks for its token's seat, or for a longer one after a renewal. It waits for the keeper no
-    /// longer than `most`, s.
-    pub fn ask(&mut self, now: f64, school: &School, token: &TokenId, expires: f64, most: f64) -> Vec<Out> {
+    /// A request or session asks for its token's seat, or for a longer one after a renewal. A request that has `left`
+    /// seconds waits for the keeper a part of them at most.
+    pub fn ask(&mut self, now: f64, school: &School, token: &TokenId, expires: f64, left: f64) -> Vec<Out> {
         let mut out = Vec::new();
         let (school, token) = (school.clone(), token.clone());
         if now >= expires {
@@ -189,7 +202,7 @@
             return vec![Out::Refused { school, token, why }];
         }
         let pending = self.pend(now);
-        let until = now + self.patience.claim.min(most);
+        let until = now + self.patience.claim.min(left * SEAT_PART);
         self.due = self.due.min(until).min(expires);
         let epoch = self.epoch;
         let mine = self.schools.entry(school.clone()).or_default();
@@ -206,8 +219,11 @@
             return out;
         }
         if let Some(wait) = mine.waiting.get_mut(&token) {
-            // A retry joins the one that is out.
-            wait.expires = wait.expires.max(expires);
+            // A retry joins the one that is out; one that lasts longer is said anew, so that the keeper knows.
+            if expires > wait.expires {
+                (wait.expires, wait.pending) = (expires, pending);
+                out.extend(self.word(&school, &token, expires, pending.n, false));
+            }
             return out;
         }
         mine.waiting.insert(token.clone(), Wait { expires, until, pending });
@@ -324,7 +340,12 @@
 
     fn granted(&mut self, now: f64, school: &School, token: &TokenId, n: u64) -> Vec<Out> {
         let mine = self.schools.entry(school.clone()).or_default();
-        if let Some(wait) = mine.waiting.remove(token) {
+        if let Some(wait) = mine.waiting.get(token).cloned() {
+            // An answer to an older claim, given up since, holds nothing at the keeper.
+            if wait.pending.n != n {
+                return Vec::new();
+            }
+            mine.waiting.remove(token);
             let held = Held { expires: wait.expires, n: wait.pending.n, pending: None, spent: false };
             mine.held.insert(token.clone(), held);
             return vec![Out::Granted { school: school.clone(), token: token.clone() }];
@@ -465,7 +486,7 @@
     /// Waits and tokens that are over.
     fn over(&mut self, now: f64, out: &mut Vec<Out>) {
         let lease = self.epoch.is_some() && now <= self.lease_until;
-        let (mut spends, mut expired) = (Vec::new(), Vec::new());
+        let (mut spends, mut back) = (Vec::new(), Vec::new());
         for (school, mine) in &mut self.schools {
             let due: Vec<TokenId> =
                 mine.waiting.iter().filter(|(_, w)| now >= w.until).map(|(t, _)| t.clone()).collect();
@@ -480,6 +501,8 @@
                     spends.push((school.clone(), token, wait.expires));
                 } else {
                     let why = RefusedWhy::NoKeeper;
+                    // The claim may have been heard: what it took goes back.
+                    back.push((school.clone(), token.clone()));
                     out.push(Out::Refused { school: school.clone(), token, why });
                 }
             }
@@ -487,11 +510,11 @@
                 mine.held.iter().filter(|(_, h)| now >= h.expires).map(|(t, _)| t.clone()).collect();
             for token in ended {
                 mine.held.remove(&token);
-                expired.push((school.clone(), token.clone()));
+                back.push((school.clone(), token.clone()));
                 out.push(Out::Ended { school: school.clone(), token, why: EndedWhy::Expired });
             }
         }
-        for (school, token) in expired {
+        for (school, token) in back {
             let (director, pending) = (self.director, self.pend(now));
             let (Some(epoch), Some(mine)) = (self.epoch, self.schools.get_mut(&school)) else { continue };
             mine.releasing.insert(token.clone(), pending);
--- a/crates/kelpdoor-seats/src/ledger.rs
+++ b/crates/kelpdoor-seats/src/ledger.rs
@@ -135,6 +135,8 @@
 const SWEEP_EVERY: f64 = 0.25;
 /// Starts of directors whose leases run, at most; more hellos are not answered.
 const MAX_EPOCHS: usize = 20_000;
+/// Releases of one school remembered at most; the first are forgotten.
+const MAX_RELEASED: usize = 100_000;
 /// Moves told again with one beat, of one school, at most.
 const MOVED_AGAIN: usize = 100;
 
@@ -443,6 +445,8 @@
             return vec![(director, FromKeeper::Expired { epoch, school, token, n })];
         }
         let lent = pool.lent.get(&epoch).map_or(0, |l| l.0);
+        let same = held.as_ref().filter(|s| s.epoch == epoch);
+        let expires = same.map_or(expires, |s| s.expires.max(expires));
         let seat = Change::Held {
             school: school.clone(),
             token: token.clone(),
@@ -459,7 +463,8 @@
                 vec![(director, granted)]
             }
             Some(seat_now) if seat_now.epoch == epoch => {
-                if n >= seat_now.n && expires > seat_now.expires {
+                // Also one that asks for no longer: a release said before it, and heard late, must free nothing.
+                if n > seat_now.n {
                     self.change(seat);
                 }
                 vec![(director, granted)]
@@ -521,6 +526,10 @@
         let until = now + self.lease.lasts;
         let Some(pool) = self.pools.get_mut(&school) else { return };
         pool.moved.retain(|m| (m.0, &m.1) != (epoch, &token) || m.2 > n);
+        if pool.released.len() >= MAX_RELEASED {
+            // A claim overtaken by it takes a seat then, until its director, which does not want it, releases again.
+            pool.released.pop_first();
+        }
         let seen = pool.released.entry((epoch, token)).or_insert((n, until));
         *seen = (seen.0.max(n), until);
     }
--- a/crates/kelpdoor-seats/tests/table.rs
+++ b/crates/kelpdoor-seats/tests/table.rs
@@ -347,7 +347,7 @@
     assert_eq!(did(&h.ask(104.0, &school(), &id("b"), 1000.0, 1.0)), "claim b");
     assert_eq!(did(&h.tick(104.31)), "spent b, GRANTED b");
     assert_eq!(did(&h.ask(104.4, &school(), &id("c"), 1000.0, 0.1)), "claim c");
-    assert_eq!(did(&h.tick(104.51)), "REFUSED c NoKeeper");
+    assert_eq!(did(&h.tick(104.51)), "REFUSED c NoKeeper, release c");
     // Renewals of what is held need no answer.
     assert_eq!(did(&h.ask(105.0, &school(), &id("a"), 2000.0, 1.0)), "claim a, GRANTED a");
 }
@@ -453,3 +453,38 @@
     assert_eq!(again.holder(&school(), &id("a")), t.ledger.holder(&school(), &id("a")));
     assert_eq!(again.standing_changes(), whole);
 }
+
+#[test]
+fn an_answer_to_a_claim_that_was_given_up_holds_nothing() {
+    let (mut h, _) = holder(0);
+    let n = |out: &[Out]| match out {
+        [Out::Send(ToKeeper::Claim { n, .. }), ..] => *n,
+        other => panic!("{}", did(other)),
+    };
+    let first = n(&h.ask(100.0, &school(), &id("a"), 500.0, 1.0));
+    assert_eq!(did(&h.release(100.01, &school(), &id("a"))), "release a");
+    let second = n(&h.ask(100.02, &school(), &id("a"), 500.0, 1.0));
+    let granted = |n| FromKeeper::Granted { epoch: Epoch(1), school: school(), token: id("a"), n };
+    // Overtaken by its release at the keeper, which holds nothing for it.
+    assert_eq!(did(&h.heard(100.03, &granted(first))), "");
+    assert!(!h.holds(&school(), &id("a")));
+    // A retry with a longer token is said to the keeper, and only that answer counts.
+    let third = n(&h.ask(100.04, &school(), &id("a"), 900.0, 1.0));
+    assert_eq!(did(&h.heard(100.05, &granted(second))), "");
+    assert_eq!(did(&h.heard(100.06, &granted(third))), "GRANTED a");
+}
+
+#[test]
+fn a_release_heard_after_the_claim_that_followed_it_frees_nothing() {
+    let mut t = Table::new(1);
+    t.claim(1, "a", 60.0, 1);
+    t.claim(1, "a", 60.0, 3);
+    t.release(1, "a", 2);
+    // And a move names the latest claim, or its director would take it for an older one.
+    t.claim(2, "a", 60.0, 1);
+    t.show(expect![[r#"
+        0: granted a by 1 | held 1 lent 0 free 0
+        0: granted a by 3 | held 1 lent 0 free 0
+        0: freed a by 2 | held 1 lent 0 free 0
+        1: granted a by 1; 0: moved a, held by 3 | held 1 lent 0 free 0"#]]);
+}
