--- a/crates/kelpdoor-benchlink/src/decode.rs
+++ b/crates/kelpdoor-benchlink/src/decode.rs
@@ -9,8 +9,7 @@
 use kelpdoor::round::{Ended, Ending, ListChange, Listed, LoadReport, NewSession, Phase, Playing, Reading};
 
 use crate::frame::{Bytes, EVENT, Head};
-use crate::report::ReportFields;
-use crate::settings;
+use kelpdoor_terms::ReportFields;
 
 const ENTRY: usize = 22;
 
@@ -94,7 +93,7 @@
         }
         257 => {
             let text = tail_part(r, 10, 1, tail)?;
-            let (terms, report) = settings::terms(text).context("the settings")?;
+            let (terms, report) = kelpdoor_terms::read(text).context("the settings")?;
             Indication::Start { seed: r.u64(2)?, terms: Box::new(terms), report }
         }
         258 => {
--- a/crates/kelpdoor-benchlink/src/main.rs
+++ b/crates/kelpdoor-benchlink/src/main.rs
@@ -3,8 +3,6 @@
 mod decode;
 mod encode;
 mod frame;
-mod report;
-mod settings;
 
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Write};
@@ -15,7 +13,7 @@
 
 use crate::decode::{Indication, Sheets};
 use crate::encode::Reply;
-use crate::report::ReportFields;
+use kelpdoor_terms::ReportFields;
 
 /// An instance: its director, and what came in for it in the batch at hand.
 struct Seat {
--- a/crates/kelpdoor-director/src/timers.rs
+++ b/crates/kelpdoor-director/src/timers.rs
@@ -1,6 +1,6 @@
-//! Timers by due time. One that is no longer wanted is told by what it names having moved on, not taken out.
+//! What a desk waits for.
 
-use std::collections::BTreeMap;
+pub type Timers = kelpdoor_parts::Timers<Timer>;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Timer {
@@ -49,34 +49,3 @@
     },
     SaveList,
 }
-
-#[derive(Default)]
-pub struct Timers {
-    due: BTreeMap<(u64, u64), Timer>,
-    count: u64,
-}
-
-fn micros(at: f64) -> u64 {
-    (at.max(0.0) * 1e6) as u64
-}
-
-impl Timers {
-    pub fn set(&mut self, at: f64, timer: Timer) {
-        self.count += 1;
-        self.due.insert((micros(at), self.count), timer);
-    }
-
-    pub fn pop(&mut self, now: f64) -> Option<Timer> {
-        let first = self.due.first_entry()?;
-        (first.key().0 <= micros(now)).then(|| first.remove())
-    }
-
-    pub fn next(&self) -> Option<f64> {
-        // A micro later than written, so that it is due when the time comes.
-        self.due.first_key_value().map(|((at, _), _)| (*at + 1) as f64 / 1e6)
-    }
-
-    pub fn len(&self) -> usize {
-        self.due.len()
-    }
-}
--- a/crates/kelpdoor-lab/src/node.rs
+++ b/crates/kelpdoor-lab/src/node.rs
@@ -483,7 +483,9 @@
                 self.send(&mut s, node, conn, &answer(status).into());
             }
             Method::Options | Method::GetParameter => self.send(&mut s, node, conn, &answer(200).into()),
-            Method::PlayNotify => self.send(&mut s, node, conn, &answer(501).into()),
+            Method::PlayNotify | Method::Announce | Method::Redirect => {
+                self.send(&mut s, node, conn, &answer(501).into());
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -0,0 +1,1181 @@
+//! The core: what viewers, media nodes and the change log say becomes rounds of the decisions, and their orders become what
+//! is sent. No I/O and no clock: times are passed in, in seconds since 1970; the same inputs at the same times have the same
+//! effects.
+//!
+//! A session is asked, then has a SETUP (waiting for a connection, out, or in doubt after its connection was lost), then
+//! stands, then is gone. What is owed at each step stands at the function that takes it. Limits, each with its answer when
+//! reached: set-ups open, in all and on a connection (refused, with when to come back), connections of viewers (the most
+//! idle one is closed), connections to nodes (SETUPs share one), what waits for a node without a connection, releases that
+//! no viewer could be told, and ids given up lately (the oldest are dropped).
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use kelpdoor::ids::{GroupId, NodeId, SessId};
+use kelpdoor::round::{Ended, Ending, ListChange, Listed, LoadReport, NewSession, Phase, Playing, Reading};
+use kelpdoor::{Director, Orders, Round};
+use kelpdoor_parts::Timers;
+use kelpdoor_rtsp::Message;
+use kelpdoor_terms::{Named, ReportFields};
+
+use crate::changes::{Change, Host};
+use crate::media::{self, Note};
+use crate::pulse::Pulse;
+use crate::start::Start;
+use crate::viewer::{self, Ask, Bad, Reply, cause};
+
+/// s; an answer is written so long before its viewer gives up, for the way and a late turn of ours.
+const ANSWER_AHEAD: f64 = 0.03;
+/// s; a viewers' connection with no set-up open is closed after so long: one that said nothing of use, which is owed
+/// something within 3 s, and one with nothing that stands. Where something stands it is kept, to tell its end on.
+const VIEWER_IDLE: (f64, f64) = (2.0, 5.0);
+/// Set-ups open on one connection at most: some seconds of the busiest front, and no flood.
+const OPEN_EACH: usize = 160;
+/// Set-ups open in all.
+const OPEN: usize = 1024;
+/// Connections to one node at most; SETUPs beyond share them.
+const LINKS_EACH: usize = 6;
+/// Descriptors that are neither viewers' nor nodes': the process's own, change log, connections about to close.
+const OTHER_SOCKETS: usize = 28;
+/// s; a second connection to a node that is idle for so long is closed.
+const LINK_IDLE: f64 = 5.0;
+/// SETUPs given up lately: a late answer to one is released.
+const GIVEN_UP: usize = 4096;
+/// Releases and rungs that wait for a connection to one node.
+const OWED: usize = 1024;
+/// s; what is owed to a node that cannot be reached is dropped after so long.
+const OWED_FOR: f64 = 60.0;
+/// Releases that wait for a connection from viewers.
+const UNTOLD: usize = 4096;
+/// s; how often idle connections and quiet nodes are looked for.
+const SWEEP: f64 = 0.1;
+/// Rounds of the decisions within one call, for endings that their own orders bring at once.
+const TURNS: usize = 8;
+
+#[derive(Clone, Debug)]
+pub enum Input {
+    ViewerUp {
+        conn: u64,
+    },
+    Viewer {
+        conn: u64,
+        word: Result<viewer::Word, Bad>,
+    },
+    /// A line that never ends: nothing after it can be read.
+    ViewerOverlong {
+        conn: u64,
+    },
+    ViewerLost {
+        conn: u64,
+    },
+    LinkUp {
+        link: u64,
+    },
+    LinkFailed {
+        link: u64,
+        refused: bool,
+    },
+    Node {
+        link: u64,
+        message: Message,
+    },
+    /// What came cannot be read; the connection is of no further use.
+    LinkSpoilt {
+        link: u64,
+        why: String,
+    },
+    LinkLost {
+        link: u64,
+    },
+    Change(Change),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Viewer {
+        conn: u64,
+        bytes: Vec<u8>,
+    },
+    /// Close when what was sent is out.
+    ShutViewer {
+        conn: u64,
+    },
+    Dial {
+        link: u64,
+        address: SocketAddr,
+    },
+    Node {
+        link: u64,
+        bytes: Vec<u8>,
+    },
+    HangUp {
+        link: u64,
+    },
+    Log(String),
+    Fault(String),
+}
+
+/// What is held at the moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub open: usize,
+    pub standing: usize,
+    pub viewers: usize,
+    pub links: usize,
+    pub nodes: usize,
+    pub owed: usize,
+    pub timers: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// No SETUP is out.
+    Asked,
+    /// Its SETUP waits for a connection.
+    Waiting,
+    Out,
+    /// The connection was lost under its SETUP: a death of the node, or of the connection alone.
+    Doubt,
+    Stands,
+}
+
+struct Session {
+    /// The viewers' connection it came on.
+    conn: u64,
+    stage: Stage,
+    node: NodeId,
+    link: u64,
+    rung: u8,
+    due: f64,
+    /// When the SETUP that is out is given up.
+    until: f64,
+    sent: f64,
+    setups: u8,
+    /// Its viewer gave up.
+    left: bool,
+    /// Until it stands.
+    ask: Option<Box<Ask>>,
+}
+
+struct Viewer {
+    open: BTreeSet<SessId>,
+    last: f64,
+    /// It was served or handed sessions over, so releases may be told on it.
+    trusted: bool,
+    /// Sessions that stand and came on it.
+    stand: usize,
+    /// It sent what cannot be used: closed once nothing is open on it.
+    shunned: bool,
+}
+
+struct Link {
+    node: NodeId,
+    up: bool,
+    out: BTreeSet<SessId>,
+    used: f64,
+    /// No further SETUP goes on it; closed once nothing is out.
+    tired: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Owed {
+    Release(SessId, u32),
+    Rung(SessId),
+}
+
+struct Node {
+    name: String,
+    address: SocketAddr,
+    phase: Phase,
+    line: Listed,
+    links: BTreeSet<u64>,
+    standing: BTreeSet<SessId>,
+    doubted: BTreeSet<SessId>,
+    owed: VecDeque<Owed>,
+    owed_since: f64,
+    pulse: Pulse,
+}
+
+enum Timer {
+    SetupDue { sess: SessId, setup: u8 },
+}
+
+struct Hands {
+    now: f64,
+    wake: Option<f64>,
+    named: Named,
+    report: ReportFields,
+    cells: u16,
+    rungs: u8,
+    come_back: Option<f64>,
+    round: Round,
+    effects: Vec<Effect>,
+    sess: BTreeMap<SessId, Session>,
+    viewers: BTreeMap<u64, Viewer>,
+    links: BTreeMap<u64, Link>,
+    nodes: BTreeMap<NodeId, Node>,
+    ids: HashMap<String, NodeId>,
+    /// Who has an address now.
+    by_address: HashMap<SocketAddr, NodeId>,
+    given_up: VecDeque<(SessId, NodeId)>,
+    untold: VecDeque<(SessId, u32)>,
+    open: usize,
+    standing: usize,
+    timers: Timers<Timer>,
+    next_sweep: f64,
+    next_node: u32,
+    next_link: u64,
+    most_viewers: usize,
+    most_links: usize,
+    answered: [u64; 3],
+}
+
+pub struct Exchange {
+    director: Director,
+    hands: Hands,
+}
+
+impl Exchange {
+    pub fn new(start: &Start, now: f64) -> Self {
+        let room = start.sockets.saturating_sub(OTHER_SOCKETS);
+        let hands = Hands {
+            now,
+            wake: Some(now),
+            named: start.named.clone(),
+            report: start.report.clone(),
+            cells: start.terms.cells,
+            rungs: u8::try_from(start.terms.ladder.len()).unwrap_or(u8::MAX),
+            come_back: start.terms.come_back,
+            round: Round::default(),
+            effects: Vec::new(),
+            sess: BTreeMap::new(),
+            viewers: BTreeMap::new(),
+            links: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            ids: HashMap::new(),
+            by_address: HashMap::new(),
+            given_up: VecDeque::new(),
+            untold: VecDeque::new(),
+            open: 0,
+            standing: 0,
+            timers: Timers::default(),
+            next_sweep: now,
+            next_node: 0,
+            next_link: 0,
+            most_viewers: room / 2,
+            most_links: room - room / 2,
+            answered: [0; 3],
+        };
+        let mut exchange = Exchange { director: Director::new(&start.terms, start.seed, now), hands };
+        exchange.hands.known(&start.known);
+        exchange
+    }
+
+    /// Takes something in that came `waited` seconds ago; it acts with the next [`round`](Self::round).
+    pub fn take(&mut self, now: f64, waited: f64, input: Input) {
+        let h = &mut self.hands;
+        h.now = h.now.max(now);
+        match input {
+            Input::ViewerUp { conn } => h.viewer_up(conn),
+            Input::Viewer { conn, word } => h.viewer(conn, waited, word),
+            Input::ViewerOverlong { conn } => {
+                h.finish(conn, None, cause::UNREADABLE, None);
+                h.viewer_off(conn, true);
+            }
+            Input::ViewerLost { conn } => h.viewer_off(conn, false),
+            Input::LinkUp { link } => h.link_up(link),
+            Input::LinkFailed { link, refused } => h.link_failed(link, refused),
+            Input::Node { link, message } => h.node(link, message),
+            Input::LinkSpoilt { link, why } => h.link_spoilt(link, &why),
+            Input::LinkLost { link } => h.link_lost(link),
+            Input::Change(change) => h.change(&change),
+        }
+    }
+
+    /// Fires what is due, asks the decisions, and writes what is to be done.
+    pub fn round(&mut self, now: f64, out: &mut impl FnMut(Effect)) {
+        let h = &mut self.hands;
+        h.now = h.now.max(now);
+        while let Some(Timer::SetupDue { sess, setup }) = h.timers.pop(h.now) {
+            h.setup_due(sess, setup);
+        }
+        if h.now >= h.next_sweep {
+            h.next_sweep = h.now + SWEEP;
+            h.sweep();
+        }
+        for _ in 0..TURNS {
+            let round = std::mem::take(&mut self.hands.round);
+            self.hands.wake = self.hands.wake.filter(|w| *w > self.hands.now);
+            self.director.round(self.hands.now, &round, &mut self.hands);
+            if self.hands.round.ended.is_empty() && self.hands.round.departures.is_empty() {
+                break;
+            }
+        }
+        self.hands.effects.drain(..).for_each(out);
+    }
+
+    /// When a round is due though nothing comes in.
+    pub fn wake_at(&self) -> f64 {
+        let h = &self.hands;
+        let more = !h.round.ended.is_empty() || !h.round.departures.is_empty();
+        let due = [h.wake, h.timers.next(), Some(h.next_sweep), more.then_some(h.now)];
+        due.into_iter().flatten().fold(f64::INFINITY, f64::min)
+    }
+
+    pub fn counts(&self) -> Counts {
+        let h = &self.hands;
+        Counts {
+            open: h.open,
+            standing: h.standing,
+            viewers: h.viewers.len(),
+            links: h.links.len(),
+            nodes: h.nodes.values().filter(|n| n.phase != Phase::Gone).count(),
+            owed: h.untold.len() + h.nodes.values().map(|n| n.owed.len()).sum::<usize>(),
+            timers: h.timers.len(),
+        }
+    }
+
+    /// One line of what is believed: what is held and answered, and for each node its phase's first letter, what stands
+    /// and is out there, its connections, its share, and whether tries to reach it fail.
+    pub fn belief(&self) -> String {
+        let (h, c) = (&self.hands, self.counts());
+        let [served, busy, failed] = h.answered;
+        let mut line = format!(
+            "open {} standing {} viewers {} links {} owed {} served {served} busy {busy} failed {failed};",
+            c.open, c.standing, c.viewers, c.links, c.owed
+        );
+        for (&id, n) in &h.nodes {
+            let out: usize = n.links.iter().filter_map(|l| h.links.get(l)).map(|l| l.out.len()).sum();
+            let phase = match n.phase {
+                Phase::Ready => 'u',
+                Phase::Draining => 'd',
+                Phase::Gone => 'g',
+            };
+            let failing = if n.pulse.failing() { "!" } else { "" };
+            let (stands, links, share) = (n.standing.len(), n.links.len(), self.director.share(id));
+            line.push_str(&format!(" {}{phase}{failing} {stands}+{out}/{links} {share:.0}", n.name));
+        }
+        line
+    }
+}
+
+impl Hands {
+    fn log(&mut self, text: String) {
+        self.effects.push(Effect::Log(text));
+    }
+
+    // Viewers.
+
+    fn viewer_up(&mut self, conn: u64) {
+        if self.viewers.len() >= self.most_viewers {
+            // The one that has said nothing useful for the longest gives way; those with open set-ups never do.
+            let idle = self.viewers.iter().filter(|(_, v)| v.open.is_empty());
+            let Some((&oldest, _)) = idle.min_by(|a, b| {
+                (a.1.trusted, a.1.stand > 0, a.1.last)
+                    .partial_cmp(&(b.1.trusted, b.1.stand > 0, b.1.last))
+                    .unwrap_or(std::cmp::Ordering::Equal)
+            }) else {
+                return self.effects.push(Effect::ShutViewer { conn });
+            };
+            self.viewer_off(oldest, true);
+        }
+        let viewer =
+            Viewer { open: BTreeSet::new(), last: self.now, trusted: false, stand: 0, shunned: false };
+        self.viewers.insert(conn, viewer);
+    }
+
+    fn viewer(&mut self, conn: u64, waited: f64, word: Result<viewer::Word, Bad>) {
+        if !self.viewers.contains_key(&conn) {
+            return;
+        }
+        match word {
+            Ok(viewer::Word::Start(sess, ask)) => self.start(conn, waited, sess, ask),
+            Ok(viewer::Word::Finish(sess)) => self.finished(conn, sess),
+            Ok(viewer::Word::Echo(sess)) => {
+                self.touch(conn);
+                let bytes = viewer::write(Some(sess), Reply::Echoed);
+                self.effects.push(Effect::Viewer { conn, bytes });
+            }
+            Ok(viewer::Word::Free) => {}
+            Err(bad) => self.bad(conn, &bad),
+        }
+    }
+
+    fn touch(&mut self, conn: u64) {
+        if let Some(v) = self.viewers.get_mut(&conn) {
+            v.last = self.now;
+        }
+    }
+
+    /// What cannot be used costs its line, and the connection once nothing is open on it.
+    fn bad(&mut self, conn: u64, bad: &Bad) {
+        self.log(format!("viewers' connection {conn}: {}", bad.why));
+        match bad.sess {
+            Some(sess) if self.sess.contains_key(&sess) => self.doubled(conn, sess),
+            sess => self.finish(conn, sess, bad.cause, None),
+        }
+        self.shun(conn);
+    }
+
+    /// An id that is held came again with something else. On the connection it came on neither of the two can be told
+    /// from the other, so it fails; one that came elsewhere is not touched, and the newcomer loses its connection.
+    fn doubled(&mut self, conn: u64, sess: SessId) {
+        let Some(s) = self.sess.get(&sess) else { return };
+        if s.conn == conn && s.stage != Stage::Stands && !s.left {
+            self.finish(conn, Some(sess), cause::UNUSABLE, None);
+            self.depart(sess);
+            self.unopen(conn, sess);
+        }
+    }
+
+    fn shun(&mut self, conn: u64) {
+        let Some(v) = self.viewers.get_mut(&conn) else { return };
+        v.shunned = true;
+        if v.open.is_empty() {
+            self.viewer_off(conn, true);
+        }
+    }
+
+    /// A connection from viewers is over; what was open on it has nobody left to answer.
+    fn viewer_off(&mut self, conn: u64, ours: bool) {
+        let Some(v) = self.viewers.remove(&conn) else { return };
+        for sess in v.open {
+            self.depart(sess);
+            self.open -= 1;
+        }
+        if ours {
+            self.effects.push(Effect::ShutViewer { conn });
+        }
+    }
+
+    fn start(&mut self, conn: u64, waited: f64, sess: SessId, ask: Box<Ask>) {
+        let unusable = |why: &str| Bad { sess: Some(sess), cause: cause::UNUSABLE, why: why.to_owned() };
+        let Some(group) = self.named.groups.iter().position(|g| *g == ask.class) else {
+            return self.bad(conn, &unusable("no such class"));
+        };
+        if ask.first_cell >= self.cells
+            || !(1..=self.cells).contains(&ask.cells)
+            || ask.best_rung >= self.rungs
+        {
+            return self.bad(conn, &unusable("home, copies or top out of range"));
+        }
+        if let Some(held) = self.sess.get_mut(&sess) {
+            if ask.at.is_some() {
+                return self.touch(conn);
+            }
+            let same = held.ask.as_ref() == Some(&ask) && !held.left;
+            if same && held.conn != conn {
+                // Sent again on a new connection, the old one having closed under it: answered there.
+                let old = std::mem::replace(&mut held.conn, conn);
+                if self.viewers.get_mut(&old).is_some_and(|v| v.open.remove(&sess)) {
+                    self.open -= 1;
+                }
+                return self.opened(conn, sess);
+            }
+            return self.bad(conn, &unusable("its id is held"));
+        }
+        let wanted = NewSession {
+            sess,
+            group: GroupId(group as u8),
+            title: ask.title,
+            setup_timeout: ask.left - waited - ANSWER_AHEAD,
+            first_cell: ask.first_cell,
+            cells: ask.cells,
+            best_rung: ask.best_rung,
+        };
+        let mut session = Session {
+            conn,
+            stage: Stage::Asked,
+            node: NodeId(0),
+            link: 0,
+            rung: 0,
+            due: self.now + wanted.setup_timeout,
+            until: self.now,
+            sent: self.now,
+            setups: 0,
+            left: false,
+            ask: None,
+        };
+        if let Some(at) = &ask.at {
+            self.touch(conn);
+            let Some(&node) = self.ids.get(at) else {
+                return self.log(format!("a session is handed over at {at}, which is no node"));
+            };
+            if let Some(v) = self.viewers.get_mut(&conn) {
+                v.trusted = true;
+            }
+            (session.stage, session.node) = (Stage::Stands, node);
+            self.sess.insert(sess, session);
+            self.stands(sess, node);
+            self.round.handed_over.push((wanted, node));
+            return self.tell_untold();
+        }
+        let full = self.open >= OPEN || self.viewers.get(&conn).is_some_and(|v| v.open.len() >= OPEN_EACH);
+        if full || wanted.setup_timeout <= 0.0 {
+            self.touch(conn);
+            self.answered[1] += 1;
+            return self.finish(conn, Some(sess), cause::BUSY, self.come_back);
+        }
+        session.ask = Some(ask);
+        self.sess.insert(sess, session);
+        self.opened(conn, sess);
+        self.round.new_sessions.push(wanted);
+    }
+
+    fn opened(&mut self, conn: u64, sess: SessId) {
+        let now = self.now;
+        if let Some(v) = self.viewers.get_mut(&conn) {
+            v.last = now;
+            self.open += usize::from(v.open.insert(sess));
+        }
+    }
+
+    /// A viewer gives up a set-up, or releases a session that stands.
+    fn finished(&mut self, conn: u64, sess: SessId) {
+        let Some(s) = self.sess.get(&sess) else { return };
+        if s.stage == Stage::Stands {
+            let node = s.node;
+            self.touch(conn);
+            self.end(sess, node, Ending::Withdrawn, LoadReport::default());
+            self.send_or_owe(node, Owed::Release(sess, cause::CLEARED));
+        } else if s.conn == conn && !s.left {
+            self.depart(sess);
+            self.unopen(conn, sess);
+        }
+    }
+
+    /// The viewer of a set-up is gone; nothing more is owed to it.
+    fn depart(&mut self, sess: SessId) {
+        let Some(s) = self.sess.get_mut(&sess) else { return };
+        s.left = true;
+        self.round.departures.push(sess);
+        if s.stage == Stage::Asked {
+            // Nothing is out, so nothing will say of it again.
+            self.sess.remove(&sess);
+        }
+    }
+
+    fn unopen(&mut self, conn: u64, sess: SessId) {
+        let now = self.now;
+        let Some(v) = self.viewers.get_mut(&conn) else { return };
+        v.last = now;
+        if v.open.remove(&sess) {
+            self.open -= 1;
+        }
+        if v.shunned && v.open.is_empty() {
+            self.viewer_off(conn, true);
+        }
+    }
+
+    /// The one final answer that is not a session.
+    fn answer(&mut self, sess: SessId, why: u32, wait: Option<f64>) {
+        let Some(s) = self.sess.get(&sess) else { return };
+        let conn = s.conn;
+        self.finish(conn, Some(sess), why, wait);
+        self.unopen(conn, sess);
+    }
+
+    fn finish(&mut self, conn: u64, sess: Option<SessId>, cause: u32, wait: Option<f64>) {
+        let bytes = viewer::write(sess, Reply::Finish { cause, wait });
+        self.effects.push(Effect::Viewer { conn, bytes });
+    }
+
+    /// Tells a viewer that its session is over: on its connection, on any that was served, or on the next such.
+    fn tell_over(&mut self, sess: SessId, conn: u64, why: u32) {
+        let trusted = |v: &Viewer| v.trusted && !v.shunned;
+        let at = match self.viewers.get(&conn) {
+            Some(v) if trusted(v) => Some(conn),
+            _ => self.viewers.iter().rev().find(|(_, v)| trusted(v)).map(|(&c, _)| c),
+        };
+        if let Some(conn) = at {
+            return self.finish(conn, Some(sess), why, None);
+        }
+        if self.untold.len() >= UNTOLD {
+            self.untold.pop_front();
+        }
+        self.untold.push_back((sess, why));
+    }
+
+    fn tell_untold(&mut self) {
+        for (sess, why) in std::mem::take(&mut self.untold) {
+            self.tell_over(sess, u64::MAX, why);
+        }
+    }
+
+    // Sessions at nodes.
+
+    fn stands(&mut self, sess: SessId, node: NodeId) {
+        self.standing += 1;
+        if let Some(v) = self.sess.get(&sess).and_then(|s| self.viewers.get_mut(&s.conn)) {
+            v.stand += 1;
+        }
+        if let Some(n) = self.nodes.get_mut(&node) {
+            n.standing.insert(sess);
+        }
+    }
+
+    /// A session that stood is over.
+    fn end(&mut self, sess: SessId, node: NodeId, how: Ending, load: LoadReport) {
+        let Some(s) = self.sess.remove(&sess) else { return };
+        debug_assert!(s.stage == Stage::Stands, "only what stands ends so");
+        self.standing -= 1;
+        if let Some(v) = self.viewers.get_mut(&s.conn) {
+            (v.stand, v.last) = (v.stand - 1, self.now);
+        }
+        if let Some(n) = self.nodes.get_mut(&node) {
+            n.standing.remove(&sess);
+        }
+        self.round.ended.push(Ended { sess, node, how, closed: true, load });
+    }
+
+    /// A SETUP is over without a session; the decisions hear how, and say what becomes of it.
+    fn setup_over(&mut self, sess: SessId, how: Ending, load: LoadReport) {
+        let Some(s) = self.sess.get_mut(&sess) else { return };
+        let (node, link, left) = (s.node, s.link, s.left);
+        s.stage = Stage::Asked;
+        if let Some(l) = self.links.get_mut(&link) {
+            l.out.remove(&sess);
+        }
+        if let Some(n) = self.nodes.get_mut(&node) {
+            n.doubted.remove(&sess);
+        }
+        if left {
+            self.sess.remove(&sess);
+        }
+        self.round.ended.push(Ended { sess, node, how, closed: left, load });
+        self.rest(link);
+    }
+
+    /// Closes a tired connection once nothing is out on it.
+    fn rest(&mut self, link: u64) {
+        if self.links.get(&link).is_some_and(|l| l.tired && l.out.is_empty()) {
+            self.hang_up_link(link);
+        }
+    }
+
+    fn hang_up_link(&mut self, link: u64) {
+        if let Some(l) = self.links.remove(&link) {
+            if let Some(n) = self.nodes.get_mut(&l.node) {
+                n.links.remove(&link);
+            }
+            self.effects.push(Effect::HangUp { link });
+        }
+    }
+
+    /// Gives up a SETUP: its node is told, and a late answer will be released.
+    fn call_off(&mut self, sess: SessId, how: Ending) {
+        let Some(s) = self.sess.get(&sess) else { return };
+        let (stage, node, link) = (s.stage, s.node, s.link);
+        match stage {
+            Stage::Asked | Stage::Stands => return,
+            // It never left.
+            Stage::Waiting => {
+                let how = if how == Ending::TimedOut { Ending::Unreachable } else { Ending::Moot };
+                return self.setup_over(sess, how, LoadReport::default());
+            }
+            Stage::Out => {
+                self.effects.push(Effect::Node { link, bytes: media::give_up(sess) });
+                if self.given_up.len() >= GIVEN_UP {
+                    self.given_up.pop_front();
+                }
+                self.given_up.push_back((sess, node));
+                if how == Ending::TimedOut
+                    && let Some(l) = self.links.get_mut(&link)
+                {
+                    // A connection on which an answer stayed out may be of no use for the next one either.
+                    l.tired = true;
+                }
+            }
+            Stage::Doubt => {}
+        }
+        self.setup_over(sess, how, LoadReport::default());
+    }
+
+    fn setup_due(&mut self, sess: SessId, setup: u8) {
+        if self.sess.get(&sess).is_some_and(|s| s.setups == setup) {
+            self.call_off(sess, Ending::TimedOut);
+        }
+    }
+
+    // Connections to nodes.
+
+    fn dial(&mut self, node: NodeId) -> Option<u64> {
+        let n = self.nodes.get_mut(&node)?;
+        if self.by_address.get(&n.address) != Some(&node) {
+            return None;
+        }
+        n.pulse.tried(self.now);
+        let (link, address) = (self.next_link, n.address);
+        self.next_link += 1;
+        n.links.insert(link);
+        self.links.insert(link, Link { node, up: false, out: BTreeSet::new(), used: self.now, tired: false });
+        self.effects.push(Effect::Dial { link, address });
+        Some(link)
+    }
+
+    /// Whether another connection may be opened, if need be in place of an idle one.
+    fn room_for_link(&mut self) -> bool {
+        if self.links.len() < self.most_links {
+            return true;
+        }
+        let idle = self.links.iter().filter(|(_, l)| l.up && l.out.is_empty());
+        let Some((&link, _)) = idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used)) else { return false };
+        self.hang_up_link(link);
+        true
+    }
+
+    /// The connection for a SETUP: an idle one, else a new one, else the one with the fewest out, so that a connection
+    /// that goes bad takes few with it.
+    fn link_for(&mut self, node: NodeId) -> Option<u64> {
+        let n = self.nodes.get(&node)?;
+        let usable = n.links.iter().filter_map(|l| Some((*l, self.links.get(l)?))).filter(|(_, l)| !l.tired);
+        let best = usable.min_by_key(|(_, l)| (l.out.len(), !l.up)).map(|(l, link)| (l, link.out.len()));
+        let each = (self.most_links / self.nodes.len().max(1)).clamp(1, LINKS_EACH);
+        match best {
+            Some((link, 0)) => Some(link),
+            Some((link, _)) if n.links.len() >= each => Some(link),
+            best => {
+                let new = if self.room_for_link() { self.dial(node) } else { None };
+                new.or(best.map(|b| b.0))
+            }
+        }
+    }
+
+    fn up_link(&self, node: NodeId) -> Option<u64> {
+        let n = self.nodes.get(&node)?;
+        n.links.iter().copied().find(|l| self.links.get(l).is_some_and(|l| l.up && !l.tired))
+    }
+
+    fn send_or_owe(&mut self, node: NodeId, owed: Owed) {
+        if let Some(link) = self.up_link(node) {
+            return self.send_owed(link, owed);
+        }
+        let now = self.now;
+        let Some(n) = self.nodes.get_mut(&node) else { return };
+        if n.owed.is_empty() {
+            n.owed_since = now;
+        }
+        if n.owed.len() >= OWED {
+            n.owed.pop_front();
+        }
+        n.owed.push_back(owed);
+    }
+
+    fn send_owed(&mut self, link: u64, owed: Owed) {
+        let bytes = match owed {
+            Owed::Release(sess, why) => media::release(sess, why),
+            Owed::Rung(sess) => match self.sess.get(&sess) {
+                Some(s) if s.stage == Stage::Stands => media::rung(sess, s.rung),
+                _ => return,
+            },
+        };
+        self.effects.push(Effect::Node { link, bytes });
+    }
+
+    fn link_up(&mut self, link: u64) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        (l.up, l.used) = (true, self.now);
+        let (node, waiting) = (l.node, l.out.clone());
+        let Some(n) = self.nodes.get_mut(&node) else { return };
+        n.pulse.heard(self.now);
+        let (owed, doubted) = (std::mem::take(&mut n.owed), std::mem::take(&mut n.doubted));
+        waiting.into_iter().for_each(|sess| self.send_setup(sess));
+        owed.into_iter().for_each(|owed| self.send_owed(link, owed));
+        // The node lives, so only the connection was lost: whether its SETUPs ran is not known.
+        doubted.into_iter().for_each(|sess| self.setup_over(sess, Ending::Withdrawn, LoadReport::default()));
+        let others = self.nodes.get(&node).map_or(0, |n| n.links.len());
+        if others > 1 && self.links.get(&link).is_some_and(|l| l.out.is_empty()) {
+            // Tried only to see whether it comes up.
+            self.hang_up_link(link);
+        }
+    }
+
+    fn link_failed(&mut self, link: u64, refused: bool) {
+        let Some(l) = self.links.remove(&link) else { return };
+        self.unreached(l.node, link, refused);
+        l.out.into_iter().for_each(|sess| self.setup_over(sess, Ending::Unreachable, LoadReport::default()));
+    }
+
+    /// A try to reach a node failed.
+    fn unreached(&mut self, node: NodeId, link: u64, refused: bool) {
+        let linked = self.up_link(node).is_some();
+        let Some(n) = self.nodes.get_mut(&node) else { return };
+        n.links.remove(&link);
+        n.pulse.failed(self.now, refused, linked);
+        // Their connection was lost and no other comes up: the node went down under them.
+        let doubted = std::mem::take(&mut n.doubted);
+        let over = n.pulse.over(self.now);
+        doubted.into_iter().for_each(|sess| self.setup_over(sess, Ending::Broken, LoadReport::default()));
+        if over {
+            self.node_over(node);
+        }
+    }
+
+    /// What stood at a node is over without a word from it.
+    fn node_over(&mut self, node: NodeId) {
+        let Some(n) = self.nodes.get_mut(&node) else { return };
+        let (links, standing) = (n.links.clone(), std::mem::take(&mut n.standing));
+        if !standing.is_empty() {
+            let text = format!("{} cannot be reached: {} sessions there are over", n.name, standing.len());
+            self.log(text);
+        }
+        for link in links {
+            let Some(l) = self.links.remove(&link) else { continue };
+            self.effects.push(Effect::HangUp { link });
+            l.out.into_iter().for_each(|sess| self.setup_over(sess, Ending::Broken, LoadReport::default()));
+        }
+        if let Some(n) = self.nodes.get_mut(&node) {
+            n.links.clear();
+        }
+        for sess in standing {
+            let Some(conn) = self.sess.get(&sess).map(|s| s.conn) else { continue };
+            self.end(sess, node, Ending::Broken, LoadReport::default());
+            self.tell_over(sess, conn, cause::FAILED);
+            // It may have been cut off only, and then they stand there yet.
+            self.send_or_owe(node, Owed::Release(sess, cause::FAILED));
+        }
+    }
+
+    /// A connection ended. What stood lives on; its SETUPs hang on whether the node does.
+    fn link_lost(&mut self, link: u64) {
+        let Some(l) = self.links.remove(&link) else { return };
+        let Some(n) = self.nodes.get_mut(&l.node) else { return };
+        n.links.remove(&link);
+        for sess in l.out {
+            if let Some(s) = self.sess.get_mut(&sess) {
+                s.stage = Stage::Doubt;
+                n.doubted.insert(sess);
+            }
+        }
+        if !n.doubted.is_empty() {
+            self.try_node(l.node);
+        }
+    }
+
+    fn link_spoilt(&mut self, link: u64, why: &str) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        // The node spoke, so it lives; what it said of the SETUPs out there is lost, and they may have run.
+        let (node, out) = (l.node, std::mem::take(&mut l.out));
+        let name = self.nodes.get(&node).map_or("", |n| &n.name);
+        let text = format!("{name}: a connection is spoilt under {} SETUPs: {why}", out.len());
+        self.log(text);
+        self.hang_up_link(link);
+        out.into_iter().for_each(|sess| self.setup_over(sess, Ending::Withdrawn, LoadReport::default()));
+    }
+
+    /// Tries a connection to a node of which there is doubt.
+    fn try_node(&mut self, node: NodeId) {
+        if self
+            .nodes
+            .get(&node)
+            .is_some_and(|n| n.links.iter().any(|l| self.links.get(l).is_some_and(|l| !l.up)))
+        {
+            return;
+        }
+        if self.room_for_link() && self.dial(node).is_none() {
+            // Its address is another's now.
+            if let Some(n) = self.nodes.get_mut(&node) {
+                n.pulse.tried(self.now);
+            }
+            self.unreached(node, u64::MAX, true);
+        }
+    }
+
+    // What nodes say.
+
+    fn node(&mut self, link: u64, message: Message) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        l.used = self.now;
+        let node = l.node;
+        if let Some(n) = self.nodes.get_mut(&node) {
+            n.pulse.heard(self.now);
+        }
+        match media::read(message, &self.report) {
+            media::Word::Stands { sess, blob, load: _ } => self.set_up(link, node, sess, blob),
+            media::Word::Refused { sess, how, load } => {
+                if self.is_out(sess, link) {
+                    self.setup_over(sess, how, load);
+                }
+            }
+            media::Word::Released { sess, cause, cseq, load } => {
+                self.effects.push(Effect::Node { link, bytes: media::heard(sess, cseq) });
+                let stands = self.sess.get(&sess).filter(|s| s.stage == Stage::Stands && s.node == node);
+                if let Some(conn) = stands.map(|s| s.conn) {
+                    self.end(sess, node, media::ended(cause), load);
+                    self.tell_over(sess, conn, cause);
+                } else if self.is_out(sess, link) {
+                    self.setup_over(sess, Ending::Broken, load);
+                }
+            }
+            media::Word::Note { sess, note } => {
+                if self.sess.get(&sess).is_some_and(|s| s.stage == Stage::Stands && s.node == node) {
+                    self.round.readings.push(match note {
+                        Note::Delivered(share) => Reading::Delivered { node, share },
+                        Note::Rung(rung) => Reading::Rung { sess, rung },
+                        Note::Link(asked) => Reading::Link { sess, node, asked },
+                        Note::Uplink(asked) => Reading::Uplink { sess, node, asked },
+                    });
+                }
+            }
+            media::Word::Free => {}
+        }
+    }
+
+    fn is_out(&self, sess: SessId, link: u64) -> bool {
+        self.sess.get(&sess).is_some_and(|s| s.stage == Stage::Out && s.link == link)
+    }
+
+    fn set_up(&mut self, link: u64, node: NodeId, sess: SessId, blob: Option<String>) {
+        if !self.is_out(sess, link) {
+            if self.given_up.contains(&(sess, node)) {
+                self.effects.push(Effect::Node { link, bytes: media::release(sess, cause::CLEARED) });
+            }
+            return;
+        }
+        let Some(blob) = blob else { return self.link_spoilt(link, "a description that is no text") };
+        let now = self.now;
+        let Some(s) = self.sess.get_mut(&sess) else { return };
+        if s.left {
+            // Nobody waits for it any more.
+            self.effects.push(Effect::Node { link, bytes: media::release(sess, cause::CLEARED) });
+            return self.setup_over(sess, Ending::Withdrawn, LoadReport::default());
+        }
+        (s.stage, s.ask) = (Stage::Stands, None);
+        let (conn, took) = (s.conn, now - s.sent);
+        if let Some(l) = self.links.get_mut(&link) {
+            l.out.remove(&sess);
+        }
+        self.round.playing.push(Playing { sess, node, took });
+        self.answered[0] += 1;
+        self.stands(sess, node);
+        let bytes = viewer::write(Some(sess), Reply::Started(&blob));
+        self.effects.push(Effect::Viewer { conn, bytes });
+        if let Some(v) = self.viewers.get_mut(&conn) {
+            v.trusted = true;
+        }
+        self.unopen(conn, sess);
+        self.tell_untold();
+        self.rest(link);
+    }
+
+    fn send_setup(&mut self, sess: SessId) {
+        let now = self.now;
+        let Some(s) = self.sess.get_mut(&sess) else { return };
+        let Some(ask) = &s.ask else { return };
+        (s.stage, s.sent) = (Stage::Out, now);
+        let bytes = media::setup(sess, &ask.key, &ask.class, s.until - now, s.rung, &ask.blob);
+        self.effects.push(Effect::Node { link: s.link, bytes });
+    }
+
+    // The change log.
+
+    fn listed(&mut self, host: &Host) -> Option<Listed> {
+        let known = self.ids.get(&host.id).copied();
+        if known.is_none() && host.phase == Phase::Gone {
+            return None;
+        }
+        let id = known.unwrap_or_else(|| {
+            self.next_node += 1;
+            NodeId(self.next_node)
+        });
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let line = Listed {
+            node: id,
+            zone: place(&self.named.zones, &host.zone).map_or(0, |i| i as u16),
+            kind: place(&self.named.kinds, &host.kind).map_or(u8::MAX, |i| i as u8),
+            cell: host.cell,
+            phase: host.phase,
+            size: host.size,
+            up_since: host.up_since,
+        };
+        let now = self.now;
+        let n = self.nodes.entry(id).or_insert_with(|| Node {
+            name: host.id.clone(),
+            address: host.address,
+            phase: host.phase,
+            line,
+            links: BTreeSet::new(),
+            standing: BTreeSet::new(),
+            doubted: BTreeSet::new(),
+            owed: VecDeque::new(),
+            owed_since: now,
+            pulse: Pulse::new(now),
+        });
+        (n.phase, n.line) = (host.phase, line);
+        if host.phase != Phase::Gone {
+            n.address = host.address;
+            self.by_address.insert(host.address, id);
+        }
+        self.ids.insert(host.id.clone(), id);
+        Some(line)
+    }
+
+    fn fold(&mut self, change: &Change) -> Vec<Listed> {
+        if change.whole {
+            let named: BTreeSet<&str> = change.hosts.iter().map(|h| h.id.as_str()).collect();
+            for n in self.nodes.values_mut().filter(|n| !named.contains(n.name.as_str())) {
+                (n.phase, n.line.phase) = (Phase::Gone, Phase::Gone);
+            }
+        }
+        change.hosts.iter().filter_map(|h| self.listed(h)).collect()
+    }
+
+    fn change(&mut self, change: &Change) {
+        let lines = self.fold(change);
+        if change.whole {
+            self.round.list_changes.push(ListChange::Whole(lines));
+        } else if !lines.is_empty() {
+            self.round.list_changes.push(ListChange::Changed(lines));
+        }
+    }
+
+    /// What was told before the start: a list as it was kept, which may be old.
+    fn known(&mut self, changes: &[Change]) {
+        for change in changes {
+            self.fold(change);
+        }
+        let lines = self.nodes.values().map(|n| n.line).filter(|l| l.phase != Phase::Gone).collect();
+        self.round.list_changes.push(ListChange::Cached(lines));
+    }
+
+    // From time to time.
+
+    fn sweep(&mut self) {
+        let now = self.now;
+        let idle = |v: &Viewer| {
+            let after = if v.trusted { VIEWER_IDLE.1 } else { VIEWER_IDLE.0 };
+            v.open.is_empty() && v.stand == 0 && now - v.last >= after
+        };
+        let idle: Vec<u64> = self.viewers.iter().filter(|(_, v)| idle(v)).map(|(&c, _)| c).collect();
+        idle.into_iter().for_each(|conn| self.viewer_off(conn, true));
+        let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.look_at(id));
+    }
+
+    fn look_at(&mut self, id: NodeId) {
+        let now = self.now;
+        let linked = self.up_link(id).is_some();
+        let Some(n) = self.nodes.get_mut(&id) else { return };
+        if now - n.owed_since > OWED_FOR {
+            n.owed.clear();
+        }
+        let concerned = !(n.standing.is_empty() && n.doubted.is_empty() && n.owed.is_empty());
+        let idle = |l: &&u64| {
+            self.links.get(l).is_some_and(|l| l.up && l.out.is_empty() && now - l.used >= LINK_IDLE)
+        };
+        let idle: Vec<u64> = n.links.iter().filter(idle).copied().collect();
+        // One stays open, for what stands there.
+        let keep = usize::from(n.phase != Phase::Gone || concerned);
+        let (all, over) = (n.links.len(), concerned && n.pulse.over(now));
+        let wants = concerned && n.pulse.wants_try(now, linked);
+        if !concerned && all == 0 && n.phase == Phase::Gone {
+            if let Some(n) = self.nodes.remove(&id) {
+                self.ids.remove(&n.name);
+                if self.by_address.get(&n.address) == Some(&id) {
+                    self.by_address.remove(&n.address);
+                }
+            }
+            return;
+        }
+        idle.into_iter().take(all.saturating_sub(keep)).for_each(|link| self.hang_up_link(link));
+        if over {
+            self.node_over(id);
+        }
+        if wants {
+            self.try_node(id);
+        }
+    }
+}
+
+impl Orders for Hands {
+    fn rung(&mut self, sess: SessId, rung: u8) {
+        let Some(s) = self.sess.get_mut(&sess) else { return };
+        s.rung = rung;
+        if s.stage == Stage::Stands {
+            let node = s.node;
+            self.send_or_owe(node, Owed::Rung(sess));
+        }
+    }
+
+    fn setup(&mut self, sess: SessId, node: NodeId, wait: Option<f64>) {
+        let link = self.link_for(node);
+        let (now, rank) = (self.now, self.sess.get(&sess).map_or(0, |s| s.setups));
+        let Some(s) = self.sess.get_mut(&sess) else { return };
+        s.setups = rank + 1;
+        s.node = node;
+        let due = wait.map_or(s.due, |w| s.due.min(now + w));
+        s.until = due;
+        self.timers.set(due, Timer::SetupDue { sess, setup: rank + 1 });
+        let Some(link) = link else {
+            // No descriptor is free for it: it never left.
+            return self.setup_over(sess, Ending::Moot, LoadReport::default());
+        };
+        (s.link, s.stage) = (link, Stage::Waiting);
+        let Some(l) = self.links.get_mut(&link) else { return };
+        l.out.insert(sess);
+        l.used = now;
+        if l.up {
+            self.send_setup(sess);
+        }
+    }
+
+    fn withdraw(&mut self, sess: SessId, _setup: u8) {
+        self.call_off(sess, Ending::Withdrawn);
+    }
+
+    fn busy(&mut self, sess: SessId, come_back: Option<f64>) {
+        self.answered[1] += 1;
+        self.answer(sess, cause::BUSY, come_back);
+        self.sess.remove(&sess);
+    }
+
+    fn fail(&mut self, sess: SessId) {
+        self.answered[2] += 1;
+        self.answer(sess, cause::FAILED, None);
+        self.sess.remove(&sess);
+    }
+
+    /// The viewer is told to come again; its node ends the session and says so.
+    fn shift(&mut self, sess: SessId) {
+        let Some(s) = self.sess.get(&sess).filter(|s| s.stage == Stage::Stands) else { return };
+        let (node, conn) = (s.node, s.conn);
+        let bytes = viewer::write(Some(sess), Reply::Move);
+        self.effects.push(Effect::Viewer { conn, bytes });
+        if let Some(link) = self.up_link(node) {
+            self.effects.push(Effect::Node { link, bytes: media::shift(sess) });
+        }
+    }
+
+    // The change log tells without being asked.
+    fn subscribe(&mut self, _on: bool) {}
+
+    fn fetch_list(&mut self) {}
+
+    // The platform's tests of nodes show that a connection works, which SETUPs and notes show too.
+    fn probe(&mut self, _node: NodeId) {}
+
+    fn hang_up(&mut self, node: NodeId) {
+        let links = self.nodes.get(&node).map(|n| n.links.clone()).unwrap_or_default();
+        for link in links {
+            if self.links.get(&link).is_some_and(|l| l.up && l.out.is_empty()) {
+                self.hang_up_link(link);
+            }
+        }
+    }
+
+    // Directors have no way to talk to each other here.
+    fn tell(&mut self, _director: Option<u16>, _message: &[u8]) {}
+
+    fn log(&mut self, line: &str) {
+        self.effects.push(Effect::Log(line.to_owned()));
+    }
+
+    fn fault(&mut self, why: &str) {
+        self.effects.push(Effect::Fault(why.to_owned()));
+    }
+
+    fn wake(&mut self, after: f64) {
+        let at = self.now + after;
+        self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -0,0 +1,624 @@
+//! The shell: sockets, timers and signals round an [`Exchange`], on one thread. It stamps what comes in, calls the exchange
+//! once a batch, and carries out what that says, in its order: what is written to a socket that takes it is written at once.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eventsource_stream::Eventsource;
+use futures_util::{StreamExt, stream};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use kelpdoor_clock::Clock;
+use kelpdoor_rtsp::{Version, parse_as};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, sleep_until, timeout};
+
+use crate::changes::read_event;
+use crate::exchange::{Effect, Exchange, Input};
+use crate::start::Start;
+use crate::viewer::{self, MAX_LINE};
+
+/// Inputs waiting for the exchange at most; readers wait beyond it, and so do their peers.
+const INPUTS: usize = 1024;
+/// Inputs taken into one round at most.
+const BATCH: usize = 256;
+/// Read from one socket at a time, so that a peer at full speed leaves room for others.
+const READ: usize = 8 << 10;
+/// Bytes that wait for a peer that does not read; beyond it, it is cut off.
+const PENDING: usize = 128 << 10;
+/// An answer before a close gets so long to be read, or the close would reset the connection and lose it.
+const LINGER: Duration = Duration::from_millis(1000);
+/// Connections that linger at a time; more are cut at once.
+const LINGERING: usize = 12;
+/// A wait after the system refused a new connection, as for want of descriptors.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+/// The change log sends something each second: one that is silent for longer is asked anew.
+const FEED_SILENCE: Duration = Duration::from_millis(1600);
+const FEED_CONNECT: Duration = Duration::from_millis(700);
+/// Wait before the change log is asked again, at first and at most.
+const FEED_WAIT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+/// Bytes of the change log without an event in them at most.
+const FEED_EVENT: usize = 8 << 20;
+/// After the signal to end, set-ups come for so long yet.
+const LAST_SETUPS: Duration = Duration::from_millis(1000);
+/// Lines of the log a second at most.
+const LINES: u32 = 40;
+
+type Came = (Instant, Input);
+
+/// Bytes on their way to a peer, and how its connection is to end.
+struct Pipe {
+    stream: RefCell<Option<Rc<TcpStream>>>,
+    pending: RefCell<Vec<u8>>,
+    closing: Cell<bool>,
+    cut: Cell<bool>,
+    notify: Notify,
+}
+
+impl Pipe {
+    fn new(stream: Option<Rc<TcpStream>>) -> Rc<Self> {
+        Rc::new(Pipe {
+            stream: RefCell::new(stream),
+            pending: RefCell::default(),
+            closing: Cell::new(false),
+            cut: Cell::new(false),
+            notify: Notify::new(),
+        })
+    }
+
+    /// Writes what the socket takes now; the rest waits, within its bound.
+    fn write(&self, bytes: &[u8]) {
+        let mut pending = self.pending.borrow_mut();
+        let mut from = 0;
+        if pending.is_empty()
+            && let Some(stream) = &*self.stream.borrow()
+        {
+            from = stream.try_write(bytes).unwrap_or(0);
+        }
+        if from < bytes.len() {
+            if pending.len() + bytes.len() > PENDING {
+                self.cut.set(true);
+            } else {
+                pending.extend_from_slice(&bytes[from..]);
+            }
+            self.notify.notify_one();
+        }
+    }
+
+    /// Whether the connection still takes bytes.
+    fn flush(&self, stream: &TcpStream) -> bool {
+        let mut pending = self.pending.borrow_mut();
+        match stream.try_write(&pending) {
+            Ok(n) => {
+                pending.drain(..n);
+                if pending.is_empty() {
+                    *pending = Vec::new();
+                }
+                true
+            }
+            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+        }
+    }
+
+    fn waits(&self) -> bool {
+        !self.pending.borrow().is_empty()
+    }
+
+    fn close(&self) {
+        self.closing.set(true);
+        self.notify.notify_one();
+    }
+}
+
+enum Read {
+    Some,
+    Over,
+    Nothing,
+}
+
+fn read(stream: &TcpStream, buf: &mut Vec<u8>) -> Read {
+    thread_local! {
+        static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ]);
+    }
+    SCRATCH.with_borrow_mut(|scratch| match stream.try_read(scratch) {
+        Ok(0) => Read::Over,
+        Ok(n) => {
+            buf.extend_from_slice(&scratch[..n]);
+            Read::Some
+        }
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Read::Nothing,
+        Err(_) => Read::Over,
+    })
+}
+
+/// Drops what was used, and the memory with it once nothing is left.
+fn used(buf: &mut Vec<u8>, n: usize) {
+    if n == buf.len() {
+        *buf = Vec::new();
+    } else {
+        buf.drain(..n);
+    }
+}
+
+/// What a connection's task waited for.
+enum Woken {
+    Readable,
+    Writable,
+    Told,
+}
+
+async fn woken(stream: &TcpStream, pipe: &Pipe) -> Woken {
+    tokio::select! {
+        biased;
+        () = pipe.notify.notified() => Woken::Told,
+        _ = stream.writable(), if pipe.waits() => Woken::Writable,
+        _ = stream.readable(), if !pipe.closing.get() => Woken::Readable,
+    }
+}
+
+/// Serves one connection: `take` reads what is whole off the buffer and passes it on, and says whether to go on. Returns
+/// whether the end is the peer's.
+async fn serve<F>(stream: &TcpStream, pipe: &Pipe, mut take: F) -> bool
+where
+    F: AsyncFnMut(&mut Vec<u8>) -> bool,
+{
+    let mut buf = Vec::new();
+    let mut deaf = false;
+    loop {
+        if pipe.cut.get() {
+            return true;
+        }
+        if pipe.closing.get() && !pipe.waits() {
+            return false;
+        }
+        let woken = if deaf {
+            tokio::select! {
+                () = pipe.notify.notified() => Woken::Told,
+                _ = stream.writable(), if pipe.waits() => Woken::Writable,
+            }
+        } else {
+            woken(stream, pipe).await
+        };
+        match woken {
+            Woken::Told => {}
+            Woken::Writable => {
+                if !pipe.flush(stream) {
+                    return true;
+                }
+            }
+            Woken::Readable => match read(stream, &mut buf) {
+                Read::Some => deaf = !take(&mut buf).await,
+                Read::Over => return true,
+                Read::Nothing => {}
+            },
+        }
+    }
+}
+
+struct Lingering(Rc<Cell<usize>>);
+
+impl Drop for Lingering {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Lets the peer read the last words, passing over what it still sends.
+async fn linger(stream: Rc<TcpStream>, lingering: Rc<Cell<usize>>) {
+    if lingering.get() >= LINGERING {
+        return;
+    }
+    lingering.set(lingering.get() + 1);
+    let _held = Lingering(lingering);
+    let socket = socket2::SockRef::from(&*stream);
+    let _ = socket.shutdown(std::net::Shutdown::Write);
+    let drain = async {
+        let mut buf = Vec::new();
+        while stream.readable().await.is_ok() {
+            buf.clear();
+            if matches!(read(&stream, &mut buf), Read::Over) {
+                break;
+            }
+        }
+    };
+    let _ = timeout(LINGER, drain).await;
+}
+
+async fn viewer(
+    conn: u64, stream: Rc<TcpStream>, pipe: Rc<Pipe>, to: mpsc::Sender<Came>, lingering: Rc<Cell<usize>>,
+) {
+    let _ = to.send((Instant::now(), Input::ViewerUp { conn })).await;
+    let lost = serve(&stream, &pipe, async |buf: &mut Vec<u8>| {
+        let came = Instant::now();
+        let mut from = 0;
+        while let Some(end) = buf[from..].iter().position(|&b| b == b'\n') {
+            let line = &buf[from..from + end];
+            from += end + 1;
+            if end >= MAX_LINE {
+                let _ = to.send((came, Input::ViewerOverlong { conn })).await;
+                return false;
+            }
+            let word = viewer::read(line);
+            if to.send((came, Input::Viewer { conn, word })).await.is_err() {
+                return false;
+            }
+        }
+        used(buf, from);
+        if buf.len() >= MAX_LINE {
+            *buf = Vec::new();
+            let _ = to.send((came, Input::ViewerOverlong { conn })).await;
+            return false;
+        }
+        true
+    })
+    .await;
+    if lost {
+        let _ = to.send((Instant::now(), Input::ViewerLost { conn })).await;
+    } else {
+        linger(stream, lingering).await;
+    }
+}
+
+async fn link(link: u64, address: SocketAddr, wait: Duration, pipe: Rc<Pipe>, to: mpsc::Sender<Came>) {
+    let connected = tokio::select! {
+        connected = timeout(wait, TcpStream::connect(address)) => connected,
+        () = pipe.notify.notified() => return,
+    };
+    let stream = match connected {
+        Ok(Ok(stream)) => Rc::new(stream),
+        failed => {
+            let refused = matches!(failed, Ok(Err(e)) if e.kind() != io::ErrorKind::TimedOut);
+            let _ = to.send((Instant::now(), Input::LinkFailed { link, refused })).await;
+            return;
+        }
+    };
+    let _ = stream.set_nodelay(true);
+    *pipe.stream.borrow_mut() = Some(stream.clone());
+    let _ = to.send((Instant::now(), Input::LinkUp { link })).await;
+    let lost = serve(&stream, &pipe, async |buf: &mut Vec<u8>| {
+        let came = Instant::now();
+        let mut from = 0;
+        loop {
+            match parse_as(Version::V1, &buf[from..]) {
+                Ok(Some((message, len))) => {
+                    from += len;
+                    if to.send((came, Input::Node { link, message })).await.is_err() {
+                        return false;
+                    }
+                }
+                Ok(None) => break,
+                Err(e) => {
+                    *buf = Vec::new();
+                    let _ = to.send((came, Input::LinkSpoilt { link, why: e.to_string() })).await;
+                    return false;
+                }
+            }
+        }
+        used(buf, from);
+        true
+    })
+    .await;
+    if lost {
+        let _ = to.send((Instant::now(), Input::LinkLost { link })).await;
+    }
+}
+
+async fn accept(listener: TcpListener, pipes: Pipes, to: mpsc::Sender<Came>) {
+    let lingering = Rc::new(Cell::new(0));
+    let mut conn = 0;
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => Rc::new(stream),
+            Err(_) => {
+                sleep(ACCEPT_AGAIN).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        conn += 1;
+        let pipe = Pipe::new(Some(stream.clone()));
+        pipes.borrow_mut().insert(conn, pipe.clone());
+        let (pipes, to, lingering) = (pipes.clone(), to.clone(), lingering.clone());
+        spawn_local(async move {
+            viewer(conn, stream, pipe, to, lingering).await;
+            pipes.borrow_mut().remove(&conn);
+        });
+    }
+}
+
+/// Reads one stream of the change log until it ends, falls silent or cannot be read; says why.
+async fn listen(at: SocketAddr, last: &mut u64, failed: &mut Option<u64>, to: &mpsc::Sender<Came>) -> String {
+    let stream = match timeout(FEED_CONNECT, TcpStream::connect(at)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => return e.to_string(),
+        Err(_) => return "no connection in time".into(),
+    };
+    let (mut sender, connection) = match hyper::client::conn::http1::handshake(TokioIo::new(stream)).await {
+        Ok(both) => both,
+        Err(e) => return e.to_string(),
+    };
+    let driver = spawn_local(async move {
+        let _ = connection.await;
+    });
+    let why = async {
+        let request = Request::get("/changes")
+            .header(header::HOST, at.to_string())
+            .header(header::ACCEPT, "text/event-stream")
+            .header("Last-Event-ID", last.to_string())
+            .body(Empty::<Bytes>::new());
+        let request = match request {
+            Ok(request) => request,
+            Err(e) => return e.to_string(),
+        };
+        let response = match timeout(FEED_SILENCE, sender.send_request(request)).await {
+            Ok(Ok(response)) if response.status() == StatusCode::OK => response,
+            Ok(Ok(response)) => return format!("status {}", response.status()),
+            Ok(Err(e)) => return e.to_string(),
+            Err(_) => return "no answer in time".into(),
+        };
+        events(response.into_body(), last, failed, to).await
+    }
+    .await;
+    driver.abort();
+    why
+}
+
+async fn events(body: Incoming, last: &mut u64, failed: &mut Option<u64>, to: &mpsc::Sender<Came>) -> String {
+    let bytes = Rc::new(Cell::new(0));
+    let counted = bytes.clone();
+    let data = stream::unfold(body, move |mut body| {
+        let counted = counted.clone();
+        async move {
+            loop {
+                let frame = match timeout(FEED_SILENCE, body.frame()).await {
+                    Err(_) => return Some((Err("it is silent".to_owned()), body)),
+                    Ok(None) => return None,
+                    Ok(Some(Err(e))) => return Some((Err(e.to_string()), body)),
+                    Ok(Some(Ok(frame))) => frame,
+                };
+                if let Ok(data) = frame.into_data() {
+                    counted.set(counted.get() + data.len());
+                    let long = counted.get() > FEED_EVENT;
+                    return Some((
+                        if long { Err("an event that never ends".to_owned()) } else { Ok(data) },
+                        body,
+                    ));
+                }
+            }
+        }
+    });
+    let mut events = std::pin::pin!(data.eventsource());
+    loop {
+        let event = match events.next().await {
+            None => return "it ended".into(),
+            Some(Err(e)) => return e.to_string(),
+            Some(Ok(event)) => event,
+        };
+        bytes.set(0);
+        match read_event(&event.data) {
+            // Told twice.
+            Ok(change) if change.number <= *last => {}
+            Ok(change) => {
+                *last = change.number;
+                let _ = to.send((Instant::now(), Input::Change(change))).await;
+            }
+            Err(e) => {
+                let number = event.id.parse().ok();
+                if number.is_some() && *failed == number {
+                    // It came so twice: told as it is, it says nothing.
+                    *last = (*last).max(number.unwrap_or(0));
+                }
+                *failed = number;
+                return format!("an event that cannot be read: {e}");
+            }
+        }
+    }
+}
+
+/// Follows the change log, wherever it is now, from the last number heard.
+async fn follow(mut at: watch::Receiver<SocketAddr>, mut last: u64, to: mpsc::Sender<Came>) {
+    let (mut wait, mut failed) = (FEED_WAIT.0, None);
+    loop {
+        let address = *at.borrow_and_update();
+        let (began, before) = (Instant::now(), last);
+        let why = tokio::select! {
+            why = listen(address, &mut last, &mut failed, &to) => why,
+            _ = at.changed() => continue,
+        };
+        tracing::warn!(%address, last, "the change log: {why}; asking again");
+        wait = if last > before || began.elapsed() > FEED_SILENCE * 2 { FEED_WAIT.0 } else { wait * 2 };
+        wait = wait.min(FEED_WAIT.1);
+        tokio::select! {
+            () = sleep(wait) => {}
+            _ = at.changed() => at.mark_changed(),
+        }
+    }
+}
+
+type Pipes = Rc<RefCell<HashMap<u64, Rc<Pipe>>>>;
+
+struct Shell {
+    exchange: Exchange,
+    clock: Clock,
+    viewers: Pipes,
+    links: HashMap<u64, Rc<Pipe>>,
+    connect: Duration,
+    to: mpsc::Sender<Came>,
+    feed: watch::Sender<SocketAddr>,
+    file: PathBuf,
+    lines: (Instant, u32),
+}
+
+impl Shell {
+    fn now(&mut self) -> f64 {
+        let (now, stepped) = self.clock.now();
+        if let Some(by) = stepped {
+            tracing::warn!(by, "the wall clock was stepped; our time goes on and is slewed towards it");
+        }
+        now
+    }
+
+    fn take(&mut self, now: f64, (came, input): Came) {
+        if let Input::LinkFailed { link, .. } | Input::LinkLost { link } = &input {
+            self.links.remove(link);
+        }
+        self.exchange.take(now, came.elapsed().as_secs_f64(), input);
+    }
+
+    fn say(&mut self, line: &str) {
+        let (since, lines) = &mut self.lines;
+        if since.elapsed() > Duration::from_secs(1) {
+            if *lines > LINES {
+                tracing::info!("{} lines passed over", *lines - LINES);
+            }
+            (*since, *lines) = (Instant::now(), 0);
+        }
+        *lines += 1;
+        if *lines <= LINES {
+            tracing::info!("{line}");
+        }
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Viewer { conn, bytes } => {
+                    if let Some(pipe) = self.viewers.borrow().get(&conn) {
+                        pipe.write(&bytes);
+                    }
+                }
+                Effect::ShutViewer { conn } => {
+                    if let Some(pipe) = self.viewers.borrow().get(&conn) {
+                        pipe.close();
+                    }
+                }
+                Effect::Dial { link: number, address } => {
+                    let pipe = Pipe::new(None);
+                    self.links.insert(number, pipe.clone());
+                    spawn_local(link(number, address, self.connect, pipe, self.to.clone()));
+                }
+                Effect::Node { link, bytes } => {
+                    if let Some(pipe) = self.links.get(&link) {
+                        pipe.write(&bytes);
+                    }
+                }
+                Effect::HangUp { link } => {
+                    if let Some(pipe) = self.links.remove(&link) {
+                        pipe.close();
+                    }
+                }
+                Effect::Log(line) => self.say(&line),
+                Effect::Fault(why) => tracing::error!(%why, "the decisions report a fault"),
+            }
+        }
+    }
+
+    fn round(&mut self) {
+        let now = self.now();
+        let mut effects = Vec::new();
+        self.exchange.round(now, &mut |e| effects.push(e));
+        self.carry_out(effects);
+    }
+
+    fn read_again(&mut self) {
+        match Start::changelog_again(&self.file) {
+            Ok(address) => {
+                tracing::info!(%address, "configuration read again");
+                self.feed.send_replace(address);
+            }
+            Err(e) => tracing::error!("{e}; the old configuration stays in force"),
+        }
+    }
+
+    async fn run(mut self, mut input: mpsc::Receiver<Came>, [mut ends, mut int, mut again]: [Signal; 3]) {
+        let mut ending: Option<Instant> = None;
+        let mut told = Instant::now();
+        loop {
+            self.round();
+            if told.elapsed() >= Duration::from_secs(1) {
+                told = Instant::now();
+                if tracing::enabled!(tracing::Level::DEBUG) {
+                    tracing::debug!("belief: {}", self.exchange.belief());
+                }
+            }
+            if ending.is_some_and(|at| at.elapsed() >= LAST_SETUPS) && self.exchange.counts().open == 0 {
+                break;
+            }
+            let wait = (self.exchange.wake_at() - self.now()).clamp(0.0, 1.0);
+            let due = tokio::time::Instant::now() + Duration::from_secs_f64(wait);
+            let first = tokio::select! {
+                biased;
+                _ = ends.recv() => { ending.get_or_insert_with(Instant::now); None }
+                _ = int.recv() => { ending.get_or_insert_with(Instant::now); None }
+                _ = again.recv() => { self.read_again(); None }
+                first = input.recv() => first,
+                () = sleep_until(due) => None,
+            };
+            let now = self.now();
+            if let Some(first) = first {
+                self.take(now, first);
+                for _ in 1..BATCH {
+                    let Ok(next) = input.try_recv() else { break };
+                    self.take(now, next);
+                }
+            }
+        }
+        let pipes: Vec<Rc<Pipe>> =
+            self.viewers.borrow().values().chain(self.links.values()).cloned().collect();
+        pipes.iter().for_each(|p| p.close());
+        let flushed = async {
+            while pipes.iter().any(|p| p.waits()) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let _ = timeout(LINGER, flushed).await;
+        tracing::info!("all is answered");
+    }
+}
+
+async fn platform(start: Start) -> io::Result<()> {
+    let listener = TcpListener::bind(start.listen).await?;
+    let signals =
+        [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?, signal(SignalKind::hangup())?];
+    let mut clock = Clock::default();
+    let (now, _) = clock.now();
+    let exchange = Exchange::new(&start, now);
+    let (to, input) = mpsc::channel(INPUTS);
+    let (feed, at) = watch::channel(start.changelog);
+    let viewers = Pipes::default();
+    spawn_local(follow(at, start.known_to, to.clone()));
+    spawn_local(accept(listener, viewers.clone(), to.clone()));
+    tracing::info!(name = start.name, listen = %start.listen, sockets = start.sockets, "started");
+    let shell = Shell {
+        exchange,
+        clock,
+        viewers,
+        links: HashMap::new(),
+        connect: Duration::from_secs_f64(start.named.connect_timeout.max(0.05)),
+        to,
+        feed,
+        file: start.file,
+        lines: (Instant::now(), 0),
+    };
+    shell.run(input, signals).await;
+    Ok(())
+}
+
+/// Runs a director of the platform until a signal ends it.
+///
+/// # Errors
+/// Where its address cannot be bound or the system gives no runtime.
+pub fn run(start: Start) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, platform(start))
+}
--- /dev/null
+++ b/crates/kelpdoor-platform/src/start.rs
@@ -0,0 +1,119 @@
+//! What a director is told at its start: three variables, and a file of JSON that says all of it and more.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use kelpdoor::Terms;
+use kelpdoor_terms::{Named, ReportFields};
+use serde_json::Value;
+
+use crate::changes::{Change, read_known};
+
+/// Descriptors below this leave no room for viewers beside nodes, the change log and the process's own.
+const LEAST_SOCKETS: u64 = 64;
+
+/// Why the start is not possible: the variable or key, and what is wrong with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartFault(pub String);
+
+impl std::fmt::Display for StartFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for StartFault {}
+
+fn fault<T>(what: impl Into<String>) -> Result<T, StartFault> {
+    Err(StartFault(what.into()))
+}
+
+pub struct Start {
+    pub file: PathBuf,
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    pub changelog: SocketAddr,
+    /// Events told before the start, in their order.
+    pub known: Vec<Change>,
+    /// Number of the last of them.
+    pub known_to: u64,
+    pub terms: Terms,
+    pub report: ReportFields,
+    pub named: Named,
+}
+
+fn address(value: &Value, key: &str) -> Result<SocketAddr, StartFault> {
+    let text = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+    text.parse().or_else(|_| fault(format!("{key}: {text:?} is no address and port")))
+}
+
+fn file(path: &Path) -> Result<Value, StartFault> {
+    let at = |e: String| StartFault(format!("PROXY_CONFIG: {}: {e}", path.display()));
+    let text = std::fs::read(path).map_err(|e| at(e.to_string()))?;
+    let root: Value = serde_json::from_slice(&text).map_err(|e| at(e.to_string()))?;
+    if root.is_object() { Ok(root) } else { Err(at("not a JSON object".into())) }
+}
+
+impl Start {
+    /// Reads the variables, through `variable`, and the file that they name.
+    ///
+    /// # Errors
+    /// Names the variable or key at fault.
+    pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Self, StartFault> {
+        let Some(path) = variable("PROXY_CONFIG") else { return fault("PROXY_CONFIG: not set") };
+        let path = PathBuf::from(path);
+        let root = file(&path)?;
+        let listen = match variable("PROXY_LISTEN") {
+            Some(text) => address(&Value::String(text), "PROXY_LISTEN")?,
+            None => address(&root["listen"], "listen")?,
+        };
+        let name = variable("PROXY_NAME").or_else(|| root["name"].as_str().map(str::to_owned));
+        let Some(name) = name.filter(|n| !n.is_empty()) else {
+            return fault("PROXY_NAME: not set, and no name");
+        };
+        let seed = match &root["seed"] {
+            Value::String(hex) => u64::from_str_radix(hex, 16)
+                .or_else(|_| fault(format!("seed: {hex:?} is no hexadecimal number of 64 bits")))?,
+            Value::Number(n) if n.is_u64() => n.as_u64().unwrap_or_default(),
+            other => return fault(format!("seed: {other} is no number in hexadecimal")),
+        };
+        let sockets = match root["limits"]["sockets"].as_u64() {
+            Some(n) if n >= LEAST_SOCKETS => usize::try_from(n).unwrap_or(usize::MAX),
+            _ => {
+                let told = &root["limits"]["sockets"];
+                return fault(format!("limits.sockets: {told} is no number of at least {LEAST_SOCKETS}"));
+            }
+        };
+        let (terms, report) =
+            kelpdoor_terms::terms(&root["settings"]).or_else(|e| fault(format!("settings: {e:#}")))?;
+        let named = kelpdoor_terms::named(&root["settings"]);
+        if named.groups.is_empty() {
+            return fault("settings: no classes");
+        }
+        let (known, known_to) = read_known(&root["known"]).or_else(|e| fault(format!("known: {e}")))?;
+        Ok(Start {
+            name,
+            listen,
+            seed,
+            sockets,
+            changelog: address(&root["changelog"], "changelog")?,
+            known,
+            known_to,
+            terms,
+            report,
+            named,
+            file: path,
+        })
+    }
+
+    /// Reads again what may change while the director runs: where the change log is.
+    ///
+    /// # Errors
+    /// Names the key at fault; what was in force stays so.
+    pub fn changelog_again(path: &Path) -> Result<SocketAddr, StartFault> {
+        address(&file(path)?["changelog"], "changelog")
+    }
+}
--- a/crates/kelpdoor-rtsp/src/lib.rs
+++ b/crates/kelpdoor-rtsp/src/lib.rs
@@ -1,4 +1,4 @@
-//! RTSP 2.0 (RFC 7826) as kelpdoor speaks it with media nodes: a parser with limits on every length, a writer,
+//! RTSP 2.0 (RFC 7826) as kelpdoor speaks it with media nodes, and 1.0 (RFC 2326) as the users' platform does: a parser with limits on every length, a writer,
 //! and the few header values of ours. No state beyond the bytes at hand, no I/O.
 //!
 //! Two sides use it: the director, and the stand-in nodes of the lab. `docs/node-protocol.md` has the subset.
@@ -7,8 +7,8 @@
 mod parse;
 mod values;
 
-pub use message::{Headers, Message, Method, Request, Response};
-pub use parse::{Fault, MAX_BODY, MAX_HEAD, MAX_HEADERS, parse};
+pub use message::{Headers, Message, Method, Request, Response, Version};
+pub use parse::{Fault, MAX_HEADERS, parse, parse_as};
 pub use values::{Asked, Load};
 
 /// Header names of the subset. Those under "ours" are extensions, which RFC 7826, section 4.1 lets a peer skip.
--- a/crates/kelpdoor-rtsp/src/message.rs
+++ b/crates/kelpdoor-rtsp/src/message.rs
@@ -11,10 +11,14 @@
     GetParameter,
     Teardown,
     PlayNotify,
+    /// RTSP/1.0 alone (RFC 2326, section 10.3).
+    Announce,
+    /// RTSP/1.0 and 2.0 (RFC 2326, section 10.10).
+    Redirect,
 }
 
 impl Method {
-    pub const ALL: [Method; 7] = [
+    pub const ALL: [Method; 9] = [
         Method::Options,
         Method::Setup,
         Method::Play,
@@ -22,6 +26,8 @@
         Method::GetParameter,
         Method::Teardown,
         Method::PlayNotify,
+        Method::Announce,
+        Method::Redirect,
     ];
 
     pub fn name(self) -> &'static str {
@@ -33,6 +39,33 @@
             Method::GetParameter => "GET_PARAMETER",
             Method::Teardown => "TEARDOWN",
             Method::PlayNotify => "PLAY_NOTIFY",
+            Method::Announce => "ANNOUNCE",
+            Method::Redirect => "REDIRECT",
+        }
+    }
+}
+
+/// Versions of the protocol: 2.0 as the director's own nodes speak it, 1.0 (RFC 2326) as the users' platform does. They
+/// differ in the word of the start line, in how long messages may be, and in what may be left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Version {
+    V1,
+    V2,
+}
+
+impl Version {
+    pub fn name(self) -> &'static str {
+        match self {
+            Version::V1 => "RTSP/1.0",
+            Version::V2 => "RTSP/2.0",
+        }
+    }
+
+    /// Bytes of a start line and headers at most, and of a body.
+    pub fn limits(self) -> (usize, usize) {
+        match self {
+            Version::V1 => (16 << 10, 16 << 10),
+            Version::V2 => (4096, 4096),
         }
     }
 }
@@ -139,14 +172,20 @@
         }
     }
 
-    /// Appends the message as it goes on the wire.
+    /// Appends the message as it goes on the wire, in version 2.0.
     pub fn write(&self, out: &mut Vec<u8>) {
+        self.write_as(Version::V2, out);
+    }
+
+    /// Appends the message in that version; 1.0 always tells the length of the body.
+    pub fn write_as(&self, version: Version, out: &mut Vec<u8>) {
+        let v = version.name();
         let (first, cseq, headers, body) = match self {
             Message::Request(r) => {
-                (format!("{} {} RTSP/2.0", r.method.name(), r.uri), r.cseq, &r.headers, &r.body)
+                (format!("{} {} {v}", r.method.name(), r.uri), r.cseq, &r.headers, &r.body)
             }
             Message::Response(r) => {
-                (format!("RTSP/2.0 {} {}", r.status, reason(r.status)), r.cseq, &r.headers, &r.body)
+                (format!("{v} {} {}", r.status, reason(r.status)), r.cseq, &r.headers, &r.body)
             }
         };
         out.extend_from_slice(first.as_bytes());
@@ -157,7 +196,7 @@
             out.extend_from_slice(value.as_bytes());
             out.extend_from_slice(b"\r\n");
         }
-        if !body.is_empty() {
+        if !body.is_empty() || version == Version::V1 {
             out.extend_from_slice(format!("{}: {}\r\n", names::CONTENT_LENGTH, body.len()).as_bytes());
         }
         out.extend_from_slice(b"\r\n");
--- a/crates/kelpdoor-rtsp/src/parse.rs
+++ b/crates/kelpdoor-rtsp/src/parse.rs
@@ -7,26 +7,22 @@
 use winnow::prelude::*;
 use winnow::token::{literal, take_till, take_while};
 
-use crate::message::{Headers, Message, Method, Request, Response};
+use crate::message::{Headers, Message, Method, Request, Response, Version};
 use crate::names;
 
-/// Bytes of a start line and headers at most.
-pub const MAX_HEAD: usize = 4096;
-/// Bytes of a body at most.
-pub const MAX_BODY: usize = 4096;
 /// Header fields at most.
 pub const MAX_HEADERS: usize = 32;
 
 /// Why the bytes are no message. The connection is of no use after one: where the next message starts is unknown.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
-    #[error("no end of the headers within {MAX_HEAD} bytes")]
-    HeadTooLong,
-    #[error("a body of {0} bytes, {MAX_BODY} at most")]
-    BodyTooLong(u64),
+    #[error("no end of the headers within {0} bytes")]
+    HeadTooLong(usize),
+    #[error("a body of {0} bytes, {1} at most")]
+    BodyTooLong(u64, usize),
     #[error("more than {MAX_HEADERS} header fields")]
     TooManyHeaders,
-    #[error("start line is neither a request nor a response of RTSP/2.0: {0:?}")]
+    #[error("start line is neither a request nor a response of the version spoken: {0:?}")]
     StartLine(String),
     #[error("method {0:?} is not of the subset")]
     Method(String),
@@ -51,8 +47,8 @@
     take_while(1.., |b: u8| b.is_ascii_alphanumeric() || b"-_.!%*+`'~^|$&#".contains(&b)).parse_next(input)
 }
 
-fn start_line<'a>(input: &mut &'a [u8]) -> Res<Start<'a>> {
-    let version = || literal(Caseless("RTSP/2.0"));
+fn start_line<'a>(version: Version, input: &mut &'a [u8]) -> Res<Start<'a>> {
+    let version = || literal(Caseless(version.name()));
     let response = delimited(
         (version(), space1),
         dec_uint::<_, u32, _>,
@@ -84,22 +80,33 @@
     String::from_utf8_lossy(&bytes[..bytes.len().min(80)]).into_owned()
 }
 
-/// Takes the first message off `buf`: it and its length in bytes, or `None` while it is not whole.
+/// Takes the first message of version 2.0 off `buf`: it and its length in bytes, or `None` while it is not whole.
 /// CRLFs before a message are skipped (section 5).
 ///
 /// # Errors
 /// A [`Fault`] names what is wrong; the caller closes the connection.
 pub fn parse(buf: &[u8]) -> Result<Option<(Message, usize)>, Fault> {
+    parse_as(Version::V2, buf)
+}
+
+/// As [`parse`], of that version. In 1.0 a message without CSeq counts as numbered 0.
+///
+/// # Errors
+/// A [`Fault`] names what is wrong; the caller closes the connection.
+pub fn parse_as(version: Version, buf: &[u8]) -> Result<Option<(Message, usize)>, Fault> {
+    let (max_head, max_body) = version.limits();
     let skipped = buf.chunks(2).take_while(|c| *c == b"\r\n").count() * 2;
     let rest = &buf[skipped..];
-    let window = &rest[..rest.len().min(MAX_HEAD)];
+    let window = &rest[..rest.len().min(max_head)];
     let Some(head_len) = window.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 2) else {
-        return if rest.len() >= MAX_HEAD { Err(Fault::HeadTooLong) } else { Ok(None) };
+        return if rest.len() >= max_head { Err(Fault::HeadTooLong(max_head)) } else { Ok(None) };
     };
     let head = &rest[..head_len];
     let all = lines.parse(head).map_err(|_| Fault::StartLine(show(head)))?;
     let (first, fields) = all.split_first().ok_or_else(|| Fault::StartLine(String::new()))?;
-    let start = start_line.parse(first).map_err(|_| Fault::StartLine(show(first)))?;
+    let start = (|input: &mut _| start_line(version, input))
+        .parse(first)
+        .map_err(|_| Fault::StartLine(show(first)))?;
     if fields.len() > MAX_HEADERS {
         return Err(Fault::TooManyHeaders);
     }
@@ -117,9 +124,9 @@
             headers.0.push((name.to_owned(), value.to_owned()));
         }
     }
-    let cseq = cseq.ok_or(Fault::CSeq)?;
-    if body_len > MAX_BODY as u64 {
-        return Err(Fault::BodyTooLong(body_len));
+    let cseq = cseq.or((version == Version::V1).then_some(0)).ok_or(Fault::CSeq)?;
+    if body_len > max_body as u64 {
+        return Err(Fault::BodyTooLong(body_len, max_body));
     }
     let from = head_len + 2;
     let Some(body) = rest.get(from..from + body_len as usize).map(<[u8]>::to_vec) else { return Ok(None) };
@@ -127,7 +134,9 @@
         Start::Response(status @ 100..=599) => Response { status: status as u16, cseq, headers, body }.into(),
         Start::Response(status) => return Err(Fault::Status(status)),
         Start::Request(method, uri) => {
-            let known = Method::ALL.into_iter().find(|m| m.name().as_bytes() == method);
+            let older = |m: &Method| matches!(m, Method::Announce | Method::Redirect);
+            let spoken = Method::ALL.into_iter().filter(|m| version == Version::V1 || !older(m));
+            let known = spoken.into_iter().find(|m| m.name().as_bytes() == method);
             let method = known.ok_or_else(|| Fault::Method(show(method)))?;
             Request { method, uri: show_all(uri), cseq, headers, body }.into()
         }
--- a/crates/kelpdoor-rtsp/tests/roundtrip.rs
+++ b/crates/kelpdoor-rtsp/tests/roundtrip.rs
@@ -30,6 +30,24 @@
         prop_assert_eq!(parse(&bytes[len..]), Ok(Some((second, bytes.len() - len))));
     }
 
+    #[test]
+    fn the_older_version_reads_back_and_only_as_itself(message in message()) {
+        let mut bytes = Vec::new();
+        message.write_as(Version::V1, &mut bytes);
+        let len = bytes.len();
+        prop_assert_eq!(parse_as(Version::V1, &bytes), Ok(Some((message, len))));
+        prop_assert!(matches!(parse(&bytes), Err(Fault::StartLine(_))));
+    }
+
+    #[test]
+    fn methods_of_the_older_version_are_no_part_of_the_newer(last in 7..9usize) {
+        let request = Message::from(Request::new(Method::ALL[last], "rtsp://media/x", 4));
+        let mut bytes = Vec::new();
+        request.write_as(Version::V1, &mut bytes);
+        prop_assert_eq!(parse_as(Version::V1, &bytes).map(|m| m.map(|m| m.0)), Ok(Some(request.clone())));
+        prop_assert!(matches!(parse(&request.to_bytes()), Err(Fault::Method(_))));
+    }
+
     #[test]
     fn a_part_of_a_message_is_waited_for(message in message(), cut in any::<prop::sample::Index>()) {
         let bytes = message.to_bytes();
@@ -67,12 +85,12 @@
 
 #[test]
 fn each_limit_has_its_fault() {
-    let long = format!("OPTIONS * RTSP/2.0\r\nCSeq: 1\r\nX: {}\r\n\r\n", "y".repeat(MAX_HEAD));
+    let long = format!("OPTIONS * RTSP/2.0\r\nCSeq: 1\r\nX: {}\r\n\r\n", "y".repeat(4096));
     let many = format!("OPTIONS * RTSP/2.0\r\nCSeq: 1\r\n{}\r\n", "X: y\r\n".repeat(MAX_HEADERS));
     let cases: [(&str, Fault); 9] = [
-        (&long, Fault::HeadTooLong),
+        (&long, Fault::HeadTooLong(4096)),
         (&many, Fault::TooManyHeaders),
-        ("RTSP/2.0 200 OK\r\nCSeq: 1\r\nContent-Length: 4097\r\n\r\n", Fault::BodyTooLong(4097)),
+        ("RTSP/2.0 200 OK\r\nCSeq: 1\r\nContent-Length: 4097\r\n\r\n", Fault::BodyTooLong(4097, 4096)),
         ("RTSP/2.0 200 OK\r\nCSeq: 1\r\nContent-Length: -1\r\n\r\n", Fault::ContentLength("-1".into())),
         ("RTSP/1.0 200 OK\r\nCSeq: 1\r\n\r\n", Fault::StartLine("RTSP/1.0 200 OK".into())),
         ("RTSP/2.0 777 OK\r\nCSeq: 1\r\n\r\n", Fault::Status(777)),
--- a/crates/kelpdoor-benchlink/src/settings.rs
+++ b/crates/kelpdoor-terms/src/lib.rs
@@ -1,11 +1,27 @@
-//! From the wire's settings text to the director's terms. Unknown keys are skipped.
+//! From the users' settings, an object of JSON, to the director's terms: for the bench's adapter and the platform's route
+//! alike. Unknown keys are skipped.
+
+mod report;
 
 use anyhow::{Context, Result, ensure};
 use kelpdoor::Terms;
 use kelpdoor::terms::{FurtherBudget, GroupTerms, Reach, Repeat};
 use serde_json::Value;
 
-use crate::report::ReportFields;
+pub use report::ReportFields;
+
+/// Names that the settings give, each list in the order of the indices that stand for them, and what the terms have no
+/// use for. Times are seconds.
+#[derive(Clone, Debug, Default)]
+pub struct Named {
+    pub groups: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// A connection to a node that is not up by then has failed.
+    pub connect_timeout: f64,
+    /// Nodes close a connection that is idle for so long; 0: never.
+    pub idle: f64,
+}
 
 /// A place in the settings, read leniently: what is absent reads as absent.
 #[derive(Clone, Copy)]
@@ -45,10 +61,35 @@
     }
 }
 
-pub fn terms(text: &[u8]) -> Result<(Terms, ReportFields)> {
-    let root: Value = serde_json::from_slice(text).context("not readable as JSON")?;
+/// The names in the settings, and the limits on connections.
+pub fn named(root: &Value) -> Named {
+    let root = At(root);
+    let names = |key: &str| root.to(key).list().map(|v| v.word().to_owned()).collect();
+    let allowed = root.to("allowed");
+    Named {
+        groups: root.to("profiles").list().map(|p| p.to("name").word().to_owned()).collect(),
+        zones: names("zones"),
+        kinds: names("kinds"),
+        connect_timeout: allowed.to("connectTimeoutMs").seconds(),
+        idle: allowed.to("connIdleMs").seconds(),
+    }
+}
+
+/// The terms in a text of JSON, and the fields of load reports.
+///
+/// # Errors
+/// Where the text is no JSON, no object, or its ladder of rates cannot be used.
+pub fn read(text: &[u8]) -> Result<(Terms, ReportFields)> {
+    terms(&serde_json::from_slice(text).context("not readable as JSON")?)
+}
+
+/// As [`read`], of JSON that is read already.
+///
+/// # Errors
+/// Where it is no object, or its ladder of rates cannot be used.
+pub fn terms(root: &Value) -> Result<(Terms, ReportFields)> {
     ensure!(root.is_object(), "not a JSON object");
-    let root = At(&root);
+    let root = At(root);
     let (facts, rules, allowed) = (root.to("specifics"), root.to("rules"), root.to("allowed"));
     let [floors, tops, scales, seats] =
         ["lowestRung", "highestRung", "scaleByClass", "licenceCap"].map(|key| facts.to(key).nums());
--- a/crates/kelpdoord/src/lib.rs
+++ b/crates/kelpdoord/src/lib.rs
@@ -12,6 +12,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use kelpdoor_director::{ServeOptions, journal, keeper_options, serve};
 use kelpdoor_keeper::{Ask, Tell};
+use kelpdoor_platform::{Start, StartFault};
 use kelpdoor_script::{Deployment, Fault, KeeperBook};
 use kelpdoor_tokens::KeySet;
 use tokio::signal::unix::{SignalKind, signal};
@@ -80,6 +81,13 @@
         #[arg(long)]
         json: bool,
     },
+    /// Run a director on the users' platform, as PROXY_NAME, PROXY_LISTEN and PROXY_CONFIG tell. A hangup signal has it read
+    /// where the change log is again.
+    Platform {
+        /// What to log: `debug` adds a line a second of what the director believes of its nodes.
+        #[arg(long, default_value = "info")]
+        log_filter: String,
+    },
     /// Feed a journal to the library again and compare every decision.
     Replay {
         journal: PathBuf,
@@ -246,6 +254,12 @@
             runtime.worker_threads(1).enable_all().build()?.block_on(keep(config))
         }
         What::Seats { keeper, json } => seats(keeper, json),
+        What::Platform { log_filter } => {
+            let start = Start::read(|name| std::env::var(name).ok())?;
+            logs(LogForm::Text, &log_filter)?;
+            let listen = start.listen;
+            kelpdoor_platform::run(start).with_context(|| format!("listening on {listen}"))
+        }
         What::Replay { journal, config } => {
             let deployment = settings(&config)?;
             let file = File::open(&journal).with_context(|| journal.display().to_string())?;
@@ -272,6 +286,9 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("kelpdoord: {e:#}");
+            if e.is::<StartFault>() {
+                return ExitCode::from(2);
+            }
             ExitCode::FAILURE
         }
     }
