--- a/crates/kelpdoor-lab/src/lib.rs
+++ b/crates/kelpdoor-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fromday;
 pub mod load;
 pub mod node;
+pub mod platform;
 pub mod player;
 pub mod record;
 pub mod relay;
--- /dev/null
+++ b/crates/kelpdoor-lab/src/platform/viewers.rs
@@ -0,0 +1,217 @@
+//! Viewers on JSON lines: usual ones that share connections, and bad ones, each on a connection of its own.
+
+use std::time::Duration;
+
+use anyhow::{Result, bail};
+use fastrand::Rng;
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::{Platform, Wait};
+use crate::record::What;
+
+/// s; how long viewers wait for an answer.
+const LEFT: f64 = 2.0;
+/// s; a bad viewer is owed something within this.
+const OWED: f64 = 3.0;
+/// The pages' extra on every limit, s.
+const EXTRA: f64 = 0.05;
+
+/// Waits until a director passes a test.
+pub async fn ready(port: u16) -> Result<()> {
+    for _ in 0..500 {
+        if let Ok(stream) = TcpStream::connect(("127.0.0.1", port)).await {
+            let mut stream = BufReader::new(stream);
+            stream
+                .write_all(b"{\"verb\":\"ECHO\",\"tag\":\"00000000000000aa\",\"opts\":{},\"rc\":0}\n")
+                .await?;
+            let mut line = String::new();
+            if timeout(Duration::from_secs(2), stream.read_line(&mut line))
+                .await
+                .is_ok_and(|n| n.is_ok_and(|n| n > 0))
+            {
+                let v: Value = serde_json::from_str(&line)?;
+                if v["verb"] == "ECHOED" && v["rc"] == 1 {
+                    return Ok(());
+                }
+                bail!("a test was answered with {line}");
+            }
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    bail!("no test was passed")
+}
+
+impl Platform {
+    /// Usual viewers of one director, while the day lasts.
+    pub(super) async fn front(self, director: u32, mut rng: Rng) {
+        let end = Instant::now() + Duration::from_secs_f64(self.day.seconds);
+        let mut conns: Vec<Option<OwnedWriteHalf>> = vec![None, None, None];
+        while Instant::now() < end {
+            sleep(Duration::from_secs_f64((0.5 + rng.f64()) / self.day.rate)).await;
+            let (port, boot, there) = {
+                let s = self.lock();
+                let d = &s.directors[director as usize];
+                (d.port, d.boot, d.child.is_some() && !d.ending)
+            };
+            if !there {
+                conns.iter_mut().for_each(|c| *c = None);
+                continue;
+            }
+            let k = rng.usize(..conns.len());
+            if conns[k].is_none() {
+                let Ok(stream) = TcpStream::connect(("127.0.0.1", port)).await else { continue };
+                let (read, write) = stream.into_split();
+                conns[k] = Some(write);
+                let me = self.clone();
+                tokio::spawn(async move {
+                    let mut lines = BufReader::new(read).lines();
+                    while let Ok(Some(line)) = lines.next_line().await {
+                        me.heard(director, boot, &line);
+                    }
+                });
+            }
+            let tag = format!("{:016x}", rng.u64(1 << 60..u64::MAX >> 2));
+            let class = ["lecture", "paid", "clip"][rng.usize(..3)];
+            let home = rng.u32(..self.day.nodes);
+            let text = json!({"verb": "START", "tag": tag, "blob": format!("offer {tag}\r\n"), "opts": {"class": class,
+                "left": format!("{}", LEFT * 1000.0), "key": format!("{:016x}", rng.u8(..4)),
+                "extras": format!("home:{home};copies:{};top:3", 3.min(self.day.nodes))}});
+            let wait = Wait { director, boot, answered: false, over: false };
+            {
+                let mut s = self.lock();
+                s.waits.insert(tag.clone(), wait);
+                s.told.started += 1;
+            }
+            let start = json!({"type": "start", "key": tag, "group": class, "setup_timeout": LEFT + EXTRA});
+            self.recorder.put(What::Player {
+                player: 0,
+                director,
+                boot,
+                got: false,
+                text: start.to_string(),
+            });
+            let Some(conn) = &mut conns[k] else { continue };
+            if conn.write_all(format!("{text}\n").as_bytes()).await.is_err() {
+                conns[k] = None;
+            }
+        }
+        // Answers and ends come yet: the connections stay open.
+        sleep(Duration::from_secs_f64(LEFT + self.day.life * 1.5)).await;
+        drop(conns);
+    }
+
+    fn heard(&self, director: u32, boot: u32, line: &str) {
+        let v: Value = serde_json::from_str(line).unwrap_or_default();
+        let tag = v["tag"].as_str().unwrap_or("").to_owned();
+        let mut s = self.lock();
+        let known = s.waits.get_mut(&tag).filter(|w| (w.director, w.boot) == (director, boot));
+        let Some(w) = known else {
+            return s.told.wrong.push(format!("a word about nobody's session: {line}"));
+        };
+        let kind = match (v["verb"].as_str().unwrap_or(""), v["rc"].as_u64()) {
+            ("STARTED", _) => "playing",
+            ("FINISH", Some(34 | 42 | 102)) => "busy",
+            ("FINISH", _) => "failed",
+            _ => return,
+        };
+        if w.answered {
+            if kind == "failed" && !w.over {
+                w.over = true;
+                s.owed.remove(&tag);
+                s.told.ends += 1;
+                return;
+            }
+            return s.told.wrong.push(format!("a second answer: {line}"));
+        }
+        w.answered = true;
+        w.over = kind != "playing";
+        match kind {
+            "playing" => s.told.served += 1,
+            "busy" => s.told.refused += 1,
+            _ => s.told.failed += 1,
+        }
+        if kind == "playing" && v["blob"] != json!(format!("offer {tag}\r\n")) {
+            s.told.wrong.push(format!("not the description that the node gave: {line}"));
+        }
+        drop(s);
+        let text = json!({"type": kind, "key": tag}).to_string();
+        self.recorder.put(What::Player { player: 0, director, boot, got: true, text });
+    }
+
+    /// Bad viewers, one after the other, each judged on its own.
+    pub(super) async fn rude(self, mut rng: Rng) {
+        loop {
+            sleep(Duration::from_millis(50)).await;
+            let rate = self.lock().faults.rude;
+            if rng.f64() >= 0.05 * rate {
+                continue;
+            }
+            let d = rng.u32(..self.day.directors);
+            let port = {
+                let s = self.lock();
+                let d = &s.directors[d as usize];
+                (d.child.is_some() && !d.ending).then_some((d.port, d.boot))
+            };
+            let Some((port, boot)) = port else { continue };
+            let (me, kind) = (self.clone(), rng.u8(..9));
+            tokio::spawn(async move {
+                let answered = bad(port, kind).await;
+                let mut s = me.lock();
+                s.told.rude += 1;
+                let there = s.directors[d as usize].boot == boot && !s.directors[d as usize].ending;
+                match answered {
+                    Ok(text) if text.contains("STARTED") => {
+                        s.told.wrong.push(format!("a bad viewer (kind {kind}) was served: {text}"));
+                    }
+                    Ok(_) => {}
+                    Err(_) if !there => {}
+                    Err(e) => {
+                        s.told.wrong.push(format!("a bad viewer (kind {kind}) was left without a word: {e}"))
+                    }
+                }
+            });
+        }
+    }
+}
+
+/// Sends one kind of nonsense; what came back, or an error if nothing did, not even a close.
+async fn bad(port: u16, kind: u8) -> Result<String> {
+    let mut stream = TcpStream::connect(("127.0.0.1", port)).await?;
+    let start = |tag: &str, class: &str, left: &str, extras: &str| {
+        json!({"verb": "START", "tag": tag, "blob": "", "opts": {"class": class, "left": left, "key": "00", "extras": extras}})
+            .to_string()
+            + "\n"
+    };
+    let tag = format!("{:016x}", fastrand::u64(1 << 62..1 << 63));
+    let bytes = match kind {
+        0 => "{\"verb\":\"STA".to_owned(),
+        1 => "x".repeat(400_000),
+        2 => start(&tag, "no-such-class", "2000", "home:0;copies:3;top:3"),
+        3 => start(&tag, "lecture", "-5", "home:0;copies:3;top:3"),
+        4 => start(&tag, "lecture", "2000", "home:9999;copies:3;top:3"),
+        5 => start("", "lecture", "2000", "home:0;copies:3;top:3"),
+        6 => "\u{1}\u{2}nonsense\n".repeat(50),
+        7 => start(&tag, "lecture", "2000", "home:0;copies:3;top:77"),
+        _ => String::new(),
+    };
+    let (mut read, mut write) = stream.split();
+    let send = async {
+        let _ = write.write_all(bytes.as_bytes()).await;
+        std::future::pending::<()>().await;
+    };
+    let mut buf = vec![0; 4096];
+    let hear = timeout(Duration::from_secs_f64(OWED), read.read(&mut buf));
+    tokio::select! {
+        heard = hear => match heard {
+            // A close or a reset is an answer too.
+            Ok(Ok(n)) => Ok(String::from_utf8_lossy(&buf[..n]).into_owned()),
+            Ok(Err(_)) => Ok(String::new()),
+            Err(_) => bail!("nothing within {OWED} s"),
+        },
+        () = send => bail!("not reached"),
+    }
+}
--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -194,6 +194,10 @@
     owed: VecDeque<Owed>,
     owed_since: f64,
     pulse: Pulse,
+    /// Since when a connection to it has been up without a gap: through all that time it was one process.
+    linked_since: f64,
+    /// How full it last said that its link is.
+    told: f64,
 }
 
 enum Timer {
@@ -206,6 +210,7 @@
     named: Named,
     report: ReportFields,
     cells: u16,
+    racks: u32,
     rungs: u8,
     come_back: Option<f64>,
     round: Round,
@@ -244,6 +249,7 @@
             named: start.named.clone(),
             report: start.report.clone(),
             cells: start.terms.cells,
+            racks: u32::from(start.terms.racks.max(1)),
             rungs: u8::try_from(start.terms.ladder.len()).unwrap_or(u8::MAX),
             come_back: start.terms.come_back,
             round: Round::default(),
@@ -335,8 +341,9 @@
         }
     }
 
-    /// One line of what is believed: what is held and answered, and for each node its phase's first letter, what stands
-    /// and is out there, its connections, its share, and whether tries to reach it fail.
+    /// One line of what is believed: what is held and answered, and for each node its phase's first letter, whether tries to
+    /// reach it fail, what stands and is out there, its connections, its share, and how full its link is taken to be, was
+    /// last said to be, and how full its rack's uplink is taken to be.
     pub fn belief(&self) -> String {
         let (h, c) = (&self.hands, self.counts());
         let [served, busy, failed] = h.answered;
@@ -353,7 +360,13 @@
             };
             let failing = if n.pulse.failing() { "!" } else { "" };
             let (stands, links, share) = (n.standing.len(), n.links.len(), self.director.share(id));
-            line.push_str(&format!(" {}{phase}{failing} {stands}+{out}/{links} {share:.0}", n.name));
+            let (link, uplink) = self.director.fullness(id).unwrap_or_default();
+            let told = n.told;
+            line.push_str(&format!(
+                " {}{phase}{failing} {stands}+{out}/{links} {share:.0} {link:.2}({told:.2}) r{} {uplink:.2};",
+                n.name,
+                u32::from(n.line.cell) % self.hands.racks
+            ));
         }
         line
     }
@@ -504,7 +517,8 @@
             if let Some(v) = self.viewers.get_mut(&conn) {
                 v.trusted = true;
             }
-            (session.stage, session.node) = (Stage::Stands, node);
+            // Set up by whoever ran before us: nothing is known of its node's process then.
+            (session.stage, session.node, session.sent) = (Stage::Stands, node, f64::INFINITY);
             self.sess.insert(sess, session);
             self.stands(sess, node);
             self.round.handed_over.push((wanted, node));
@@ -773,21 +787,22 @@
     }
 
     fn link_up(&mut self, link: u64) {
-        let Some(l) = self.links.get_mut(&link) else { return };
-        (l.up, l.used) = (true, self.now);
+        let Some(l) = self.links.get(&link) else { return };
         let (node, waiting) = (l.node, l.out.clone());
+        let alone = self.up_link(node).is_none();
+        if let Some(l) = self.links.get_mut(&link) {
+            (l.up, l.used) = (true, self.now);
+        }
         let Some(n) = self.nodes.get_mut(&node) else { return };
+        if alone {
+            n.linked_since = self.now;
+        }
         n.pulse.heard(self.now);
         let (owed, doubted) = (std::mem::take(&mut n.owed), std::mem::take(&mut n.doubted));
         waiting.into_iter().for_each(|sess| self.send_setup(sess));
         owed.into_iter().for_each(|owed| self.send_owed(link, owed));
         // The node lives, so only the connection was lost: whether its SETUPs ran is not known.
         doubted.into_iter().for_each(|sess| self.setup_over(sess, Ending::Withdrawn, LoadReport::default()));
-        let others = self.nodes.get(&node).map_or(0, |n| n.links.len());
-        if others > 1 && self.links.get(&link).is_some_and(|l| l.out.is_empty()) {
-            // Tried only to see whether it comes up.
-            self.hang_up_link(link);
-        }
     }
 
     fn link_failed(&mut self, link: u64, refused: bool) {
@@ -801,7 +816,8 @@
         let linked = self.up_link(node).is_some();
         let Some(n) = self.nodes.get_mut(&node) else { return };
         n.links.remove(&link);
-        n.pulse.failed(self.now, refused, linked);
+        // What is off the list and refuses is gone, whatever is still open.
+        n.pulse.failed(self.now, refused, linked && n.phase != Phase::Gone);
         // Their connection was lost and no other comes up: the node went down under them.
         let doubted = std::mem::take(&mut n.doubted);
         let over = n.pulse.over(self.now);
@@ -814,11 +830,12 @@
     /// What stood at a node is over without a word from it.
     fn node_over(&mut self, node: NodeId) {
         let Some(n) = self.nodes.get_mut(&node) else { return };
-        let (links, standing) = (n.links.clone(), std::mem::take(&mut n.standing));
-        if !standing.is_empty() {
-            let text = format!("{} cannot be reached: {} sessions there are over", n.name, standing.len());
-            self.log(text);
+        if n.standing.is_empty() {
+            return;
         }
+        let (links, standing) = (n.links.clone(), std::mem::take(&mut n.standing));
+        let text = format!("{} cannot be reached: {} sessions there are over", n.name, standing.len());
+        self.log(text);
         for link in links {
             let Some(l) = self.links.remove(&link) else { continue };
             self.effects.push(Effect::HangUp { link });
@@ -900,8 +917,9 @@
             media::Word::Released { sess, cause, cseq, load } => {
                 self.effects.push(Effect::Node { link, bytes: media::heard(sess, cseq) });
                 let stands = self.sess.get(&sess).filter(|s| s.stage == Stage::Stands && s.node == node);
-                if let Some(conn) = stands.map(|s| s.conn) {
-                    self.end(sess, node, media::ended(cause), load);
+                if let Some((conn, sent)) = stands.map(|s| (s.conn, s.sent)) {
+                    let anew = self.nodes.get(&node).is_some_and(|n| n.linked_since > sent);
+                    self.end(sess, node, media::ended(cause, anew), load);
                     self.tell_over(sess, conn, cause);
                 } else if self.is_out(sess, link) {
                     self.setup_over(sess, Ending::Broken, load);
@@ -909,6 +927,9 @@
             }
             media::Word::Note { sess, note } => {
                 if self.sess.get(&sess).is_some_and(|s| s.stage == Stage::Stands && s.node == node) {
+                    if let (Note::Link(asked), Some(n)) = (note, self.nodes.get_mut(&node)) {
+                        n.told = asked;
+                    }
                     self.round.readings.push(match note {
                         Note::Delivered(share) => Reading::Delivered { node, share },
                         Note::Rung(rung) => Reading::Rung { sess, rung },
@@ -1000,6 +1021,8 @@
             owed: VecDeque::new(),
             owed_since: now,
             pulse: Pulse::new(now),
+            linked_since: now,
+            told: 0.0,
         });
         (n.phase, n.line) = (host.phase, line);
         if host.phase != Phase::Gone {
--- a/crates/kelpdoor-platform/src/media.rs
+++ b/crates/kelpdoor-platform/src/media.rs
@@ -48,23 +48,28 @@
 }
 
 /// What a status to SETUP proves; `None` for 1xx and 200.
+///
+/// 504 says that the SETUP broke on its way, and it may have run. It comes from a process that lives, on a connection that
+/// stands, so it is no sign of a death: it counts as a SETUP of which nothing more will be heard.
 pub fn ending(status: u16) -> Option<Ending> {
     match status {
         0..300 => None,
         453 => Some(Ending::BusyReplied),
         454 => Some(Ending::Moot),
-        504 => Some(Ending::Broken),
+        504 => Some(Ending::Withdrawn),
         // 500 and whatever else is a refusal: an error, after which it may have run.
         _ => Some(Ending::Erred),
     }
 }
 
-/// How a session that stood ended, by the cause of its node's release.
-pub fn ended(why: u32) -> Ending {
+/// How a session that stood ended, by the cause of its node's release. One that was cut tells of the node's death only where
+/// the process may have changed since the session was set up (`anew`): a process that lives can cut one session.
+pub fn ended(why: u32, anew: bool) -> Ending {
     match why {
         cause::CLEARED => Ending::Served,
         31 => Ending::Withdrawn,
-        _ => Ending::Broken,
+        _ if anew => Ending::Broken,
+        _ => Ending::Withdrawn,
     }
 }
 
--- a/crates/kelpdoor-platform/src/pulse.rs
+++ b/crates/kelpdoor-platform/src/pulse.rs
@@ -36,13 +36,11 @@
         self.tried = now;
     }
 
-    /// A connection did not come up. One refused beside an open one is a full node, not a dead one.
+    /// A connection did not come up. One refused beside an open one may be a full node, so it counts as one that timed out:
+    /// a full node speaks on the open ones before GIVE_UP is over, a process that went and left them open does not.
     pub fn failed(&mut self, now: f64, refused: bool, linked: bool) {
-        if refused && linked {
-            return;
-        }
         self.failing_since.get_or_insert(now);
-        self.refusals = if refused { self.refusals + 1 } else { 0 };
+        self.refusals = if refused && !linked { self.refusals + 1 } else { 0 };
     }
 
     /// Whether to try a connection now; `linked`: one is open.
@@ -90,9 +88,14 @@
     }
 
     #[test]
-    fn a_full_node_with_open_connections_is_not_dead() {
+    fn a_full_node_that_speaks_is_not_dead_and_a_process_that_left_its_connections_open_is() {
         let mut p = Pulse::new(0.0);
-        (0..9).for_each(|k| p.failed(f64::from(k), true, true));
-        assert!(!p.over(60.0));
+        for k in 0..9 {
+            p.failed(f64::from(k) * 3.0 + 1.5, true, true);
+            assert!(!p.over(f64::from(k) * 3.0 + 3.0));
+            p.heard(f64::from(k) * 3.0 + 3.0);
+        }
+        (0..12).for_each(|k| p.failed(30.0 + 0.3 * f64::from(k), true, true));
+        assert!(!p.over(33.4) && p.over(33.6));
     }
 }
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -469,8 +469,14 @@
     }
 
     fn take(&mut self, now: f64, (came, input): Came) {
-        if let Input::LinkFailed { link, .. } | Input::LinkLost { link } = &input {
-            self.links.remove(link);
+        match &input {
+            Input::LinkFailed { link, .. } | Input::LinkLost { link } => {
+                tracing::debug!("{input:?}");
+                self.links.remove(link);
+            }
+            Input::LinkUp { .. } => tracing::debug!("{input:?}"),
+            Input::Node { link, message } => tracing::trace!(link, "{message:?}"),
+            _ => {}
         }
         self.exchange.take(now, came.elapsed().as_secs_f64(), input);
     }
@@ -503,11 +509,13 @@
                     }
                 }
                 Effect::Dial { link: number, address } => {
+                    tracing::debug!(number, %address, "dial");
                     let pipe = Pipe::new(None);
                     self.links.insert(number, pipe.clone());
                     spawn_local(link(number, address, self.connect, pipe, self.to.clone()));
                 }
                 Effect::Node { link, bytes } => {
+                    tracing::trace!(link, "{}", String::from_utf8_lossy(&bytes));
                     if let Some(pipe) = self.links.get(&link) {
                         pipe.write(&bytes);
                     }
--- a/crates/kelpdoor-platform/src/viewer.rs
+++ b/crates/kelpdoor-platform/src/viewer.rs
@@ -127,7 +127,7 @@
     }
     // A session that plays already waits for nothing.
     if at.is_none() && (left <= 0.0 || left > MAX_LEFT) {
-        return Err(format!("left is {left}, above 0 and at most {MAX_LEFT} are possible"));
+        return Err(format!("left is {left:e}, above 0 and at most {MAX_LEFT} are possible"));
     }
     let blob = blob.ok_or("no description")?;
     if blob.len() > MAX_BLOB {
--- /dev/null
+++ b/crates/kelpdoor-platform/tests/codecs.rs
@@ -0,0 +1,232 @@
+//! What viewers and nodes may send, row by row of the platform's tables, and bytes that nobody should.
+
+mod common;
+
+use expect_test::expect;
+use kelpdoor::round::Ending;
+use kelpdoor_platform::{Start, changes, media, viewer};
+use kelpdoor_rtsp::{Version, parse_as};
+use kelpdoor_terms::ReportFields;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+#[test]
+fn each_kind_of_line_and_each_fault_of_one() {
+    let good = common::start(5, "paid", "home:4;copies:3;top:4;viewer:00000000b4d65521;again:1", "v=0\r\n");
+    let at = common::start(5, "paid", "home:4;copies:3;top:4;at:s-1", "").replace("3000", "4294967");
+    let lines = [
+        good.clone(),
+        at,
+        good.replace("\"3000\"", "1500.5"),
+        common::finish(5, 16),
+        r#"{"verb":"ECHO","tag":"0000000000000005","opts":{},"rc":0}"#.into(),
+        r#"{"verb":"NOTICE","tag":"0000000000000005","opts":{}}"#.into(),
+        good.replace("3000", "many"),
+        good.replace("3000", "-1"),
+        good.replace("3000", "1e300"),
+        good.replace("3000", "NaN"),
+        good.replace("0000000000000005", "5"),
+        good.replace("0000000000000005", "000000000000000G"),
+        good.replace("home:4", "home:-4"),
+        good.replace("top:4", "top:256"),
+        good.replace("copies:3;", ""),
+        good.replace("7f3a9c21e0b4d655", "a b\\r\\nX: y"),
+        good.replace("\"blob\"", "\"blab\""),
+        good.replace("START", "RESTART"),
+        good.replace("v=0", &"v".repeat(viewer::MAX_BLOB)),
+        good[..60].to_owned(),
+        "[]".into(),
+        "\u{0}".into(),
+    ];
+    let show = |line: &String| match viewer::read(line.as_bytes()) {
+        Ok(viewer::Word::Start(id, a)) => format!(
+            "start {} {} {} {} {}+{} {} {:?} {:?}",
+            id.0, a.class, a.left, a.key, a.first_cell, a.cells, a.best_rung, a.at, a.blob
+        ),
+        Ok(word) => format!("{word:?}"),
+        Err(bad) => format!("{} {:?}: {}", bad.cause, bad.sess.map(|s| s.0), bad.why),
+    };
+    expect![[r#"
+        start 5 paid 3 7f3a9c21e0b4d655 4+3 4 None "v=0\r\n"
+        start 5 paid 4294.967 7f3a9c21e0b4d655 4+3 4 Some("s-1") ""
+        start 5 paid 1.5005 7f3a9c21e0b4d655 4+3 4 None "v=0\r\n"
+        Finish(SessId(5))
+        Echo(SessId(5))
+        Free
+        100 Some(5): left is no number
+        100 Some(5): left is -1e0, above 0 and at most 600000 are possible
+        100 Some(5): left is 1e300, above 0 and at most 600000 are possible
+        100 Some(5): left is no number
+        111 None: "5" is no id
+        111 None: "000000000000000G" is no id
+        100 Some(5): extras: home is out of range
+        100 Some(5): extras: top is out of range
+        100 Some(5): extras: no copies
+        100 Some(5): key is no title
+        100 Some(5): no description
+        100 Some(5): "RESTART" is nothing that a viewer sends
+        100 Some(5): a description of 15362 bytes, 15360 at most
+        111 None: EOF while parsing a string at line 1 column 60
+        111 None: invalid length 0, expected struct Line with 5 elements at line 1 column 2
+        111 None: expected value at line 1 column 1"#]]
+    .assert_eq(&lines.iter().map(show).collect::<Vec<_>>().join("\n"));
+}
+
+#[test]
+fn what_a_director_says_to_viewers() {
+    use viewer::Reply;
+    let id = viewer::id("9b1f03aa5c7e2d41");
+    let said = [
+        viewer::write(id, Reply::Started("a\r\n\"b\"")),
+        viewer::write(id, Reply::Finish { cause: 42, wait: Some(0.9996) }),
+        viewer::write(id, Reply::Finish { cause: 41, wait: None }),
+        viewer::write(None, Reply::Finish { cause: 111, wait: None }),
+        viewer::write(id, Reply::Echoed),
+        viewer::write(id, Reply::Move),
+    ];
+    expect![[r#"
+        {"verb":"STARTED","tag":"9b1f03aa5c7e2d41","opts":{},"blob":"a\r\n\"b\""}
+        {"verb":"FINISH","tag":"9b1f03aa5c7e2d41","opts":{"wait":1000},"rc":42}
+        {"verb":"FINISH","tag":"9b1f03aa5c7e2d41","opts":{},"rc":41}
+        {"verb":"FINISH","tag":"0000000000000000","opts":{},"rc":111}
+        {"verb":"ECHOED","tag":"9b1f03aa5c7e2d41","opts":{},"rc":1}
+        {"verb":"MOVE","tag":"9b1f03aa5c7e2d41","opts":{}}
+    "#]]
+    .assert_eq(&String::from_utf8_lossy(&said.concat()));
+}
+
+#[test]
+fn what_each_message_of_a_node_says_and_proves() {
+    let fields = ReportFields(vec!["inflight".into(), "x0".into()]);
+    let rows = [
+        "RTSP/1.0 100 Trying|CSeq: 1|S",
+        "RTSP/1.0 200 OK|CSeq: 1|S",
+        "RTSP/1.0 302 Found|CSeq: 1|S",
+        "RTSP/1.0 453 Full|CSeq: 1|S|X-Gauges: inflight:12;x0:0.4;queue:3",
+        "RTSP/1.0 454 Moot|CSeq: 1|S",
+        "RTSP/1.0 500 Error|CSeq: 1|S|X-Gauges: inflight:nan;x0:-1",
+        "RTSP/1.0 504 Reset|CSeq: 1|S",
+        "RTSP/1.0 200 OK|CSeq: 2|S",
+        "RTSP/1.0 200 OK|CSeq: 1|Session: short",
+        "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 7|S|Reason: cause=16|X-Gauges: x0:0.5",
+        "TEARDOWN rtsp://media/x RTSP/1.0|S",
+        "ANNOUNCE rtsp://media/x RTSP/1.0|S|X-Outcome: fill|X-Reading: 0.7",
+        "ANNOUNCE rtsp://media/x RTSP/1.0|S|X-Outcome: grade|X-Reading: 2",
+        "ANNOUNCE rtsp://media/x RTSP/1.0|S|X-Outcome: local|X-Reading: 1.25",
+        "ANNOUNCE rtsp://media/x RTSP/1.0|S|X-Outcome: upstream|X-Reading: 0.9",
+        "ANNOUNCE rtsp://media/x RTSP/1.0|S|X-Outcome: local|X-Reading: inf",
+        "OPTIONS rtsp://media/ping RTSP/1.0|CSeq: 3",
+    ];
+    let show = |row: &&str| {
+        let text = row.replace("|S", "|Session: 0000000000000005").replace('|', "\r\n") + "\r\n\r\n";
+        let (message, _) = parse_as(Version::V1, text.as_bytes()).expect("RTSP").expect("whole");
+        format!("{:?}", media::read(message, &fields))
+    };
+    expect![[r#"
+        Free
+        Stands { sess: SessId(5), blob: Some(""), load: LoadReport { streams: None, link: None, uplink: None } }
+        Refused { sess: SessId(5), how: Erred, load: LoadReport { streams: None, link: None, uplink: None } }
+        Refused { sess: SessId(5), how: BusyReplied, load: LoadReport { streams: Some(12.0), link: Some(0.4), uplink: None } }
+        Refused { sess: SessId(5), how: Moot, load: LoadReport { streams: None, link: None, uplink: None } }
+        Refused { sess: SessId(5), how: Erred, load: LoadReport { streams: None, link: None, uplink: None } }
+        Refused { sess: SessId(5), how: Withdrawn, load: LoadReport { streams: None, link: None, uplink: None } }
+        Free
+        Free
+        Released { sess: SessId(5), cause: 16, cseq: 7, load: LoadReport { streams: None, link: Some(0.5), uplink: None } }
+        Released { sess: SessId(5), cause: 41, cseq: 0, load: LoadReport { streams: None, link: None, uplink: None } }
+        Note { sess: SessId(5), note: Delivered(0.7) }
+        Note { sess: SessId(5), note: Rung(2) }
+        Note { sess: SessId(5), note: Link(1.25) }
+        Note { sess: SessId(5), note: Uplink(0.9) }
+        Free
+        Free"#]].assert_eq(&rows.iter().map(show).collect::<Vec<_>>().join("\n"));
+    // A cut session tells of a death only where the process may be another.
+    assert_eq!(
+        [16, 31, 41].map(|why| media::ended(why, true)),
+        [Ending::Served, Ending::Withdrawn, Ending::Broken]
+    );
+    assert_eq!(
+        [16, 31, 41].map(|why| media::ended(why, false)),
+        [Ending::Served, Ending::Withdrawn, Ending::Withdrawn]
+    );
+}
+
+#[test]
+fn a_bad_start_names_the_variable_or_key() {
+    let dir = std::env::temp_dir().join(format!("kelpdoor-start-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let file = dir.join("config.json");
+    let good = serde_json::json!({"name": "n3", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "changelog": "127.0.0.1:8500",
+        "known": {"seq": 0, "results": []}, "settings": common::settings()});
+    let read = |of: &serde_json::Value| {
+        std::fs::write(&file, of.to_string()).expect("written");
+        Start::read(|name| (name == "PROXY_CONFIG").then(|| file.display().to_string())).map_or_else(
+            |e| e.0.replace(&file.display().to_string(), "FILE"),
+            |s| format!("{} {:x}", s.name, s.seed),
+        )
+    };
+    let mut told = vec![read(&good)];
+    for (key, value) in [
+        ("listen", serde_json::json!("nowhere")),
+        ("seed", serde_json::json!("xyz")),
+        ("limits", serde_json::json!({})),
+        ("changelog", serde_json::json!(5)),
+        ("known", serde_json::json!({"seq": 1})),
+        ("settings", serde_json::json!({})),
+        ("name", serde_json::json!("")),
+    ] {
+        let mut bad = good.clone();
+        bad[key] = value;
+        told.push(read(&bad));
+    }
+    told.push(read(&serde_json::json!([])));
+    told.push(Start::read(|_| None).map_or_else(|e| e.0, |s| s.name));
+    std::fs::remove_dir_all(&dir).expect("removed");
+    expect![[r#"
+        n3 8c1f30d27a5be964
+        listen: "nowhere" is no address and port
+        seed: "xyz" is no hexadecimal number of 64 bits
+        limits.sockets: null is no number of at least 64
+        changelog: "5" is no address and port
+        known: no list under results
+        settings: no ladder of rates above 0
+        PROXY_NAME: not set, and no name
+        PROXY_CONFIG: FILE: not a JSON object
+        PROXY_CONFIG: not set"#]]
+    .assert_eq(&told.join("\n"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn lines_of_any_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = viewer::read(&bytes);
+    }
+
+    #[test]
+    fn changed_lines_never_panic_and_what_is_taken_is_within_bounds(at in any::<prop::sample::Index>(), to in any::<u8>()) {
+        let mut line = common::start(5, "paid", "home:4;copies:3;top:4;at:s-1", "v=0").into_bytes();
+        let at = at.index(line.len());
+        line[at] = to;
+        if let Ok(viewer::Word::Start(_, ask)) = viewer::read(&line) {
+            prop_assert!(ask.left.is_finite() && ask.key.len() <= 64 && ask.key.bytes().all(|b| b.is_ascii_graphic()));
+        }
+    }
+
+    #[test]
+    fn a_set_up_reads_back_as_it_was_written(id in any::<u64>(), wait in 0.0..9.0f64, rung in 0..9u8, blob in "[ -~\r\n]{0,90}") {
+        let bytes = media::setup(kelpdoor::ids::SessId(id), "7f3a9c21e0b4d655", "paid", wait, rung, &blob);
+        let read = parse_as(Version::V1, &bytes).map(|m| m.map(|m| m.1));
+        prop_assert_eq!(read, Ok(Some(bytes.len())));
+        let text = String::from_utf8_lossy(&bytes);
+        let start = "SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\n";
+        prop_assert!(text.starts_with(start) && text.ends_with(&blob));
+    }
+
+    #[test]
+    fn events_of_any_text_never_panic(text in "[ -~]{0,200}") {
+        let _ = changes::read_event(&text);
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-platform/tests/exchange.rs
@@ -0,0 +1,462 @@
+//! Who is owed what, told as stories: what came in, and all that was done about it.
+
+mod common;
+
+use common::{Story, finish, start};
+use expect_test::expect;
+use kelpdoor_platform::exchange::Input;
+
+#[test]
+fn a_session_from_its_set_up_to_its_end() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.node(0, "RTSP/1.0 100 Trying|CSeq: 1|Session: 0000000000000005");
+    s.serves(0, 5);
+    s.node(
+        0,
+        "ANNOUNCE rtsp://media/x RTSP/1.0|CSeq: 9|Session: 0000000000000005|X-Outcome: local|X-Reading: 0.4",
+    );
+    s.pass(1.0);
+    s.node(0, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=16|X-Gauges: inflight:3;x0:0.2");
+    // Said again on the next connection, as nodes do: nothing is told twice.
+    s.node(0, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=16");
+    expect![[r#"
+        10.00 link 0 dial 10.1.0.1:5070
+        10.00 link 0 < SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0 | CSeq: 1 | Session: 0000000000000005 | X-Tier: lecture | X-Deadline: 674 | X-Quality: 3 | Content-Length: 3 |  | v=0
+        10.00 viewer 1 < {"verb":"STARTED","tag":"0000000000000005","opts":{},"blob":"answer 5"}
+        11.00 link 0 < RTSP/1.0 200 OK | CSeq: 2 | Session: 0000000000000005 | Content-Length: 0
+        11.00 viewer 1 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":16}
+        11.00 link 0 < RTSP/1.0 200 OK | CSeq: 2 | Session: 0000000000000005 | Content-Length: 0
+    "#]].assert_eq(&s.told());
+    assert_eq!(s.exchange.counts().standing, 0);
+}
+
+#[test]
+fn a_session_handed_over_is_held_whatever_time_it_names_and_its_node_is_listened_to() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    let line = start(5, "lecture", "home:1;copies:1;top:4;at:s-1", "").replace("\"3000\"", "\"4294967\"");
+    s.say(1, &line);
+    s.pass(0.3);
+    s.up(0);
+    s.node(0, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=41");
+    expect![[r#"
+        10.00 link 0 dial 10.1.0.1:5070
+        10.30 link 0 < RTSP/1.0 200 OK | CSeq: 2 | Session: 0000000000000005 | Content-Length: 0
+        10.30 viewer 1 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":41}
+    "#]]
+    .assert_eq(&s.told());
+}
+
+#[test]
+fn a_connection_on_which_something_stands_stays_and_idle_ones_are_closed_in_time() {
+    let mut s = Story::new(1, 256);
+    [1, 2].into_iter().for_each(|conn| s.open(conn));
+    s.ask(1, 5);
+    s.up(0);
+    s.serves(0, 5);
+    s.told();
+    s.pass(2.2);
+    assert_eq!(s.told().lines().filter(|l| l.contains("shut")).collect::<Vec<_>>(), ["12.00 viewer 2 shut"]);
+    // It is told on another connection once its own is gone, and on the next one if there is none.
+    s.go(Input::ViewerLost { conn: 1 });
+    s.node(0, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=16");
+    s.told();
+    s.open(3);
+    s.ask(3, 6);
+    s.serves(0, 6);
+    expect![[r#"
+        12.20 link 0 < SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0 | CSeq: 1 | Session: 0000000000000006 | X-Tier: lecture | X-Deadline: 674 | X-Quality: 3 | Content-Length: 3 |  | v=0
+        12.20 viewer 3 < {"verb":"STARTED","tag":"0000000000000006","opts":{},"blob":"answer 6"}
+        12.20 viewer 3 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":16}
+    "#]].assert_eq(&s.told());
+}
+
+#[test]
+fn what_a_node_says_of_a_setup_decides_what_becomes_of_it() {
+    let mut table = String::new();
+    for status in [453, 454, 500, 504, 302, 404] {
+        for class in ["lecture", "paid"] {
+            let mut s = Story::new(2, 256);
+            s.open(1);
+            s.say(1, &start(5, class, "home:0;copies:4;top:3", ""));
+            s.up(0);
+            s.told();
+            s.node(0, &format!("RTSP/1.0 {status} No|CSeq: 1|Session: 0000000000000005"));
+            let told = s.told();
+            let again = told.contains("dial");
+            let answer = told
+                .lines()
+                .find(|l| l.contains("FINISH"))
+                .map_or("", |l| &l[l.find("\"opts").unwrap_or(0)..]);
+            table.push_str(&format!(
+                "{status} {class}: {} {answer}\n",
+                if again { "another node" } else { "answered" }
+            ));
+        }
+    }
+    expect![[r#"
+        453 lecture: another node 
+        453 paid: another node 
+        454 lecture: another node 
+        454 paid: another node 
+        500 lecture: another node 
+        500 paid: answered "opts":{},"rc":41}
+        504 lecture: another node 
+        504 paid: answered "opts":{},"rc":41}
+        302 lecture: another node 
+        302 paid: answered "opts":{},"rc":41}
+        404 lecture: another node 
+        404 paid: answered "opts":{},"rc":41}
+    "#]]
+    .assert_eq(&table);
+}
+
+#[test]
+fn a_lost_connection_is_a_death_only_if_no_other_comes_up() {
+    let lost = |then: fn(&mut Story)| {
+        let mut s = Story::new(2, 256);
+        s.open(1);
+        s.ask(1, 5);
+        s.up(0);
+        s.told();
+        s.go(Input::LinkLost { link: 0 });
+        then(&mut s);
+        s.told()
+    };
+    expect![[r#"
+        10.00 link 1 dial 10.1.0.1:5070
+        10.00 link 2 dial 10.1.0.2:5070
+    "#]]
+    .assert_eq(&lost(|s| s.up(1)));
+    expect![[r#"
+        10.00 link 1 dial 10.1.0.1:5070
+        10.00 link 2 dial 10.1.0.2:5070
+    "#]]
+    .assert_eq(&lost(|s| s.go(Input::LinkFailed { link: 1, refused: true })));
+}
+
+#[test]
+fn sessions_at_a_node_that_falls_silent_are_over_in_time_and_released_there_if_it_comes_back() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.serves(0, 5);
+    s.told();
+    for link in 1..20 {
+        let before = s.now;
+        while !s.trace.contains(&format!("link {link} dial")) && s.now < before + 4.0 {
+            s.pass(0.05);
+        }
+        s.pass(0.25);
+        s.go(Input::LinkFailed { link, refused: false });
+        if s.trace.contains("FINISH") {
+            break;
+        }
+    }
+    let told = s.told();
+    let last: Vec<&str> = told.lines().skip_while(|l| !l.contains("cannot be reached")).collect();
+    expect![[r#"
+        15.30 log: s-1 cannot be reached: 1 sessions there are over
+        15.30 link 13 hang up
+        15.30 viewer 1 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":41}"#]]
+    .assert_eq(&last.join("\n"));
+}
+
+#[test]
+fn a_dead_process_is_known_by_refusals_and_its_sessions_are_told_at_once() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.serves(0, 5);
+    s.told();
+    s.go(Input::LinkLost { link: 0 });
+    s.pass(0.35);
+    s.go(Input::LinkFailed { link: 1, refused: true });
+    s.pass(0.35);
+    s.go(Input::LinkFailed { link: 2, refused: true });
+    expect![[r#"
+        10.30 link 1 dial 10.1.0.1:5070
+        10.60 link 2 dial 10.1.0.1:5070
+        10.70 log: s-1 cannot be reached: 1 sessions there are over
+        10.70 viewer 1 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":41}
+    "#]]
+    .assert_eq(&s.told());
+}
+
+#[test]
+fn a_process_that_went_and_left_its_connections_open_is_known_too() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.serves(0, 5);
+    s.told();
+    for link in 1..30 {
+        s.pass(1.6);
+        s.go(Input::LinkFailed { link, refused: true });
+    }
+    let told = s.told();
+    let told: Vec<&str> = told.lines().filter(|l| !l.contains("dial")).collect();
+    expect![[r#"
+        15.00 link 0 hang up
+        15.10 log: s-1 cannot be reached: 1 sessions there are over
+        15.10 link 4 hang up
+        15.10 viewer 1 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":41}
+        20.10 viewer 1 shut"#]]
+    .assert_eq(&told.join("\n"));
+}
+
+#[test]
+fn a_setup_that_broke_on_its_way_says_nothing_against_its_node() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.node(0, "RTSP/1.0 504 Reset|CSeq: 1|Session: 0000000000000005");
+    s.told();
+    s.ask(1, 6);
+    assert!(s.told().contains("SETUP"), "a reset answer does not bar the node for the next session");
+    // A death does: its connection is gone and no other comes up.
+    s.go(Input::LinkLost { link: 0 });
+    s.go(Input::LinkFailed { link: 1, refused: true });
+    s.told();
+    s.ask(1, 7);
+    assert!(s.told().contains("\"rc\":42"), "a dead node is barred");
+}
+
+#[test]
+fn spoilt_foreign_second_and_late_answers_leave_nothing_standing_and_answer_nobody_twice() {
+    let mut s = Story::new(2, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.told();
+    // An answer under an id that nobody has, ahead of the right one, which comes twice.
+    s.serves(0, 99);
+    s.serves(0, 5);
+    s.serves(0, 5);
+    expect![[r#"
+        10.00 viewer 1 < {"verb":"STARTED","tag":"0000000000000005","opts":{},"blob":"answer 5"}
+    "#]]
+    .assert_eq(&s.told());
+    // Spoilt: the connection is closed, and the session set up at the other node.
+    s.ask(1, 6);
+    let link = s.settle();
+    s.told();
+    s.go(Input::LinkSpoilt { link, why: "noise".into() });
+    let link = s.settle();
+    expect![[r#"
+        10.00 log: s-2: a connection is spoilt under 1 SETUPs: noise
+        10.00 link 1 hang up
+        10.00 link 0 < SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0 | CSeq: 1 | Session: 0000000000000006 | X-Tier: lecture | X-Deadline: 674 | X-Quality: 3 | Content-Length: 3 |  | v=0
+    "#]].assert_eq(&s.told());
+    s.serves(link, 6);
+    // No answer in time: given up, and the connection closed, as nothing may come on it any more.
+    s.ask(1, 7);
+    s.settle();
+    s.told();
+    s.pass(0.7);
+    expect![[r#"
+        10.68 link 2 < TEARDOWN rtsp://media/0000000000000007 RTSP/1.0 | CSeq: 2 | Session: 0000000000000007 | Content-Length: 0
+        10.68 link 2 hang up
+        10.68 link 0 < SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0 | CSeq: 1 | Session: 0000000000000007 | X-Tier: lecture | X-Deadline: 371 | X-Quality: 2 | Content-Length: 3 |  | v=0
+    "#]].assert_eq(&s.told());
+}
+
+#[test]
+fn a_viewer_that_gives_up_leaves_nothing_behind() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.told();
+    s.say(1, &finish(5, 16));
+    s.serves(0, 5);
+    expect![[r#"
+        10.00 link 0 < TEARDOWN rtsp://media/0000000000000005 RTSP/1.0 | CSeq: 2 | Session: 0000000000000005 | Content-Length: 0
+        10.00 link 0 < TEARDOWN rtsp://media/0000000000000005 RTSP/1.0 | CSeq: 2 | Session: 0000000000000005 | Reason: cause=16 | Content-Length: 0
+    "#]].assert_eq(&s.told());
+    // Before it was sent: it never leaves.
+    s.ask(1, 6);
+    s.told();
+    s.go(Input::ViewerLost { conn: 1 });
+    s.pass(0.01);
+    expect![[r#"
+        10.00 link 0 < TEARDOWN rtsp://media/0000000000000006 RTSP/1.0 | CSeq: 2 | Session: 0000000000000006 | Content-Length: 0
+    "#]].assert_eq(&s.told());
+    assert_eq!((s.exchange.counts().open, s.exchange.counts().standing), (0, 0));
+}
+
+#[test]
+fn a_viewer_releases_its_session_on_any_connection() {
+    let mut s = Story::new(1, 256);
+    [1, 2].into_iter().for_each(|conn| s.open(conn));
+    s.ask(1, 5);
+    s.up(0);
+    s.serves(0, 5);
+    s.told();
+    s.say(2, &finish(5, 31));
+    s.node(0, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=31");
+    expect![[r#"
+        10.00 link 0 < TEARDOWN rtsp://media/0000000000000005 RTSP/1.0 | CSeq: 2 | Session: 0000000000000005 | Reason: cause=16 | Content-Length: 0
+        10.00 link 0 < RTSP/1.0 200 OK | CSeq: 2 | Session: 0000000000000005 | Content-Length: 0
+    "#]].assert_eq(&s.told());
+}
+
+#[test]
+fn an_id_that_is_held_harms_neither_session_from_elsewhere_and_fails_on_its_own_connection() {
+    let mut s = Story::new(1, 256);
+    [1, 2].into_iter().for_each(|conn| s.open(conn));
+    s.ask(1, 5);
+    s.up(0);
+    s.told();
+    s.say(2, &start(5, "lecture", "home:0;copies:4;top:4", "another"));
+    s.serves(0, 5);
+    expect![[r#"
+        10.00 log: viewers' connection 2: its id is held
+        10.00 viewer 2 shut
+        10.00 viewer 1 < {"verb":"STARTED","tag":"0000000000000005","opts":{},"blob":"answer 5"}
+    "#]]
+    .assert_eq(&s.told());
+    s.ask(1, 6);
+    s.told();
+    s.say(1, &start(6, "lecture", "home:0;copies:4;top:4", "another"));
+    expect![[r#"
+        10.00 log: viewers' connection 1: its id is held
+        10.00 viewer 1 < {"verb":"FINISH","tag":"0000000000000006","opts":{},"rc":100}
+        10.00 viewer 1 shut
+        10.00 link 0 < TEARDOWN rtsp://media/0000000000000006 RTSP/1.0 | CSeq: 2 | Session: 0000000000000006 | Content-Length: 0
+    "#]].assert_eq(&s.told());
+}
+
+#[test]
+fn a_set_up_sent_again_on_a_new_connection_is_answered_there() {
+    let mut s = Story::new(1, 256);
+    [1, 2].into_iter().for_each(|conn| s.open(conn));
+    s.ask(1, 5);
+    s.up(0);
+    s.ask(2, 5);
+    s.told();
+    s.go(Input::ViewerLost { conn: 1 });
+    s.serves(0, 5);
+    expect![[r#"
+        10.00 viewer 2 < {"verb":"STARTED","tag":"0000000000000005","opts":{},"blob":"answer 5"}
+    "#]]
+    .assert_eq(&s.told());
+}
+
+#[test]
+fn bad_lines_cost_themselves_and_their_connection_once_nothing_is_open_on_it() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.told();
+    s.say(1, "{nonsense");
+    s.say(1, &start(6, "no-such", "home:0;copies:4;top:4", ""));
+    s.say(1, &start(7, "lecture", "home:9;copies:4;top:4", ""));
+    s.say(1, &start(8, "lecture", "home:0;copies:4;top:5", ""));
+    s.serves(0, 5);
+    expect![[r#"
+        10.00 log: viewers' connection 1: key must be a string at line 1 column 2
+        10.00 viewer 1 < {"verb":"FINISH","tag":"0000000000000000","opts":{},"rc":111}
+        10.00 log: viewers' connection 1: no such class
+        10.00 viewer 1 < {"verb":"FINISH","tag":"0000000000000006","opts":{},"rc":100}
+        10.00 log: viewers' connection 1: home, copies or top out of range
+        10.00 viewer 1 < {"verb":"FINISH","tag":"0000000000000007","opts":{},"rc":100}
+        10.00 log: viewers' connection 1: home, copies or top out of range
+        10.00 viewer 1 < {"verb":"FINISH","tag":"0000000000000008","opts":{},"rc":100}
+        10.00 viewer 1 < {"verb":"STARTED","tag":"0000000000000005","opts":{},"blob":"answer 5"}
+        10.00 viewer 1 shut
+    "#]]
+    .assert_eq(&s.told());
+}
+
+#[test]
+fn a_flood_is_refused_at_once_beyond_its_bound_and_others_are_served() {
+    let mut s = Story::new(1, 256);
+    [1, 2].into_iter().for_each(|conn| s.open(conn));
+    for id in 100..500 {
+        s.ask(1, id);
+    }
+    let told = s.told();
+    assert_eq!(told.matches("FINISH").count() + s.exchange.counts().open, 400);
+    assert!(s.exchange.counts().open <= 160, "{:?}", s.exchange.counts());
+    s.go(Input::ViewerLost { conn: 1 });
+    s.pass(0.1);
+    assert_eq!(s.exchange.counts().open, 0);
+    assert_eq!(s.exchange.counts().owed, 0);
+}
+
+#[test]
+fn viewers_beyond_the_bound_take_the_place_of_the_one_idle_for_longest() {
+    let mut s = Story::new(1, 64);
+    (1..=18).for_each(|conn| s.open(conn));
+    s.ask(1, 5);
+    s.told();
+    s.open(19);
+    assert_eq!(s.told(), "10.00 viewer 2 shut\n");
+    assert_eq!(s.exchange.counts().viewers, 18);
+}
+
+#[test]
+fn a_removed_nodes_address_under_another_id_is_never_taken_for_it() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.serves(0, 5);
+    s.told();
+    let moved = r#"{"seq":2,"fleet":{"hosts":[{"host":"s-1","health":"removed"},{"host":"s-9","dial":"10.1.0.1:5070","site":"dc1",
+        "class":"box-3c","block":1,"health":"up","share":3,"born_ms":1010000}]}}"#;
+    s.go(Input::Change(kelpdoor_platform::changes::read_event(moved).expect("good")));
+    s.go(Input::LinkLost { link: 0 });
+    s.pass(1.0);
+    expect![[r#"
+        10.60 log: s-1 cannot be reached: 1 sessions there are over
+        10.60 viewer 1 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":41}
+    "#]]
+    .assert_eq(&s.told());
+    assert_eq!(s.exchange.counts().nodes, 1);
+}
+
+#[test]
+fn a_given_up_request_is_answered_at_once_with_when_to_come_back() {
+    let mut s = Story::new(0, 256);
+    s.open(1);
+    s.ask(1, 5);
+    expect![[r#"
+        10.00 viewer 1 < {"verb":"FINISH","tag":"0000000000000005","opts":{"wait":1000},"rc":42}
+    "#]]
+    .assert_eq(&s.told());
+}
+
+#[test]
+fn a_node_that_cannot_be_reached_costs_one_try() {
+    let mut s = Story::new(2, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.go(Input::LinkFailed { link: 0, refused: false });
+    s.up(1);
+    expect![[r#"
+        10.00 link 0 dial 10.1.0.1:5070
+        10.00 link 1 dial 10.1.0.2:5070
+        10.00 link 1 < SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0 | CSeq: 1 | Session: 0000000000000005 | X-Tier: lecture | X-Deadline: 674 | X-Quality: 3 | Content-Length: 3 |  | v=0
+    "#]].assert_eq(&s.told());
+}
+
+#[test]
+fn setups_are_spread_over_connections_and_share_them_when_no_more_may_be_opened() {
+    let mut s = Story::new(1, 64);
+    s.open(1);
+    for id in 1..=12 {
+        s.ask(1, id);
+    }
+    let c = s.exchange.counts();
+    assert!(c.links <= 6 && c.open > c.links, "{c:?}");
+}
--- a/crates/kelpdoor/src/books.rs
+++ b/crates/kelpdoor/src/books.rs
@@ -13,6 +13,14 @@
         self.nodes.index.get(&node).map_or(0.0, |&i| self.nodes.share[i])
     }
 
+    /// What is asked of a node's link and of its rack's uplink over what they give, as it is believed; `None` for a node
+    /// that is not known.
+    pub fn fullness(&self, node: NodeId) -> Option<(f64, f64)> {
+        let i = *self.nodes.index.get(&node)?;
+        let full = |l: usize| self.asked(l) / self.ledger.size[l].max(1e-9);
+        Some((full(self.link(i)), full(self.rack(i))))
+    }
+
     pub(crate) fn new_node(&mut self, id: NodeId) -> usize {
         let i = self.nodes.add(id);
         self.nodes.gap_mean[i] = self.figures.told_every;
