--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -515,9 +515,17 @@
                     // It lives but turns SETUPs away: left alone for longer each time until one plays again,
                     // for a node that fails fast looks empty and would draw every session.
                     self.heard(now, i);
-                    let first = if e.how == Ending::Erred { BAR.0 } else { BAR_FULL };
-                    self.nodes.shunned_until[i] = now + backoff(first, self.nodes.turned_away[i]);
-                    self.nodes.turned_away[i] += 1;
+                    let (n, error) = (&mut self.nodes, e.how == Ending::Erred);
+                    let times = n.turned_away[i] - i32::from(error);
+                    // A request that no node can use errs at each and would have all of them shunned: an error
+                    // counts against a node from the second in a row, and only the first that its request had.
+                    // Harm: a node that fails all costs a SETUP more.
+                    let first_error = self.sess.get(&e.sess).is_none_or(|s| s.tried.is_empty());
+                    if !error || (first_error && times >= 0) {
+                        let first = if error { BAR.0 } else { BAR_FULL };
+                        n.shunned_until[i] = now + backoff(first, times);
+                    }
+                    n.turned_away[i] += i32::from(!error || first_error);
                 }
                 Ending::Broken => {
                     // Its process died, so what the others had there is gone too.
