Judge a lost answer by whether its node spoke since: no bar for a node that is heard

Ruled out: errors (one 500), resets (none), what is believed of links.

Health is judged by silence, so a time-out now fails a node only if nothing came from it since the SETUP went out. Harm: a node too slow for set-ups, but not for notes, gets more of them.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -435,6 +435,7 @@
         let warm_within = self.figures.warm_within;
         let n = &mut self.nodes;
         n.strikes[i] = 0;
+        n.heard_at[i] = now;
         n.barred_until[i] = n.barred_until[i].min(now);
         n.noted_at[i] = n.noted_at[i].max(now);
         if n.cold_since[i] == f64::INFINITY && n.cold_until[i] == f64::INFINITY {
@@ -534,8 +535,13 @@
                 }
                 Ending::Unreachable => self.failed(now, i),
                 Ending::TimedOut => {
-                    self.failed(now, i);
-                    self.withdraw_all(i, e.sess, orders);
+                    // A node that spoke since the SETUP was sent is not silent: only this answer was lost or late.
+                    // Harm: one too slow for its set-ups, but not for its notes, gets more of them.
+                    let sent = self.sess.get(&e.sess).map_or(now, |s| s.changed_at);
+                    if self.nodes.heard_at[i] <= sent {
+                        self.failed(now, i);
+                        self.withdraw_all(i, e.sess, orders);
+                    }
                 }
                 Ending::Withdrawn | Ending::Moot => {}
             }
--- a/crates/kelpdoor/src/state.rs
+++ b/crates/kelpdoor/src/state.rs
@@ -169,6 +169,8 @@
     pub turned_away: Vec<i32>,
     pub shunned_until: Vec<f64>,
     pub noted_at: Vec<f64>,
+    /// When anything came from it last.
+    pub heard_at: Vec<f64>,
     pub gap_mean: Vec<f64>,
     pub gap_dev: Vec<f64>,
     pub streams: Vec<f64>,
@@ -205,6 +207,7 @@
         put(&mut self.turned_away, i, 0);
         put(&mut self.shunned_until, i, f64::NEG_INFINITY);
         put(&mut self.noted_at, i, f64::INFINITY);
+        put(&mut self.heard_at, i, f64::NEG_INFINITY);
         put(&mut self.gap_mean, i, 0.0);
         put(&mut self.gap_dev, i, 0.0);
         put(&mut self.streams, i, 0.0);
--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -415,6 +415,24 @@
     .assert_debug_eq(&times.collect::<Vec<_>>().join(" "));
 }
 
+#[test]
+fn a_lost_answer_bars_a_node_only_if_nothing_came_from_it_since() {
+    for speaks in [true, false] {
+        let mut desk = Desk::new(&terms());
+        desk.hand_over(9, 0, 0);
+        desk.asks(1, 1);
+        desk.run_to(100.3);
+        if speaks {
+            desk.full(9, 0, 0.3);
+        }
+        desk.ends(1, Ending::TimedOut);
+        let sent = desk.trace.sent.len();
+        desk.run_to(100.5);
+        desk.asks(2, 1);
+        assert_eq!(desk.trace.sent.len() > sent, speaks, "{}", desk.trace.text);
+    }
+}
+
 #[test]
 fn a_request_that_no_node_can_use_shuns_none() {
     let mut desk = Desk::new(&terms());
