Never close the only open connection to a node; drop what is owed to a dead one

Now only open ones count, what was refused twice is owed nothing, and one cut off is tried each 2 s.

--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -37,8 +37,10 @@
 const LINKS_EACH: usize = 6;
 /// Descriptors that are neither viewers' nor nodes': the process's own, change log, connections about to close.
 const OTHER_SOCKETS: usize = 28;
-/// s; a second connection to a node that is idle for so long is closed.
-const LINK_IDLE: f64 = 5.0;
+/// s; a second connection to a node that is idle for so long is closed: nodes say at once what they owe on a new one.
+const LINK_IDLE: f64 = 2.0;
+/// s; between tries to reach a node only to release there what was given up.
+const OWED_AGAIN: f64 = 2.0;
 /// SETUPs given up lately: a late answer to one is released.
 const GIVEN_UP: usize = 4096;
 /// Releases and rungs that wait for a connection to one node.
@@ -196,6 +198,7 @@
     pulse: Pulse,
     /// Since when a connection to it has been up without a gap: through all that time it was one process.
     linked_since: f64,
+    tried_at: f64,
     /// How full it last said that its link is.
     told: f64,
 }
@@ -719,6 +722,7 @@
             return None;
         }
         n.pulse.tried(self.now);
+        n.tried_at = self.now;
         let (link, address) = (self.next_link, n.address);
         self.next_link += 1;
         n.links.insert(link);
@@ -833,7 +837,10 @@
         if n.standing.is_empty() {
             return;
         }
-        let (links, standing) = (n.links.clone(), std::mem::take(&mut n.standing));
+        let (links, standing, gone) = (n.links.clone(), std::mem::take(&mut n.standing), n.pulse.refused());
+        if gone {
+            n.owed.clear();
+        }
         let text = format!("{} cannot be reached: {} sessions there are over", n.name, standing.len());
         self.log(text);
         for link in links {
@@ -848,8 +855,10 @@
             let Some(conn) = self.sess.get(&sess).map(|s| s.conn) else { continue };
             self.end(sess, node, Ending::Broken, LoadReport::default());
             self.tell_over(sess, conn, cause::FAILED);
-            // It may have been cut off only, and then they stand there yet.
-            self.send_or_owe(node, Owed::Release(sess, cause::FAILED));
+            if !gone {
+                // It may have been cut off only, and then they stand there yet.
+                self.send_or_owe(node, Owed::Release(sess, cause::FAILED));
+            }
         }
     }
 
@@ -1022,6 +1031,7 @@
             owed_since: now,
             pulse: Pulse::new(now),
             linked_since: now,
+            tried_at: f64::NEG_INFINITY,
             told: 0.0,
         });
         (n.phase, n.line) = (host.phase, line);
@@ -1089,8 +1099,10 @@
         let idle: Vec<u64> = n.links.iter().filter(idle).copied().collect();
         // One stays open, for what stands there.
         let keep = usize::from(n.phase != Phase::Gone || concerned);
+        let up = n.links.iter().filter(|l| self.links.get(l).is_some_and(|l| l.up)).count();
         let (all, over) = (n.links.len(), concerned && n.pulse.over(now));
-        let wants = concerned && n.pulse.wants_try(now, linked);
+        let again = n.standing.is_empty() && n.doubted.is_empty() && now - n.tried_at < OWED_AGAIN;
+        let wants = concerned && !again && n.pulse.wants_try(now, linked);
         if !concerned && all == 0 && n.phase == Phase::Gone {
             if let Some(n) = self.nodes.remove(&id) {
                 self.ids.remove(&n.name);
@@ -1100,7 +1112,7 @@
             }
             return;
         }
-        idle.into_iter().take(all.saturating_sub(keep)).for_each(|link| self.hang_up_link(link));
+        idle.into_iter().take(up.saturating_sub(keep)).for_each(|link| self.hang_up_link(link));
         if over {
             self.node_over(id);
         }
--- a/crates/kelpdoor-platform/src/pulse.rs
+++ b/crates/kelpdoor-platform/src/pulse.rs
@@ -8,8 +8,8 @@
 const QUIET: f64 = 1.5;
 /// s; between tries while they fail. Two fit into the shortest time in which a process is back.
 const AGAIN: f64 = 0.3;
-/// s of tries that time out until what stood there counts as over: viewers are owed word of it within 8 s of the end, and
-/// it took QUIET and a connect's time to begin. Harm: a node cut off for longer loses its sessions though it ran on.
+/// s of tries that fail until what stood there counts as over: viewers are owed word of it within 8 s of the end, and it
+/// took QUIET and a connect's time to begin. Harm: a node cut off for longer loses its sessions though it ran on.
 const GIVE_UP: f64 = 3.5;
 /// Refusals in a row, with no connection open, that prove that the process is gone: one may be a full backlog.
 const REFUSALS: u32 = 2;
@@ -51,7 +51,12 @@
 
     /// Whether what stood at the node is over.
     pub fn over(&self, now: f64) -> bool {
-        self.refusals >= REFUSALS || self.failing_since.is_some_and(|since| now - since >= GIVE_UP)
+        self.refused() || self.failing_since.is_some_and(|since| now - since >= GIVE_UP)
+    }
+
+    /// Whether the process is known to be gone, and all it had with it.
+    pub fn refused(&self) -> bool {
+        self.refusals >= REFUSALS
     }
 
     /// Whether the last tries failed.
@@ -82,7 +87,7 @@
         assert!(p.wants_try(1.6, true));
         p.tried(1.6);
         p.failed(1.85, false, true);
-        assert!(p.wants_try(2.0, true) && !p.over(5.0) && p.over(5.4));
+        assert!(p.wants_try(2.0, true) && !p.over(5.3) && p.over(5.35) && !p.refused());
         p.heard(5.5);
         assert!(!p.over(9.0));
     }
@@ -91,11 +96,11 @@
     fn a_full_node_that_speaks_is_not_dead_and_a_process_that_left_its_connections_open_is() {
         let mut p = Pulse::new(0.0);
         for k in 0..9 {
-            p.failed(f64::from(k) * 3.0 + 1.5, true, true);
-            assert!(!p.over(f64::from(k) * 3.0 + 3.0));
-            p.heard(f64::from(k) * 3.0 + 3.0);
+            p.failed(f64::from(k) * 2.0 + 0.5, true, true);
+            assert!(!p.over(f64::from(k) * 2.0 + 2.0));
+            p.heard(f64::from(k) * 2.0 + 2.0);
         }
         (0..12).for_each(|k| p.failed(30.0 + 0.3 * f64::from(k), true, true));
-        assert!(!p.over(33.4) && p.over(33.6));
+        assert!(!p.over(33.4) && p.over(33.5));
     }
 }
