Replace a connection that went bad at once, and release what may stand behind it

Two causes, both read off the order of its record: a release written to a connection that an earlier spoilt answer had made useless is lost, and nodes say it again only on the next new one, which was opened when a SETUP needed it (exchange.rs, link_lost() and link_spoilt() dialled for SETUPs in doubt alone); and a SETUP whose answer was lost with its connection may stand at a node that lives, where nobody released it. Ruled out: the viewers' side (its connections stood) and the look for quiet nodes (the node spoke on others).

Now a connection that was lost, spoilt or left without an answer is replaced at once where sessions stand, and a SETUP lost with its connection is released at its node. Also bounded: sessions that stand, connections accepted beyond those held; and a connection refused for want of descriptors of ours no longer counts as the node's refusal.

--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -33,10 +33,12 @@
 const OPEN_EACH: usize = 160;
 /// Set-ups open in all.
 const OPEN: usize = 1024;
+/// Sessions that stand at most, those handed over included: some 10 MB with what the decisions keep of them.
+const STANDING: usize = 16_000;
 /// Connections to one node at most; SETUPs beyond share them.
 const LINKS_EACH: usize = 6;
 /// Descriptors that are neither viewers' nor nodes': the process's own, change log, connections about to close.
-const OTHER_SOCKETS: usize = 28;
+const OTHER_SOCKETS: usize = 36;
 /// s; a second connection to a node that is idle for so long is closed: nodes say at once what they owe on a new one.
 const LINK_IDLE: f64 = 2.0;
 /// s; between tries to reach a node only to release there what was given up.
@@ -323,6 +325,11 @@
         self.hands.effects.drain(..).for_each(out);
     }
 
+    /// Viewers' connections held at most.
+    pub fn most_viewers(&self) -> usize {
+        self.hands.most_viewers
+    }
+
     /// When a round is due though nothing comes in.
     pub fn wake_at(&self) -> f64 {
         let h = &self.hands;
@@ -514,8 +521,9 @@
         };
         if let Some(at) = &ask.at {
             self.touch(conn);
-            let Some(&node) = self.ids.get(at) else {
-                return self.log(format!("a session is handed over at {at}, which is no node"));
+            let Some(&node) = self.ids.get(at).filter(|_| self.standing < STANDING) else {
+                return self
+                    .log(format!("a session is handed over at {at}: no such node, or too many are held"));
             };
             if let Some(v) = self.viewers.get_mut(&conn) {
                 v.trusted = true;
@@ -527,7 +535,9 @@
             self.round.handed_over.push((wanted, node));
             return self.tell_untold();
         }
-        let full = self.open >= OPEN || self.viewers.get(&conn).is_some_and(|v| v.open.len() >= OPEN_EACH);
+        let full = self.open >= OPEN
+            || self.standing >= STANDING
+            || self.viewers.get(&conn).is_some_and(|v| v.open.len() >= OPEN_EACH);
         if full || wanted.setup_timeout <= 0.0 {
             self.touch(conn);
             self.answered[1] += 1;
@@ -665,8 +675,17 @@
 
     /// Closes a tired connection once nothing is out on it.
     fn rest(&mut self, link: u64) {
-        if self.links.get(&link).is_some_and(|l| l.tired && l.out.is_empty()) {
-            self.hang_up_link(link);
+        let Some(node) = self.links.get(&link).filter(|l| l.tired && l.out.is_empty()).map(|l| l.node) else {
+            return;
+        };
+        self.hang_up_link(link);
+        self.ask_again(node);
+    }
+
+    /// A connection to a node went bad, and a release may have gone with it: nodes say what they owe on the next new one.
+    fn ask_again(&mut self, node: NodeId) {
+        if self.nodes.get(&node).is_some_and(|n| !(n.standing.is_empty() && n.doubted.is_empty())) {
+            self.try_node(node);
         }
     }
 
@@ -692,13 +711,8 @@
             }
             Stage::Out => {
                 self.effects.push(Effect::Node { link, bytes: media::give_up(sess) });
-                if self.given_up.len() >= GIVEN_UP {
-                    self.given_up.pop_front();
-                }
-                self.given_up.push_back((sess, node));
-                if how == Ending::TimedOut
-                    && let Some(l) = self.links.get_mut(&link)
-                {
+                self.remember_given_up(sess, node);
+                if let Some(l) = self.links.get_mut(&link) {
                     // A connection on which an answer stayed out may be of no use for the next one either.
                     l.tired = true;
                 }
@@ -806,7 +820,21 @@
         waiting.into_iter().for_each(|sess| self.send_setup(sess));
         owed.into_iter().for_each(|owed| self.send_owed(link, owed));
         // The node lives, so only the connection was lost: whether its SETUPs ran is not known.
-        doubted.into_iter().for_each(|sess| self.setup_over(sess, Ending::Withdrawn, LoadReport::default()));
+        doubted.into_iter().for_each(|sess| self.lost_at(node, sess));
+    }
+
+    /// A SETUP whose answer was lost on a node that lives may stand there: it is released, and is over for us.
+    fn lost_at(&mut self, node: NodeId, sess: SessId) {
+        self.remember_given_up(sess, node);
+        self.send_or_owe(node, Owed::Release(sess, cause::CLEARED));
+        self.setup_over(sess, Ending::Withdrawn, LoadReport::default());
+    }
+
+    fn remember_given_up(&mut self, sess: SessId, node: NodeId) {
+        if self.given_up.len() >= GIVEN_UP {
+            self.given_up.pop_front();
+        }
+        self.given_up.push_back((sess, node));
     }
 
     fn link_failed(&mut self, link: u64, refused: bool) {
@@ -873,9 +901,7 @@
                 n.doubted.insert(sess);
             }
         }
-        if !n.doubted.is_empty() {
-            self.try_node(l.node);
-        }
+        self.ask_again(l.node);
     }
 
     fn link_spoilt(&mut self, link: u64, why: &str) {
@@ -886,7 +912,8 @@
         let text = format!("{name}: a connection is spoilt under {} SETUPs: {why}", out.len());
         self.log(text);
         self.hang_up_link(link);
-        out.into_iter().for_each(|sess| self.setup_over(sess, Ending::Withdrawn, LoadReport::default()));
+        self.ask_again(node);
+        out.into_iter().for_each(|sess| self.lost_at(node, sess));
     }
 
     /// Tries a connection to a node of which there is doubt.
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -40,6 +40,10 @@
 const LINGER: Duration = Duration::from_millis(1000);
 /// Connections that linger at a time; more are cut at once.
 const LINGERING: usize = 12;
+/// Connections accepted beyond those that are held, so that a newcomer can take another's place.
+const NEWCOMERS: usize = 4;
+/// How long a newcomer beyond that waits before it is looked at again.
+const CROWDED: Duration = Duration::from_millis(2);
 /// A wait after the system refused a new connection, as for want of descriptors.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 /// The change log sends something each second: one that is silent for longer is asked anew.
@@ -277,7 +281,8 @@
     let stream = match connected {
         Ok(Ok(stream)) => Rc::new(stream),
         failed => {
-            let refused = matches!(failed, Ok(Err(e)) if e.kind() != io::ErrorKind::TimedOut);
+            // Whatever else fails, as for want of descriptors of our own, proves nothing of the node.
+            let refused = matches!(failed, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused);
             let _ = to.send((Instant::now(), Input::LinkFailed { link, refused })).await;
             return;
         }
@@ -313,10 +318,13 @@
     }
 }
 
-async fn accept(listener: TcpListener, pipes: Pipes, to: mpsc::Sender<Came>) {
+async fn accept(listener: TcpListener, most: usize, pipes: Pipes, to: mpsc::Sender<Came>) {
     let lingering = Rc::new(Cell::new(0));
     let mut conn = 0;
     loop {
+        while pipes.borrow().len() >= most + LINGERING + NEWCOMERS {
+            sleep(CROWDED).await;
+        }
         let stream = match listener.accept().await {
             Ok((stream, _)) => Rc::new(stream),
             Err(_) => {
@@ -605,7 +613,7 @@
     let (feed, at) = watch::channel(start.changelog);
     let viewers = Pipes::default();
     spawn_local(follow(at, start.known_to, to.clone()));
-    spawn_local(accept(listener, viewers.clone(), to.clone()));
+    spawn_local(accept(listener, exchange.most_viewers(), viewers.clone(), to.clone()));
     tracing::info!(name = start.name, listen = %start.listen, sockets = start.sockets, "started");
     let shell = Shell {
         exchange,
