Timers can be taken out; what a pause of the process is stands once for both shells

Need: the platform's core sets a timer for each answer, up to 600 s ahead, and a flood of set-ups would leave as many behind; its shell had no notion of a pause at all, the native one had its own. kelpdoor-parts has both now. The native route is as it was.

--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -448,7 +448,8 @@
         let Some(link) = self.links.get_mut(&node).filter(|l| l.line == Line::Up) else { return };
         if link.out.len() >= MAX_OUT {
             let timer = Timer::Choked { node, link: link.number };
-            return self.timers.set(self.now, timer);
+            self.timers.set(self.now, timer);
+            return;
         }
         link.cseq = link.cseq.wrapping_add(1);
         link.out.insert(link.cseq, asked);
--- a/crates/kelpdoor-director/src/shell.rs
+++ b/crates/kelpdoor-director/src/shell.rs
@@ -14,6 +14,7 @@
 use kelpdoor_api::{ErrorCode, FromPlayer, MAX_MESSAGE, SUBPROTOCOL, ToPlayer};
 use kelpdoor_clock::Clock;
 use kelpdoor_keeper::RunningKeeper;
+use kelpdoor_parts::{CATCH_UP, stood_still};
 use kelpdoor_script::Deployment;
 use kelpdoor_seats::ToKeeper;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -45,10 +46,6 @@
 const REST: u32 = 3;
 /// A shorter rest is not worth a timer; a longer one would be felt by players.
 const REST_RANGE: (Duration, Duration) = (Duration::from_micros(700), Duration::from_millis(5));
-/// A gap between rounds longer than this is a pause of the process: what came meanwhile is read first.
-const PAUSE: Duration = Duration::from_millis(500);
-/// How long readers get for that.
-const CATCH_UP: Duration = Duration::from_millis(20);
 /// How often what is held is counted for whoever asks.
 const TOLD: Duration = Duration::from_millis(200);
 /// A handshake takes no longer.
@@ -263,7 +260,7 @@
                 () = sleep_until(due) => None,
             };
             let gap = last.elapsed();
-            if gap > PAUSE + Duration::from_secs_f64(wait) {
+            if stood_still(gap, Duration::from_secs_f64(wait)) {
                 tracing::warn!(seconds = gap.as_secs_f64(), "stood still; reading what came meanwhile first");
                 sleep(CATCH_UP).await;
             } else if first.is_some() {
--- a/crates/kelpdoor-parts/src/lib.rs
+++ b/crates/kelpdoor-parts/src/lib.rs
@@ -1,9 +1,24 @@
-//! What the directors' cores without I/O share: timers by due time. One that is no longer wanted is told by what it
-//! names having moved on, not taken out.
+//! What the directors share: timers by due time for their cores, and what a pause of the process is for their shells.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-/// Timers of kind `T`.
+/// A gap between rounds longer than this is a pause of the process: what came meanwhile is read first, or every time-out
+/// would fire on answers that lie in the sockets.
+const PAUSE: Duration = Duration::from_millis(500);
+/// How long readers get for that.
+pub const CATCH_UP: Duration = Duration::from_millis(20);
+
+/// Whether a process that meant to wait for `wait` stood still, as `gap` went by since its last round.
+pub fn stood_still(gap: Duration, wait: Duration) -> bool {
+    gap > PAUSE + wait
+}
+
+/// Names a timer that was set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Due(u64, u64);
+
+/// Timers of kind `T`. One that is no longer wanted is taken out, or told by what it names having moved on.
 pub struct Timers<T> {
     due: BTreeMap<(u64, u64), T>,
     count: u64,
@@ -20,9 +35,16 @@
 }
 
 impl<T> Timers<T> {
-    pub fn set(&mut self, at: f64, timer: T) {
+    pub fn set(&mut self, at: f64, timer: T) -> Due {
         self.count += 1;
-        self.due.insert((micros(at), self.count), timer);
+        let due = Due(micros(at), self.count);
+        self.due.insert((due.0, due.1), timer);
+        due
+    }
+
+    /// Takes a timer out; one that fired or was taken out before is none any more.
+    pub fn unset(&mut self, due: Due) {
+        self.due.remove(&(due.0, due.1));
     }
 
     pub fn pop(&mut self, now: f64) -> Option<T> {
