Answer what is left when it is due; release a SETUP in doubt; bounds by the memory told

Found by reading the change again, each with a story or a small test: - An id given up and used again before a round was dropped by the decisions (round.departures filters it) and never answered; one whose first SETUP was being taken back lost its connection without a word. Both are refused at once. A set-up sent again with less time left was not known as the same one. Beneath it all a timer now answers what nothing else did, before its viewer gives up. - A SETUP whose connection was lost and that timed out, or whose node could not be reached, before that was settled was set up elsewhere without a release where it may stand; one that waited for a connection on a node given up counted as having run. - SETUPs in a silent node's socket would reach it once it is back, past a drain or beside another: such connections are reset. - Connections that failed for want of our own descriptors counted against their node, which ended its sessions after 3.5 s; so did one failure long ago and the next. - Timers of ended set-ups stayed until due, up to 600 s; a node's old address stayed for good; 1024 descriptions of 15 KB and 1024 inputs fit no 32 MB.

--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -3,10 +3,11 @@
 //! effects.
 //!
 //! A session is asked, then has a SETUP (waiting for a connection, out, or in doubt after its connection was lost), then
-//! stands, then is gone. What is owed at each step stands at the function that takes it. Limits, each with its answer when
-//! reached: set-ups open, in all and on a connection (refused, with when to come back), connections of viewers (the most
-//! idle one is closed), connections to nodes (SETUPs share one), what waits for a node without a connection, releases that
-//! no viewer could be told, and ids given up lately (the oldest are dropped).
+//! stands, then is gone. What is owed at each step stands at the function that takes it; what the decisions leave
+//! unanswered, by whatever fault, is answered when it is due. Limits, each with its answer when reached: set-ups open, in all
+//! and on a connection, their descriptions together, sessions that stand (refused, with when to come back), connections of
+//! viewers (the most idle one is closed), connections to nodes (SETUPs share one), what waits for a node without a
+//! connection, releases that no viewer could be told, and ids given up lately (the oldest are dropped).
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -14,7 +15,7 @@
 use kelpdoor::ids::{GroupId, NodeId, SessId};
 use kelpdoor::round::{Ended, Ending, ListChange, Listed, LoadReport, NewSession, Phase, Playing, Reading};
 use kelpdoor::{Director, Orders, Round};
-use kelpdoor_parts::Timers;
+use kelpdoor_parts::{Due, Timers};
 use kelpdoor_rtsp::Message;
 use kelpdoor_terms::{Named, ReportFields};
 
@@ -33,16 +34,16 @@
 const OPEN_EACH: usize = 160;
 /// Set-ups open in all.
 const OPEN: usize = 1024;
-/// Sessions that stand at most, those handed over included: some 10 MB with what the decisions keep of them.
-const STANDING: usize = 16_000;
+/// Of the memory, for the descriptions of open set-ups; the same for what waits for peers, in the shell.
+pub const PART_EACH: usize = 8;
+/// Of the memory, for sessions that stand; and bytes that one takes, with what the decisions keep of it.
+const STANDING: (usize, usize) = (4, 640);
 /// Connections to one node at most; SETUPs beyond share them.
 const LINKS_EACH: usize = 6;
 /// Descriptors that are neither viewers' nor nodes': the process's own, change log, connections about to close.
 const OTHER_SOCKETS: usize = 36;
 /// s; a second connection to a node that is idle for so long is closed: nodes say at once what they owe on a new one.
 const LINK_IDLE: f64 = 2.0;
-/// s; between tries to reach a node only to release there what was given up.
-const OWED_AGAIN: f64 = 2.0;
 /// SETUPs given up lately: a late answer to one is released.
 const GIVEN_UP: usize = 4096;
 /// Releases and rungs that wait for a connection to one node.
@@ -56,6 +57,16 @@
 /// Rounds of the decisions within one call, for endings that their own orders bring at once.
 const TURNS: usize = 8;
 
+/// Why a connection to a node did not come up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failed {
+    Refused,
+    /// Not in time, or the network has no way there.
+    Silent,
+    /// For want of something of our own, as of descriptors: it says nothing of the node.
+    Ours,
+}
+
 #[derive(Clone, Debug)]
 pub enum Input {
     ViewerUp {
@@ -77,7 +88,7 @@
     },
     LinkFailed {
         link: u64,
-        refused: bool,
+        how: Failed,
     },
     Node {
         link: u64,
@@ -112,8 +123,10 @@
         link: u64,
         bytes: Vec<u8>,
     },
+    /// Closes a connection; `at_once` without waiting for what is on its way, which must not come late.
     HangUp {
         link: u64,
+        at_once: bool,
     },
     Log(String),
     Fault(String),
@@ -129,6 +142,10 @@
     pub nodes: usize,
     pub owed: usize,
     pub timers: usize,
+    /// Bytes of descriptions of open set-ups.
+    pub bytes: usize,
+    /// Set-ups that came, since the start.
+    pub came: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,9 +171,10 @@
     /// When the SETUP that is out is given up.
     until: f64,
     sent: f64,
-    setups: u8,
     /// Its viewer gave up.
     left: bool,
+    answer_due: Option<Due>,
+    setup_due: Option<Due>,
     /// Until it stands.
     ask: Option<Box<Ask>>,
 }
@@ -164,8 +182,8 @@
 struct Viewer {
     open: BTreeSet<SessId>,
     last: f64,
-    /// It was served or handed sessions over, so releases may be told on it.
-    trusted: bool,
+    /// 1: it handed sessions over, 2: it was served. Releases may be told on it.
+    trusted: u8,
     /// Sessions that stand and came on it.
     stand: usize,
     /// It sent what cannot be used: closed once nothing is open on it.
@@ -179,6 +197,8 @@
     used: f64,
     /// No further SETUP goes on it; closed once nothing is out.
     tired: bool,
+    /// Nothing came from its node since a SETUP on it that was given up.
+    silent: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -200,13 +220,13 @@
     pulse: Pulse,
     /// Since when a connection to it has been up without a gap: through all that time it was one process.
     linked_since: f64,
-    tried_at: f64,
     /// How full it last said that its link is.
     told: f64,
 }
 
 enum Timer {
-    SetupDue { sess: SessId, setup: u8 },
+    SetupDue { sess: SessId },
+    AnswerDue { sess: SessId },
 }
 
 struct Hands {
@@ -231,12 +251,17 @@
     untold: VecDeque<(SessId, u32)>,
     open: usize,
     standing: usize,
+    bytes: usize,
+    came: u64,
+    closing: bool,
     timers: Timers<Timer>,
     next_sweep: f64,
     next_node: u32,
     next_link: u64,
     most_viewers: usize,
     most_links: usize,
+    most_standing: usize,
+    most_bytes: usize,
     answered: [u64; 3],
 }
 
@@ -269,12 +294,17 @@
             untold: VecDeque::new(),
             open: 0,
             standing: 0,
+            bytes: 0,
+            came: 0,
+            closing: false,
             timers: Timers::default(),
             next_sweep: now,
             next_node: 0,
             next_link: 0,
             most_viewers: room / 2,
             most_links: room - room / 2,
+            most_standing: start.memory / STANDING.0 / STANDING.1,
+            most_bytes: start.memory / PART_EACH,
             answered: [0; 3],
         };
         let mut exchange = Exchange { director: Director::new(&start.terms, start.seed, now), hands };
@@ -295,7 +325,7 @@
             }
             Input::ViewerLost { conn } => h.viewer_off(conn, false),
             Input::LinkUp { link } => h.link_up(link),
-            Input::LinkFailed { link, refused } => h.link_failed(link, refused),
+            Input::LinkFailed { link, how } => h.link_failed(link, how),
             Input::Node { link, message } => h.node(link, message),
             Input::LinkSpoilt { link, why } => h.link_spoilt(link, &why),
             Input::LinkLost { link } => h.link_lost(link),
@@ -307,8 +337,11 @@
     pub fn round(&mut self, now: f64, out: &mut impl FnMut(Effect)) {
         let h = &mut self.hands;
         h.now = h.now.max(now);
-        while let Some(Timer::SetupDue { sess, setup }) = h.timers.pop(h.now) {
-            h.setup_due(sess, setup);
+        while let Some(timer) = h.timers.pop(h.now) {
+            match timer {
+                Timer::SetupDue { sess } => h.call_off(sess, Ending::TimedOut),
+                Timer::AnswerDue { sess } => h.answer_due(sess),
+            }
         }
         if h.now >= h.next_sweep {
             h.next_sweep = h.now + SWEEP;
@@ -325,6 +358,11 @@
         self.hands.effects.drain(..).for_each(out);
     }
 
+    /// Refuses set-ups from now on, with when to come back.
+    pub fn close(&mut self) {
+        self.hands.closing = true;
+    }
+
     /// Viewers' connections held at most.
     pub fn most_viewers(&self) -> usize {
         self.hands.most_viewers
@@ -348,6 +386,8 @@
             nodes: h.nodes.values().filter(|n| n.phase != Phase::Gone).count(),
             owed: h.untold.len() + h.nodes.values().map(|n| n.owed.len()).sum::<usize>(),
             timers: h.timers.len(),
+            bytes: h.bytes,
+            came: h.came,
         }
     }
 
@@ -402,8 +442,7 @@
             };
             self.viewer_off(oldest, true);
         }
-        let viewer =
-            Viewer { open: BTreeSet::new(), last: self.now, trusted: false, stand: 0, shunned: false };
+        let viewer = Viewer { open: BTreeSet::new(), last: self.now, trusted: 0, stand: 0, shunned: false };
         self.viewers.insert(conn, viewer);
     }
 
@@ -462,10 +501,8 @@
     /// A connection from viewers is over; what was open on it has nobody left to answer.
     fn viewer_off(&mut self, conn: u64, ours: bool) {
         let Some(v) = self.viewers.remove(&conn) else { return };
-        for sess in v.open {
-            self.depart(sess);
-            self.open -= 1;
-        }
+        self.open -= v.open.len();
+        v.open.into_iter().for_each(|sess| self.depart(sess));
         if ours {
             self.effects.push(Effect::ShutViewer { conn });
         }
@@ -486,8 +523,11 @@
             if ask.at.is_some() {
                 return self.touch(conn);
             }
-            let same = held.ask.as_ref() == Some(&ask) && !held.left;
-            if same && held.conn != conn {
+            if held.left {
+                // Sent again while its first SETUP is being taken back; nobody else is owed a word under this id.
+                return self.refuse(conn, sess);
+            }
+            if held.conn != conn && held.ask.as_ref().is_some_and(|a| a.sent_again(&ask)) {
                 // Sent again on a new connection, the old one having closed under it: answered there.
                 let old = std::mem::replace(&mut held.conn, conn);
                 if self.viewers.get_mut(&old).is_some_and(|v| v.open.remove(&sess)) {
@@ -515,18 +555,19 @@
             due: self.now + wanted.setup_timeout,
             until: self.now,
             sent: self.now,
-            setups: 0,
             left: false,
+            answer_due: None,
+            setup_due: None,
             ask: None,
         };
         if let Some(at) = &ask.at {
             self.touch(conn);
-            let Some(&node) = self.ids.get(at).filter(|_| self.standing < STANDING) else {
+            let Some(&node) = self.ids.get(at).filter(|_| self.standing < self.most_standing) else {
                 return self
                     .log(format!("a session is handed over at {at}: no such node, or too many are held"));
             };
             if let Some(v) = self.viewers.get_mut(&conn) {
-                v.trusted = true;
+                v.trusted = v.trusted.max(1);
             }
             // Set up by whoever ran before us: nothing is known of its node's process then.
             (session.stage, session.node, session.sent) = (Stage::Stands, node, f64::INFINITY);
@@ -535,20 +576,50 @@
             self.round.handed_over.push((wanted, node));
             return self.tell_untold();
         }
+        self.came += 1;
         let full = self.open >= OPEN
-            || self.standing >= STANDING
+            || self.standing >= self.most_standing
+            || self.bytes + ask.blob.len() > self.most_bytes
             || self.viewers.get(&conn).is_some_and(|v| v.open.len() >= OPEN_EACH);
-        if full || wanted.setup_timeout <= 0.0 {
-            self.touch(conn);
-            self.answered[1] += 1;
-            return self.finish(conn, Some(sess), cause::BUSY, self.come_back);
+        // An id given up in this very round is passed over by the decisions until the next.
+        let again = self.round.departures.contains(&sess);
+        if full || again || self.closing || wanted.setup_timeout <= 0.0 {
+            return self.refuse(conn, sess);
         }
+        self.bytes += ask.blob.len();
         session.ask = Some(ask);
+        let last = session.due + ANSWER_AHEAD / 2.0;
+        session.answer_due = Some(self.timers.set(last, Timer::AnswerDue { sess }));
         self.sess.insert(sess, session);
         self.opened(conn, sess);
         self.round.new_sessions.push(wanted);
     }
 
+    fn refuse(&mut self, conn: u64, sess: SessId) {
+        self.touch(conn);
+        self.answered[1] += 1;
+        self.finish(conn, Some(sess), cause::BUSY, self.come_back);
+    }
+
+    /// What was not answered by now never will be: the decisions gave up on it in some way that we do not know.
+    fn answer_due(&mut self, sess: SessId) {
+        let Some(s) = self.sess.get(&sess).filter(|s| s.stage != Stage::Stands && !s.left) else { return };
+        let conn = s.conn;
+        self.log(format!("session {} was left without an answer", viewer::tag(sess)));
+        self.answered[2] += 1;
+        self.finish(conn, Some(sess), cause::FAILED, None);
+        self.depart(sess);
+        self.unopen(conn, sess);
+    }
+
+    /// Drops a session and all that waits for it.
+    fn forget(&mut self, sess: SessId) -> Option<Session> {
+        let s = self.sess.remove(&sess)?;
+        self.bytes -= s.ask.as_ref().map_or(0, |a| a.blob.len());
+        [s.answer_due, s.setup_due].into_iter().flatten().for_each(|due| self.timers.unset(due));
+        Some(s)
+    }
+
     fn opened(&mut self, conn: u64, sess: SessId) {
         let now = self.now;
         if let Some(v) = self.viewers.get_mut(&conn) {
@@ -578,7 +649,7 @@
         self.round.departures.push(sess);
         if s.stage == Stage::Asked {
             // Nothing is out, so nothing will say of it again.
-            self.sess.remove(&sess);
+            self.forget(sess);
         }
     }
 
@@ -609,10 +680,13 @@
 
     /// Tells a viewer that its session is over: on its connection, on any that was served, or on the next such.
     fn tell_over(&mut self, sess: SessId, conn: u64, why: u32) {
-        let trusted = |v: &Viewer| v.trusted && !v.shunned;
+        let trusted = |v: &Viewer| v.trusted > 0 && !v.shunned;
         let at = match self.viewers.get(&conn) {
             Some(v) if trusted(v) => Some(conn),
-            _ => self.viewers.iter().rev().find(|(_, v)| trusted(v)).map(|(&c, _)| c),
+            _ => {
+                let all = self.viewers.iter().filter(|(_, v)| trusted(v));
+                all.max_by_key(|(c, v)| (v.trusted, **c)).map(|(&c, _)| c)
+            }
         };
         if let Some(conn) = at {
             return self.finish(conn, Some(sess), why, None);
@@ -643,7 +717,7 @@
 
     /// A session that stood is over.
     fn end(&mut self, sess: SessId, node: NodeId, how: Ending, load: LoadReport) {
-        let Some(s) = self.sess.remove(&sess) else { return };
+        let Some(s) = self.forget(sess) else { return };
         debug_assert!(s.stage == Stage::Stands, "only what stands ends so");
         self.standing -= 1;
         if let Some(v) = self.viewers.get_mut(&s.conn) {
@@ -660,6 +734,9 @@
         let Some(s) = self.sess.get_mut(&sess) else { return };
         let (node, link, left) = (s.node, s.link, s.left);
         s.stage = Stage::Asked;
+        if let Some(due) = s.setup_due.take() {
+            self.timers.unset(due);
+        }
         if let Some(l) = self.links.get_mut(&link) {
             l.out.remove(&sess);
         }
@@ -667,7 +744,7 @@
             n.doubted.remove(&sess);
         }
         if left {
-            self.sess.remove(&sess);
+            self.forget(sess);
         }
         self.round.ended.push(Ended { sess, node, how, closed: left, load });
         self.rest(link);
@@ -678,7 +755,9 @@
         let Some(node) = self.links.get(&link).filter(|l| l.tired && l.out.is_empty()).map(|l| l.node) else {
             return;
         };
-        self.hang_up_link(link);
+        // What is still on its way to a silent node would reach it late, past its grace or beside another SETUP.
+        let silent = self.links.get(&link).is_some_and(|l| l.silent);
+        self.hang_up_link(link, silent);
         self.ask_again(node);
     }
 
@@ -689,43 +768,54 @@
         }
     }
 
-    fn hang_up_link(&mut self, link: u64) {
+    fn hang_up_link(&mut self, link: u64, at_once: bool) {
         if let Some(l) = self.links.remove(&link) {
             if let Some(n) = self.nodes.get_mut(&l.node) {
                 n.links.remove(&link);
             }
-            self.effects.push(Effect::HangUp { link });
+            self.effects.push(Effect::HangUp { link, at_once });
         }
     }
 
     /// Gives up a SETUP: its node is told, and a late answer will be released.
     fn call_off(&mut self, sess: SessId, how: Ending) {
         let Some(s) = self.sess.get(&sess) else { return };
-        let (stage, node, link) = (s.stage, s.node, s.link);
+        let (stage, node, link, sent) = (s.stage, s.node, s.link, s.sent);
         match stage {
-            Stage::Asked | Stage::Stands => return,
+            Stage::Asked | Stage::Stands => {}
+            Stage::Doubt => self.setup_lost(sess, how),
             // It never left.
             Stage::Waiting => {
                 let how = if how == Ending::TimedOut { Ending::Unreachable } else { Ending::Moot };
-                return self.setup_over(sess, how, LoadReport::default());
+                self.setup_over(sess, how, LoadReport::default());
             }
             Stage::Out => {
                 self.effects.push(Effect::Node { link, bytes: media::give_up(sess) });
                 self.remember_given_up(sess, node);
+                let spoke = self.nodes.get(&node).is_some_and(|n| n.pulse.heard_since(sent));
                 if let Some(l) = self.links.get_mut(&link) {
                     // A connection on which an answer stayed out may be of no use for the next one either.
                     l.tired = true;
+                    l.silent |= how == Ending::TimedOut && !spoke;
                 }
+                self.setup_over(sess, how, LoadReport::default());
             }
-            Stage::Doubt => {}
         }
-        self.setup_over(sess, how, LoadReport::default());
     }
 
-    fn setup_due(&mut self, sess: SessId, setup: u8) {
-        if self.sess.get(&sess).is_some_and(|s| s.setups == setup) {
-            self.call_off(sess, Ending::TimedOut);
+    /// A SETUP whose connection is lost: it may stand at its node, where it is released unless the process is gone.
+    fn setup_lost(&mut self, sess: SessId, how: Ending) {
+        let Some(s) = self.sess.get(&sess) else { return };
+        let (node, stage) = (s.node, s.stage);
+        if stage == Stage::Waiting {
+            // It never left.
+            return self.setup_over(sess, Ending::Unreachable, LoadReport::default());
+        }
+        self.remember_given_up(sess, node);
+        if self.nodes.get(&node).is_some_and(|n| !n.pulse.refused()) {
+            self.send_or_owe(node, Owed::Release(sess, cause::CLEARED));
         }
+        self.setup_over(sess, how, LoadReport::default());
     }
 
     // Connections to nodes.
@@ -736,11 +826,11 @@
             return None;
         }
         n.pulse.tried(self.now);
-        n.tried_at = self.now;
         let (link, address) = (self.next_link, n.address);
         self.next_link += 1;
         n.links.insert(link);
-        self.links.insert(link, Link { node, up: false, out: BTreeSet::new(), used: self.now, tired: false });
+        let new = Link { node, up: false, out: BTreeSet::new(), used: self.now, tired: false, silent: false };
+        self.links.insert(link, new);
         self.effects.push(Effect::Dial { link, address });
         Some(link)
     }
@@ -750,9 +840,13 @@
         if self.links.len() < self.most_links {
             return true;
         }
+        // Rather a spare one than the only one to a node where something stands.
+        let only =
+            |l: &Link| self.nodes.get(&l.node).is_some_and(|n| n.links.len() == 1 && !n.standing.is_empty());
         let idle = self.links.iter().filter(|(_, l)| l.up && l.out.is_empty());
-        let Some((&link, _)) = idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used)) else { return false };
-        self.hang_up_link(link);
+        let first = idle.min_by(|(_, a), (_, b)| only(a).cmp(&only(b)).then(a.used.total_cmp(&b.used)));
+        let Some((&link, _)) = first else { return false };
+        self.hang_up_link(link, false);
         true
     }
 
@@ -820,14 +914,7 @@
         waiting.into_iter().for_each(|sess| self.send_setup(sess));
         owed.into_iter().for_each(|owed| self.send_owed(link, owed));
         // The node lives, so only the connection was lost: whether its SETUPs ran is not known.
-        doubted.into_iter().for_each(|sess| self.lost_at(node, sess));
-    }
-
-    /// A SETUP whose answer was lost on a node that lives may stand there: it is released, and is over for us.
-    fn lost_at(&mut self, node: NodeId, sess: SessId) {
-        self.remember_given_up(sess, node);
-        self.send_or_owe(node, Owed::Release(sess, cause::CLEARED));
-        self.setup_over(sess, Ending::Withdrawn, LoadReport::default());
+        doubted.into_iter().for_each(|sess| self.setup_lost(sess, Ending::Withdrawn));
     }
 
     fn remember_given_up(&mut self, sess: SessId, node: NodeId) {
@@ -837,23 +924,31 @@
         self.given_up.push_back((sess, node));
     }
 
-    fn link_failed(&mut self, link: u64, refused: bool) {
+    fn link_failed(&mut self, link: u64, how: Failed) {
         let Some(l) = self.links.remove(&link) else { return };
-        self.unreached(l.node, link, refused);
-        l.out.into_iter().for_each(|sess| self.setup_over(sess, Ending::Unreachable, LoadReport::default()));
+        if let Some(n) = self.nodes.get_mut(&l.node) {
+            n.links.remove(&link);
+        }
+        let ending = if how == Failed::Ours { Ending::Moot } else { Ending::Unreachable };
+        l.out.into_iter().for_each(|sess| self.setup_over(sess, ending, LoadReport::default()));
+        if how != Failed::Ours {
+            self.unreached(l.node, how == Failed::Refused);
+        }
     }
 
     /// A try to reach a node failed.
-    fn unreached(&mut self, node: NodeId, link: u64, refused: bool) {
+    fn unreached(&mut self, node: NodeId, refused: bool) {
         let linked = self.up_link(node).is_some();
         let Some(n) = self.nodes.get_mut(&node) else { return };
-        n.links.remove(&link);
         // What is off the list and refuses is gone, whatever is still open.
         n.pulse.failed(self.now, refused, linked && n.phase != Phase::Gone);
         // Their connection was lost and no other comes up: the node went down under them.
-        let doubted = std::mem::take(&mut n.doubted);
-        let over = n.pulse.over(self.now);
-        doubted.into_iter().for_each(|sess| self.setup_over(sess, Ending::Broken, LoadReport::default()));
+        let (doubted, over) = (std::mem::take(&mut n.doubted), n.pulse.over());
+        if n.pulse.refused() {
+            // Whatever stood there went with its process.
+            n.owed.clear();
+        }
+        doubted.into_iter().for_each(|sess| self.setup_lost(sess, Ending::Broken));
         if over {
             self.node_over(node);
         }
@@ -865,19 +960,14 @@
         if n.standing.is_empty() {
             return;
         }
-        let (links, standing, gone) = (n.links.clone(), std::mem::take(&mut n.standing), n.pulse.refused());
-        if gone {
-            n.owed.clear();
-        }
+        let (links, standing) = (std::mem::take(&mut n.links), std::mem::take(&mut n.standing));
+        let gone = n.pulse.refused();
         let text = format!("{} cannot be reached: {} sessions there are over", n.name, standing.len());
         self.log(text);
         for link in links {
             let Some(l) = self.links.remove(&link) else { continue };
-            self.effects.push(Effect::HangUp { link });
-            l.out.into_iter().for_each(|sess| self.setup_over(sess, Ending::Broken, LoadReport::default()));
-        }
-        if let Some(n) = self.nodes.get_mut(&node) {
-            n.links.clear();
+            self.effects.push(Effect::HangUp { link, at_once: true });
+            l.out.into_iter().for_each(|sess| self.setup_lost(sess, Ending::Broken));
         }
         for sess in standing {
             let Some(conn) = self.sess.get(&sess).map(|s| s.conn) else { continue };
@@ -911,9 +1001,9 @@
         let name = self.nodes.get(&node).map_or("", |n| &n.name);
         let text = format!("{name}: a connection is spoilt under {} SETUPs: {why}", out.len());
         self.log(text);
-        self.hang_up_link(link);
+        self.hang_up_link(link, false);
         self.ask_again(node);
-        out.into_iter().for_each(|sess| self.lost_at(node, sess));
+        out.into_iter().for_each(|sess| self.setup_lost(sess, Ending::Withdrawn));
     }
 
     /// Tries a connection to a node of which there is doubt.
@@ -930,7 +1020,7 @@
             if let Some(n) = self.nodes.get_mut(&node) {
                 n.pulse.tried(self.now);
             }
-            self.unreached(node, u64::MAX, true);
+            self.unreached(node, true);
         }
     }
 
@@ -997,8 +1087,11 @@
             self.effects.push(Effect::Node { link, bytes: media::release(sess, cause::CLEARED) });
             return self.setup_over(sess, Ending::Withdrawn, LoadReport::default());
         }
-        (s.stage, s.ask) = (Stage::Stands, None);
-        let (conn, took) = (s.conn, now - s.sent);
+        s.stage = Stage::Stands;
+        let (conn, took, ask) = (s.conn, now - s.sent, s.ask.take());
+        let due = [s.answer_due.take(), s.setup_due.take()];
+        self.bytes -= ask.map_or(0, |a| a.blob.len());
+        due.into_iter().flatten().for_each(|due| self.timers.unset(due));
         if let Some(l) = self.links.get_mut(&link) {
             l.out.remove(&sess);
         }
@@ -1008,7 +1101,7 @@
         let bytes = viewer::write(Some(sess), Reply::Started(&blob));
         self.effects.push(Effect::Viewer { conn, bytes });
         if let Some(v) = self.viewers.get_mut(&conn) {
-            v.trusted = true;
+            v.trusted = 2;
         }
         self.unopen(conn, sess);
         self.tell_untold();
@@ -1058,12 +1151,14 @@
             owed_since: now,
             pulse: Pulse::new(now),
             linked_since: now,
-            tried_at: f64::NEG_INFINITY,
             told: 0.0,
         });
         (n.phase, n.line) = (host.phase, line);
         if host.phase != Phase::Gone {
-            n.address = host.address;
+            let old = std::mem::replace(&mut n.address, host.address);
+            if old != host.address && self.by_address.get(&old) == Some(&id) {
+                self.by_address.remove(&old);
+            }
             self.by_address.insert(host.address, id);
         }
         self.ids.insert(host.id.clone(), id);
@@ -1103,7 +1198,7 @@
     fn sweep(&mut self) {
         let now = self.now;
         let idle = |v: &Viewer| {
-            let after = if v.trusted { VIEWER_IDLE.1 } else { VIEWER_IDLE.0 };
+            let after = if v.trusted > 0 { VIEWER_IDLE.1 } else { VIEWER_IDLE.0 };
             v.open.is_empty() && v.stand == 0 && now - v.last >= after
         };
         let idle: Vec<u64> = self.viewers.iter().filter(|(_, v)| idle(v)).map(|(&c, _)| c).collect();
@@ -1127,9 +1222,9 @@
         // One stays open, for what stands there.
         let keep = usize::from(n.phase != Phase::Gone || concerned);
         let up = n.links.iter().filter(|l| self.links.get(l).is_some_and(|l| l.up)).count();
-        let (all, over) = (n.links.len(), concerned && n.pulse.over(now));
-        let again = n.standing.is_empty() && n.doubted.is_empty() && now - n.tried_at < OWED_AGAIN;
-        let wants = concerned && !again && n.pulse.wants_try(now, linked);
+        let (all, over) = (n.links.len(), concerned && n.pulse.over());
+        let waited_for = !(n.standing.is_empty() && n.doubted.is_empty());
+        let wants = concerned && n.pulse.wants_try(now, linked, waited_for);
         if !concerned && all == 0 && n.phase == Phase::Gone {
             if let Some(n) = self.nodes.remove(&id) {
                 self.ids.remove(&n.name);
@@ -1139,7 +1234,7 @@
             }
             return;
         }
-        idle.into_iter().take(up.saturating_sub(keep)).for_each(|link| self.hang_up_link(link));
+        idle.into_iter().take(up.saturating_sub(keep)).for_each(|link| self.hang_up_link(link, false));
         if over {
             self.node_over(id);
         }
@@ -1160,14 +1255,17 @@
     }
 
     fn setup(&mut self, sess: SessId, node: NodeId, wait: Option<f64>) {
+        let now = self.now;
+        if !self.sess.contains_key(&sess) {
+            // Nobody waits for it any more: the decisions are to count it out.
+            let load = LoadReport::default();
+            return self.round.ended.push(Ended { sess, node, how: Ending::Moot, closed: true, load });
+        }
         let link = self.link_for(node);
-        let (now, rank) = (self.now, self.sess.get(&sess).map_or(0, |s| s.setups));
         let Some(s) = self.sess.get_mut(&sess) else { return };
-        s.setups = rank + 1;
         s.node = node;
-        let due = wait.map_or(s.due, |w| s.due.min(now + w));
-        s.until = due;
-        self.timers.set(due, Timer::SetupDue { sess, setup: rank + 1 });
+        s.until = wait.map_or(s.due, |w| s.due.min(now + w));
+        s.setup_due = Some(self.timers.set(s.until, Timer::SetupDue { sess }));
         let Some(link) = link else {
             // No descriptor is free for it: it never left.
             return self.setup_over(sess, Ending::Moot, LoadReport::default());
@@ -1188,13 +1286,13 @@
     fn busy(&mut self, sess: SessId, come_back: Option<f64>) {
         self.answered[1] += 1;
         self.answer(sess, cause::BUSY, come_back);
-        self.sess.remove(&sess);
+        self.forget(sess);
     }
 
     fn fail(&mut self, sess: SessId) {
         self.answered[2] += 1;
         self.answer(sess, cause::FAILED, None);
-        self.sess.remove(&sess);
+        self.forget(sess);
     }
 
     /// The viewer is told to come again; its node ends the session and says so.
@@ -1220,7 +1318,7 @@
         let links = self.nodes.get(&node).map(|n| n.links.clone()).unwrap_or_default();
         for link in links {
             if self.links.get(&link).is_some_and(|l| l.up && l.out.is_empty()) {
-                self.hang_up_link(link);
+                self.hang_up_link(link, false);
             }
         }
     }
@@ -1241,3 +1339,54 @@
         self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::viewer::read;
+
+    /// A start without nodes.
+    fn start() -> Start {
+        let text =
+            r#"{"profiles":[{"name":"c"}],"specifics":{"ratesKb":[1.0],"levelWorth":[1.0],"cells":1}}"#;
+        let settings = serde_json::from_str(text).expect("JSON");
+        let (terms, report) = kelpdoor_terms::terms(&settings).expect("settings");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Start {
+            file: "none".into(),
+            name: "n".into(),
+            listen: any,
+            seed: 1,
+            sockets: 256,
+            memory: 32 << 20,
+            changelog: any,
+            known: Vec::new(),
+            known_to: 0,
+            terms,
+            report,
+            named: kelpdoor_terms::named(&settings),
+        }
+    }
+
+    #[test]
+    fn what_the_decisions_forget_is_answered_when_it_is_due() {
+        let mut x = Exchange::new(&start(), 1000.0);
+        x.take(1000.0, 0.0, Input::ViewerUp { conn: 1 });
+        let line = r#"{"verb":"START","tag":"0000000000000005","blob":"","opts":{"class":"c","left":2000,"key":"k",
+            "extras":"home:0;copies:1;top:0"}}"#;
+        x.take(1000.0, 0.0, Input::Viewer { conn: 1, word: read(line.as_bytes()) });
+        // As if a fault of theirs had lost it.
+        x.hands.round.new_sessions.clear();
+        let mut said = Vec::new();
+        for now in [1000.0, 1001.9, 1001.99, 1003.0] {
+            x.round(now, &mut |e| {
+                if let Effect::Viewer { bytes, .. } = e {
+                    said.push((now, String::from_utf8_lossy(&bytes).into_owned()));
+                }
+            });
+        }
+        let answer = r#"{"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":41}"#.to_owned() + "\n";
+        assert_eq!(said, [(1001.99, answer)]);
+        assert_eq!((x.counts().open, x.counts().timers), (0, 0));
+    }
+}
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -24,7 +24,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::changes::read_event;
-use crate::exchange::{Effect, Exchange, Input};
+use crate::exchange::{Effect, Exchange, Failed, Input};
 use crate::start::Start;
 use crate::viewer::{self, MAX_LINE};
 
@@ -122,6 +122,15 @@
         self.closing.set(true);
         self.notify.notify_one();
     }
+
+    /// Ends the connection without what is still on its way.
+    fn abort(&self) {
+        if let Some(stream) = &*self.stream.borrow() {
+            let _ = stream.set_zero_linger();
+        }
+        self.cut.set(true);
+        self.close();
+    }
 }
 
 enum Read {
@@ -273,6 +282,22 @@
     }
 }
 
+/// What a connection that did not come up tells of its node.
+fn failed(e: Option<&io::Error>) -> Failed {
+    match e {
+        Some(e) if e.kind() == io::ErrorKind::ConnectionRefused => Failed::Refused,
+        Some(e)
+            if matches!(
+                e.raw_os_error(),
+                Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM | libc::EADDRNOTAVAIL)
+            ) =>
+        {
+            Failed::Ours
+        }
+        _ => Failed::Silent,
+    }
+}
+
 async fn link(link: u64, address: SocketAddr, wait: Duration, pipe: Rc<Pipe>, to: mpsc::Sender<Came>) {
     let connected = tokio::select! {
         connected = timeout(wait, TcpStream::connect(address)) => connected,
@@ -280,10 +305,9 @@
     };
     let stream = match connected {
         Ok(Ok(stream)) => Rc::new(stream),
-        failed => {
-            // Whatever else fails, as for want of descriptors of our own, proves nothing of the node.
-            let refused = matches!(failed, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused);
-            let _ = to.send((Instant::now(), Input::LinkFailed { link, refused })).await;
+        other => {
+            let how = failed(other.ok().and_then(Result::err).as_ref());
+            let _ = to.send((Instant::now(), Input::LinkFailed { link, how })).await;
             return;
         }
     };
@@ -528,9 +552,9 @@
                         pipe.write(&bytes);
                     }
                 }
-                Effect::HangUp { link } => {
+                Effect::HangUp { link, at_once } => {
                     if let Some(pipe) = self.links.remove(&link) {
-                        pipe.close();
+                        if at_once { pipe.abort() } else { pipe.close() }
                     }
                 }
                 Effect::Log(line) => self.say(&line),
@@ -638,3 +662,16 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, platform(start))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_a_refusal_is_one_and_what_we_lack_says_nothing_of_a_node() {
+        let of = |code: i32| failed(Some(&io::Error::from_raw_os_error(code)));
+        assert_eq!(of(libc::ECONNREFUSED), Failed::Refused);
+        assert_eq!([of(libc::EMFILE), of(libc::EADDRNOTAVAIL)], [Failed::Ours; 2]);
+        assert_eq!([of(libc::EHOSTUNREACH), failed(None)], [Failed::Silent; 2]);
+    }
+}
--- a/crates/kelpdoor-platform/src/start.rs
+++ b/crates/kelpdoor-platform/src/start.rs
@@ -9,6 +9,8 @@
 
 use crate::changes::{Change, read_known};
 
+/// MB; less does not hold the program and its bounds.
+const LEAST_MEMORY: u64 = 16;
 /// Descriptors below this leave no room for viewers beside nodes, the change log and the process's own.
 const LEAST_SOCKETS: u64 = 64;
 
@@ -35,6 +37,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes that the process may use.
+    pub memory: usize,
     pub changelog: SocketAddr,
     /// Events told before the start, in their order.
     pub known: Vec<Change>,
@@ -80,13 +84,14 @@
             Value::Number(n) if n.is_u64() => n.as_u64().unwrap_or_default(),
             other => return fault(format!("seed: {other} is no number in hexadecimal")),
         };
-        let sockets = match root["limits"]["sockets"].as_u64() {
-            Some(n) if n >= LEAST_SOCKETS => usize::try_from(n).unwrap_or(usize::MAX),
-            _ => {
-                let told = &root["limits"]["sockets"];
-                return fault(format!("limits.sockets: {told} is no number of at least {LEAST_SOCKETS}"));
+        let limit = |key: &str, least: u64| {
+            let told = &root["limits"][key];
+            match told.as_f64() {
+                Some(n) if n >= least as f64 => Ok(n as usize),
+                _ => fault(format!("limits.{key}: {told} is no number of at least {least}")),
             }
         };
+        let (sockets, memory) = (limit("sockets", LEAST_SOCKETS)?, limit("memory_mb", LEAST_MEMORY)?);
         let (terms, report) =
             kelpdoor_terms::terms(&root["settings"]).or_else(|e| fault(format!("settings: {e:#}")))?;
         let named = kelpdoor_terms::named(&root["settings"]);
@@ -99,6 +104,7 @@
             listen,
             seed,
             sockets,
+            memory: memory.saturating_mul(1 << 20),
             changelog: address(&root["changelog"], "changelog")?,
             known,
             known_to,
--- a/crates/kelpdoor-platform/src/viewer.rs
+++ b/crates/kelpdoor-platform/src/viewer.rs
@@ -1,6 +1,8 @@
 //! What is spoken with viewers: one JSON object a line, with a type, an id, fields, and, where they belong, a cause and a
 //! description. Reading checks every figure, so that nothing past it needs to.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use kelpdoor::ids::{SessId, TitleId};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
@@ -45,6 +47,13 @@
     pub blob: String,
 }
 
+impl Ask {
+    /// Whether another is the same set-up once more: it has less time left by then, and may carry other marks.
+    pub fn sent_again(&self, other: &Ask) -> bool {
+        (&self.class, &self.key, &self.blob) == (&other.class, &other.key, &other.blob)
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Word {
     Start(SessId, Box<Ask>),
@@ -98,9 +107,11 @@
     text.parse().ok().filter(|&n| n <= most)
 }
 
-/// FNV-1a, so that a title has the same number at every director and none is kept.
-fn hash(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+/// A title's number for the decisions: of its text, so that no table of titles is kept.
+fn number_of(title: &str) -> TitleId {
+    let mut hasher = DefaultHasher::new();
+    title.hash(&mut hasher);
+    TitleId(hasher.finish())
 }
 
 fn name(text: &str) -> bool {
@@ -136,7 +147,7 @@
     Ok(Ask {
         class,
         left: left / 1000.0,
-        title: TitleId(hash(&key)),
+        title: number_of(&key),
         key,
         first_cell: first_cell.ok_or("extras: no home")?,
         cells: cells.ok_or("extras: no copies")?,
