Close what a peer does not read; end only with nothing in line; read before time-outs fire

Found by reading the shell again, each but the last two with a test: - A connection that was to be closed waited for ever for a peer that does not read, and held its descriptor; it has 1 s now. - What waits for peers had a bound each, 28 MB together with 220 of them; it has one for all. - A panic in a connection's task left its set-ups open and its pipe in the table: the exchange hears of the end whatever it was. If the task that accepts or the one that follows the change log ends, so does the program, loudly; before it went on deaf. - A wake-up for bytes would have ended a connection attempt without a word. - After SIGTERM the process ended with set-ups still in line when its turn came late; it waits until none came for 150 ms, refuses new ones after 1 s, and ends after 3 s whatever comes. - After a pause every time-out fired on answers that lay in the sockets; they are read first, as on the native route. A counter of lingering connections gave way to a semaphore.

--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -5,31 +5,33 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use eventsource_stream::Eventsource;
-use futures_util::{StreamExt, stream};
+use futures_util::{FutureExt, StreamExt, stream};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use kelpdoor_clock::Clock;
+use kelpdoor_parts::{CATCH_UP, stood_still};
 use kelpdoor_rtsp::{Version, parse_as};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Notify, mpsc, watch};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::sync::{Notify, Semaphore, mpsc, watch};
+use tokio::task::{JoinSet, LocalSet, spawn_local};
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::changes::read_event;
-use crate::exchange::{Effect, Exchange, Failed, Input};
+use crate::exchange::{Effect, Exchange, Failed, Input, PART_EACH};
 use crate::start::Start;
 use crate::viewer::{self, MAX_LINE};
 
-/// Inputs waiting for the exchange at most; readers wait beyond it, and so do their peers.
-const INPUTS: usize = 1024;
+/// Inputs waiting for the exchange at most, of 16 KiB each; readers wait beyond it, and so do their peers.
+const INPUTS: usize = 256;
 /// Inputs taken into one round at most.
 const BATCH: usize = 256;
 /// Read from one socket at a time, so that a peer at full speed leaves room for others.
@@ -53,27 +55,39 @@
 const FEED_WAIT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 /// Bytes of the change log without an event in them at most.
 const FEED_EVENT: usize = 8 << 20;
-/// After the signal to end, set-ups come for so long yet.
+/// After the signal to end, set-ups are served for so long yet; later ones are refused. Once none came for a while, and
+/// none is open or in line, the process ends; and after a longer while even if they keep coming.
 const LAST_SETUPS: Duration = Duration::from_millis(1000);
+const LAST_QUIET: Duration = Duration::from_millis(150);
+const LAST_WORDS: Duration = Duration::from_millis(3000);
 /// Lines of the log a second at most.
 const LINES: u32 = 40;
 
 type Came = (Instant, Input);
 
+/// What waits for all peers together, and its bound.
+#[derive(Clone)]
+struct Backlog {
+    bytes: Rc<Cell<usize>>,
+    most: usize,
+}
+
 /// Bytes on their way to a peer, and how its connection is to end.
 struct Pipe {
     stream: RefCell<Option<Rc<TcpStream>>>,
     pending: RefCell<Vec<u8>>,
+    backlog: Backlog,
     closing: Cell<bool>,
     cut: Cell<bool>,
     notify: Notify,
 }
 
 impl Pipe {
-    fn new(stream: Option<Rc<TcpStream>>) -> Rc<Self> {
+    fn new(stream: Option<Rc<TcpStream>>, backlog: Backlog) -> Rc<Self> {
         Rc::new(Pipe {
             stream: RefCell::new(stream),
             pending: RefCell::default(),
+            backlog,
             closing: Cell::new(false),
             cut: Cell::new(false),
             notify: Notify::new(),
@@ -90,10 +104,12 @@
             from = stream.try_write(bytes).unwrap_or(0);
         }
         if from < bytes.len() {
-            if pending.len() + bytes.len() > PENDING {
+            let (rest, all) = (&bytes[from..], self.backlog.bytes.get());
+            if pending.len() + rest.len() > PENDING || all + rest.len() > self.backlog.most {
                 self.cut.set(true);
             } else {
-                pending.extend_from_slice(&bytes[from..]);
+                pending.extend_from_slice(rest);
+                self.backlog.bytes.set(all + rest.len());
             }
             self.notify.notify_one();
         }
@@ -104,10 +120,8 @@
         let mut pending = self.pending.borrow_mut();
         match stream.try_write(&pending) {
             Ok(n) => {
-                pending.drain(..n);
-                if pending.is_empty() {
-                    *pending = Vec::new();
-                }
+                used(&mut pending, n);
+                self.backlog.bytes.set(self.backlog.bytes.get() - n);
                 true
             }
             Err(e) => e.kind() == io::ErrorKind::WouldBlock,
@@ -131,6 +145,18 @@
         self.cut.set(true);
         self.close();
     }
+
+    async fn closed(&self) {
+        while !self.closing.get() {
+            self.notify.notified().await;
+        }
+    }
+}
+
+impl Drop for Pipe {
+    fn drop(&mut self) {
+        self.backlog.bytes.set(self.backlog.bytes.get() - self.pending.borrow().len());
+    }
 }
 
 enum Read {
@@ -175,7 +201,7 @@
         biased;
         () = pipe.notify.notified() => Woken::Told,
         _ = stream.writable(), if pipe.waits() => Woken::Writable,
-        _ = stream.readable(), if !pipe.closing.get() => Woken::Readable,
+        _ = stream.readable() => Woken::Readable,
     }
 }
 
@@ -191,7 +217,11 @@
         if pipe.cut.get() {
             return true;
         }
-        if pipe.closing.get() && !pipe.waits() {
+        if pipe.closing.get() {
+            // A peer that does not read holds its connection for no longer.
+            let flushed =
+                async { while pipe.waits() && stream.writable().await.is_ok() && pipe.flush(stream) {} };
+            let _ = timeout(LINGER, flushed).await;
             return false;
         }
         let woken = if deaf {
@@ -218,21 +248,16 @@
     }
 }
 
-struct Lingering(Rc<Cell<usize>>);
-
-impl Drop for Lingering {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+/// Runs a connection's task; a fault in it costs that connection alone.
+async fn guarded(task: impl Future<Output = ()>) {
+    if AssertUnwindSafe(task).catch_unwind().await.is_err() {
+        tracing::error!("a connection's task failed; the connection is closed");
     }
 }
 
 /// Lets the peer read the last words, passing over what it still sends.
-async fn linger(stream: Rc<TcpStream>, lingering: Rc<Cell<usize>>) {
-    if lingering.get() >= LINGERING {
-        return;
-    }
-    lingering.set(lingering.get() + 1);
-    let _held = Lingering(lingering);
+async fn linger(stream: Rc<TcpStream>, lingering: Rc<Semaphore>) {
+    let Ok(_held) = lingering.try_acquire() else { return };
     let socket = socket2::SockRef::from(&*stream);
     let _ = socket.shutdown(std::net::Shutdown::Write);
     let drain = async {
@@ -248,7 +273,7 @@
 }
 
 async fn viewer(
-    conn: u64, stream: Rc<TcpStream>, pipe: Rc<Pipe>, to: mpsc::Sender<Came>, lingering: Rc<Cell<usize>>,
+    conn: u64, stream: Rc<TcpStream>, pipe: Rc<Pipe>, to: mpsc::Sender<Came>, lingering: Rc<Semaphore>,
 ) {
     let _ = to.send((Instant::now(), Input::ViewerUp { conn })).await;
     let lost = serve(&stream, &pipe, async |buf: &mut Vec<u8>| {
@@ -275,9 +300,7 @@
         true
     })
     .await;
-    if lost {
-        let _ = to.send((Instant::now(), Input::ViewerLost { conn })).await;
-    } else {
+    if !lost {
         linger(stream, lingering).await;
     }
 }
@@ -301,7 +324,7 @@
 async fn link(link: u64, address: SocketAddr, wait: Duration, pipe: Rc<Pipe>, to: mpsc::Sender<Came>) {
     let connected = tokio::select! {
         connected = timeout(wait, TcpStream::connect(address)) => connected,
-        () = pipe.notify.notified() => return,
+        () = pipe.closed() => return,
     };
     let stream = match connected {
         Ok(Ok(stream)) => Rc::new(stream),
@@ -314,7 +337,7 @@
     let _ = stream.set_nodelay(true);
     *pipe.stream.borrow_mut() = Some(stream.clone());
     let _ = to.send((Instant::now(), Input::LinkUp { link })).await;
-    let lost = serve(&stream, &pipe, async |buf: &mut Vec<u8>| {
+    serve(&stream, &pipe, async |buf: &mut Vec<u8>| {
         let came = Instant::now();
         let mut from = 0;
         loop {
@@ -337,13 +360,10 @@
         true
     })
     .await;
-    if lost {
-        let _ = to.send((Instant::now(), Input::LinkLost { link })).await;
-    }
 }
 
-async fn accept(listener: TcpListener, most: usize, pipes: Pipes, to: mpsc::Sender<Came>) {
-    let lingering = Rc::new(Cell::new(0));
+async fn accept(listener: TcpListener, most: usize, backlog: Backlog, pipes: Pipes, to: mpsc::Sender<Came>) {
+    let lingering = Rc::new(Semaphore::new(LINGERING));
     let mut conn = 0;
     loop {
         while pipes.borrow().len() >= most + LINGERING + NEWCOMERS {
@@ -358,12 +378,13 @@
         };
         let _ = stream.set_nodelay(true);
         conn += 1;
-        let pipe = Pipe::new(Some(stream.clone()));
+        let pipe = Pipe::new(Some(stream.clone()), backlog.clone());
         pipes.borrow_mut().insert(conn, pipe.clone());
         let (pipes, to, lingering) = (pipes.clone(), to.clone(), lingering.clone());
         spawn_local(async move {
-            viewer(conn, stream, pipe, to, lingering).await;
+            guarded(viewer(conn, stream, pipe, to.clone(), lingering)).await;
             pipes.borrow_mut().remove(&conn);
+            let _ = to.send((Instant::now(), Input::ViewerLost { conn })).await;
         });
     }
 }
@@ -485,10 +506,13 @@
     viewers: Pipes,
     links: HashMap<u64, Rc<Pipe>>,
     connect: Duration,
+    backlog: Backlog,
     to: mpsc::Sender<Came>,
     feed: watch::Sender<SocketAddr>,
     file: PathBuf,
     lines: (Instant, u32),
+    /// Set-ups that came so far, and when that was last seen to change.
+    last_setup: (u64, Instant),
 }
 
 impl Shell {
@@ -542,9 +566,13 @@
                 }
                 Effect::Dial { link: number, address } => {
                     tracing::debug!(number, %address, "dial");
-                    let pipe = Pipe::new(None);
+                    let pipe = Pipe::new(None, self.backlog.clone());
                     self.links.insert(number, pipe.clone());
-                    spawn_local(link(number, address, self.connect, pipe, self.to.clone()));
+                    let (to, connect) = (self.to.clone(), self.connect);
+                    spawn_local(async move {
+                        guarded(link(number, address, connect, pipe, to.clone())).await;
+                        let _ = to.send((Instant::now(), Input::LinkLost { link: number })).await;
+                    });
                 }
                 Effect::Node { link, bytes } => {
                     tracing::trace!(link, "{}", String::from_utf8_lossy(&bytes));
@@ -580,9 +608,26 @@
         }
     }
 
-    async fn run(mut self, mut input: mpsc::Receiver<Came>, [mut ends, mut int, mut again]: [Signal; 3]) {
+    /// Whether the process may end, so long after it was told to: nothing is open, and nothing is to be expected.
+    fn may_end(&mut self, since: Duration, line: &mpsc::Receiver<Came>) -> bool {
+        let counts = self.exchange.counts();
+        if counts.came != self.last_setup.0 {
+            self.last_setup = (counts.came, Instant::now());
+        }
+        if since < LAST_SETUPS {
+            return false;
+        }
+        self.exchange.close();
+        let quiet = self.last_setup.1.elapsed() >= LAST_QUIET && line.is_empty();
+        counts.open == 0 && (quiet || since >= LAST_WORDS)
+    }
+
+    async fn run(
+        mut self, mut input: mpsc::Receiver<Came>, [mut ends, mut int, mut again]: [Signal; 3],
+        mut tasks: JoinSet<()>,
+    ) -> io::Result<()> {
         let mut ending: Option<Instant> = None;
-        let mut told = Instant::now();
+        let (mut told, mut last) = (Instant::now(), Instant::now());
         loop {
             self.round();
             if told.elapsed() >= Duration::from_secs(1) {
@@ -591,7 +636,9 @@
                     tracing::debug!("belief: {}", self.exchange.belief());
                 }
             }
-            if ending.is_some_and(|at| at.elapsed() >= LAST_SETUPS) && self.exchange.counts().open == 0 {
+            if let Some(at) = ending
+                && self.may_end(at.elapsed(), &input)
+            {
                 break;
             }
             let wait = (self.exchange.wake_at() - self.now()).clamp(0.0, 1.0);
@@ -601,9 +648,17 @@
                 _ = ends.recv() => { ending.get_or_insert_with(Instant::now); None }
                 _ = int.recv() => { ending.get_or_insert_with(Instant::now); None }
                 _ = again.recv() => { self.read_again(); None }
+                Some(ended) = tasks.join_next() => {
+                    return Err(io::Error::other(format!("a task that never ends did: {ended:?}")));
+                }
                 first = input.recv() => first,
                 () = sleep_until(due) => None,
             };
+            let gap = last.elapsed();
+            if stood_still(gap, Duration::from_secs_f64(wait)) {
+                tracing::warn!(seconds = gap.as_secs_f64(), "stood still; reading what came meanwhile first");
+                self.catch_up(&mut input).await;
+            }
             let now = self.now();
             if let Some(first) = first {
                 self.take(now, first);
@@ -612,6 +667,7 @@
                     self.take(now, next);
                 }
             }
+            last = Instant::now();
         }
         let pipes: Vec<Rc<Pipe>> =
             self.viewers.borrow().values().chain(self.links.values()).cloned().collect();
@@ -623,6 +679,19 @@
         };
         let _ = timeout(LINGER, flushed).await;
         tracing::info!("all is answered");
+        Ok(())
+    }
+
+    /// Takes what lies in the sockets after a pause of the process, before any time-out fires on it.
+    async fn catch_up(&mut self, input: &mut mpsc::Receiver<Came>) {
+        let until = Instant::now() + CATCH_UP;
+        while Instant::now() < until {
+            let now = self.now();
+            while let Ok(next) = input.try_recv() {
+                self.take(now, next);
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
     }
 }
 
@@ -636,8 +705,12 @@
     let (to, input) = mpsc::channel(INPUTS);
     let (feed, at) = watch::channel(start.changelog);
     let viewers = Pipes::default();
-    spawn_local(follow(at, start.known_to, to.clone()));
-    spawn_local(accept(listener, exchange.most_viewers(), viewers.clone(), to.clone()));
+    let backlog = Backlog { bytes: Rc::default(), most: start.memory / PART_EACH };
+    // These never end; the director would be deaf without them.
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(follow(at, start.known_to, to.clone()));
+    let most = exchange.most_viewers();
+    tasks.spawn_local(accept(listener, most, backlog.clone(), viewers.clone(), to.clone()));
     tracing::info!(name = start.name, listen = %start.listen, sockets = start.sockets, "started");
     let shell = Shell {
         exchange,
@@ -649,9 +722,10 @@
         feed,
         file: start.file,
         lines: (Instant::now(), 0),
+        last_setup: (0, Instant::now()),
+        backlog,
     };
-    shell.run(input, signals).await;
-    Ok(())
+    shell.run(input, signals, tasks).await
 }
 
 /// Runs a director of the platform until a signal ends it.
@@ -674,4 +748,49 @@
         assert_eq!([of(libc::EMFILE), of(libc::EADDRNOTAVAIL)], [Failed::Ours; 2]);
         assert_eq!([of(libc::EHOSTUNREACH), failed(None)], [Failed::Silent; 2]);
     }
+
+    fn backlog(most: usize) -> Backlog {
+        Backlog { bytes: Rc::default(), most }
+    }
+
+    async fn pair() -> (Rc<TcpStream>, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let ours = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("connected");
+        (Rc::new(ours), listener.accept().await.expect("accepted").0)
+    }
+
+    #[tokio::test]
+    async fn a_peer_that_does_not_read_is_cut_off_at_the_bound_and_holds_no_connection_that_closes() {
+        let (ours, _theirs) = pair().await;
+        let all = backlog(1 << 20);
+        let pipe = Pipe::new(Some(ours.clone()), all.clone());
+        let chunk = vec![b'x'; 16 << 10];
+        for _ in 0..10_000 {
+            if pipe.waits() {
+                break;
+            }
+            pipe.write(&chunk);
+        }
+        assert!(pipe.waits() && !pipe.cut.get());
+        pipe.close();
+        let end = timeout(LINGER * 2, serve(&ours, &pipe, async |_: &mut Vec<u8>| true)).await;
+        assert_eq!(end, Ok(false), "it ends though its last words are not read");
+        (0..10).for_each(|_| pipe.write(&chunk));
+        assert!(pipe.cut.get() && all.bytes.get() <= PENDING);
+        drop(pipe);
+        assert_eq!(all.bytes.get(), 0);
+    }
+
+    #[tokio::test]
+    async fn all_peers_together_keep_within_their_bound() {
+        let all = backlog(20 << 10);
+        let pipes = [Pipe::new(None, all.clone()), Pipe::new(None, all.clone())];
+        pipes.iter().for_each(|p| p.write(&[0; 16 << 10]));
+        assert_eq!(pipes.each_ref().map(|p| p.cut.get()), [false, true]);
+    }
+
+    #[tokio::test]
+    async fn a_fault_in_a_connections_task_costs_that_connection_alone() {
+        guarded(async { panic!("a fault") }).await;
+    }
 }
