--- a/crates/kelpdoor-lab/src/platform.rs
+++ b/crates/kelpdoor-lab/src/platform.rs
@@ -181,6 +181,8 @@
     events: Vec<String>,
     feeds: BTreeMap<u64, UnboundedSender<feed::Turn>>,
     feed_ports: Vec<u16>,
+    /// What accepts the change log's streams, by director.
+    feed_tasks: Vec<JoinHandle<()>>,
     waits: BTreeMap<String, Wait>,
     /// Sessions that are over, by when their viewers have to have been told.
     owed: BTreeMap<String, f64>,
@@ -382,8 +384,14 @@
             Happens::MoveFeed => {
                 for d in 0..self.day.directors {
                     let listener = TcpListener::bind("127.0.0.1:0").await?;
-                    self.lock().feed_ports[d as usize] = listener.local_addr()?.port();
-                    tokio::spawn(self.clone().feed(d, listener));
+                    let port = listener.local_addr()?.port();
+                    let task = tokio::spawn(self.clone().feed(d, listener));
+                    {
+                        let mut s = self.lock();
+                        s.feed_ports[d as usize] = port;
+                        // The old one takes no connection any more.
+                        std::mem::replace(&mut s.feed_tasks[d as usize], task).abort();
+                    }
                     self.write_config(d)?;
                     self.signal(d, Signal::SIGHUP);
                 }
@@ -435,7 +443,8 @@
             s.feed_ports.push(feed.local_addr()?.port());
             s.directors.push(DirectorState { boot: 0, child: None, port, ending: false });
         }
-        tokio::spawn(platform.clone().feed(d, feed));
+        let task = tokio::spawn(platform.clone().feed(d, feed));
+        platform.lock().feed_tasks.push(task);
         platform.start_director(d).await?;
     }
     let background = [
--- a/crates/kelpdoor-lab/src/platform/feed.rs
+++ b/crates/kelpdoor-lab/src/platform/feed.rs
@@ -52,6 +52,9 @@
     json!({"id": id, "phase": phase, "up_since": n.born_ms as f64 / 1000.0})
 }
 
+/// s; what changes counts as told by then, whether a director listens or not.
+const TOLD_WITHIN: f64 = 4.0;
+
 impl Platform {
     /// A node changed: one more event.
     pub(super) fn tell(&self, id: u32, phase: &'static str) {
@@ -66,6 +69,17 @@
         s.feeds.values().for_each(|f| {
             let _ = f.send(Turn::News);
         });
+        drop(s);
+        let me = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_secs_f64(TOLD_WITHIN)).await;
+            let s = me.lock();
+            let Some(n) = s.nodes.get(&id) else { return };
+            let text = json!({"change": {"nodes": [line_for_checker(id, n)]}}).to_string();
+            for (d, _) in s.directors.iter().enumerate().filter(|(_, of)| of.child.is_some()) {
+                me.recorder.put(What::Roster { director: d as u32, text: text.clone() });
+            }
+        });
     }
 
     /// The first event, with all nodes.
