--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -519,7 +519,7 @@
                     let (n, error) = (&mut self.nodes, e.how == Ending::Erred);
                     let times = n.turned_away[i] - i32::from(error);
                     // A request that no node can use errs at each and would have all of them shunned: an error
-                    // counts against a node from the second in a row, and only the first that its request had.
+                    // counts against a node from the second in a row, and only at its request's first SETUP.
                     // Harm: a node that fails all costs a SETUP more.
                     let first_error = self.sess.get(&e.sess).is_none_or(|s| s.tried.is_empty());
                     if !error || (first_error && times >= 0) {
