--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -142,6 +142,8 @@
     pub nodes: usize,
     pub owed: usize,
     pub timers: usize,
+    /// Addresses of nodes that are kept.
+    pub addresses: usize,
     /// Bytes of descriptions of open set-ups.
     pub bytes: usize,
     /// Set-ups that came, since the start.
@@ -386,6 +388,7 @@
             nodes: h.nodes.values().filter(|n| n.phase != Phase::Gone).count(),
             owed: h.untold.len() + h.nodes.values().map(|n| n.owed.len()).sum::<usize>(),
             timers: h.timers.len(),
+            addresses: h.by_address.len(),
             bytes: h.bytes,
             came: h.came,
         }
--- a/crates/kelpdoor-platform/tests/exchange.rs
+++ b/crates/kelpdoor-platform/tests/exchange.rs
@@ -507,6 +507,7 @@
     s.open(1);
     s.ask(1, 5);
     assert!(s.told().contains("dial 10.1.0.1:6000"));
+    assert_eq!(s.exchange.counts().addresses, 1);
 }
 
 #[test]
@@ -570,6 +571,64 @@
     .assert_eq(&s.told());
 }
 
+#[test]
+fn an_end_is_told_where_somebody_was_served_before_where_sessions_were_only_handed_over() {
+    let mut s = Story::playing(2);
+    s.open(2);
+    s.ask(2, 6);
+    let link = s.settle();
+    s.serves(link, 6);
+    // The newest connection has only said that something plays.
+    s.open(3);
+    s.say(3, &start(7, "lecture", "home:0;copies:4;top:4;at:s-1", ""));
+    s.go(Input::ViewerLost { conn: 1 });
+    s.told();
+    s.node(0, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=16");
+    let told = s.told();
+    assert!(told.contains("viewer 2 < ") && !told.contains("viewer 3 < "), "{told}");
+}
+
+#[test]
+fn a_spare_connection_gives_way_before_the_only_one_to_a_node_where_something_stands() {
+    // Three connections to nodes in all. Each node holds a title of its own; at the first a session stands.
+    let mut s = Story::new(4, 41);
+    s.open(1);
+    for node in 1..=3 {
+        s.say(1, &start(node, "lecture", &format!("home:{node};copies:1;top:4"), "v=0"));
+        let link = s.settle();
+        if node == 1 {
+            s.serves(link, 1);
+        } else {
+            s.node(link, &format!("RTSP/1.0 454 Moot|CSeq: 1|Session: {node:016x}"));
+        }
+        s.pass(0.1);
+        s.told();
+    }
+    s.say(1, &start(4, "lecture", "home:0;copies:1;top:4", "v=0"));
+    expect![[r#"
+        10.30 link 1 hang up
+        10.30 link 3 dial 10.1.0.4:5070
+    "#]]
+    .assert_eq(&s.told());
+}
+
+#[test]
+fn a_line_that_never_ends_gets_an_error_and_a_close_and_its_set_ups_are_taken_back() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.told();
+    s.go(Input::ViewerOverlong { conn: 1 });
+    expect![[r#"
+        10.00 viewer 1 < {"verb":"FINISH","tag":"0000000000000000","opts":{},"rc":111}
+        10.00 viewer 1 shut
+        10.00 link 0 < TEARDOWN rtsp://media/0000000000000005 RTSP/1.0 | CSeq: 2 | Session: 0000000000000005 | Content-Length: 0
+        10.00 link 0 hang up
+    "#]].assert_eq(&s.told());
+    assert_eq!(s.exchange.counts().open, 0);
+}
+
 #[test]
 fn a_flood_is_refused_at_once_beyond_its_bound_and_others_are_served() {
     let mut s = Story::new(1, 256);
--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -443,6 +443,13 @@
     let sent = desk.trace.sent.len();
     (11..=13).for_each(|sess| desk.asks(sess, 3));
     assert_eq!(desk.trace.sent.len(), sent + 3, "{}", desk.trace.text);
+    // Its later errors are not even the first of two: node 0 errs once more and is still asked.
+    assert_ne!(desk.trace.sent[0].1, NodeId(0));
+    desk.asks(21, 1);
+    desk.ends(21, Ending::Erred);
+    desk.asks(22, 1);
+    let last = desk.trace.sent.last().map(|(sess, node)| (sess.0, node.0));
+    assert_eq!(last, Some((22, 0)), "{}", desk.trace.text);
 }
 
 #[test]
