Name the key of a setting that has the wrong type or lies outside its meaning

Cause: settings were read leniently: a negative time, a ladder that falls, a text for a number or a zone past its list was taken for absence or cast, and over 255 rungs would have ended a round in an overflow. Now each place in the settings knows its name; absence keeps the meaning it had, unknown keys are skipped, and what cannot be meant ends the start with one line naming key and value, status 2 on the platform's route (tested on the program itself).

--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -1367,7 +1367,7 @@
             known_to: 0,
             terms,
             report,
-            named: kelpdoor_terms::named(&settings),
+            named: kelpdoor_terms::named(&settings).expect("settings"),
         }
     }
 
--- a/crates/kelpdoor-platform/src/start.rs
+++ b/crates/kelpdoor-platform/src/start.rs
@@ -92,9 +92,9 @@
             }
         };
         let (sockets, memory) = (limit("sockets", LEAST_SOCKETS)?, limit("memory_mb", LEAST_MEMORY)?);
-        let (terms, report) =
-            kelpdoor_terms::terms(&root["settings"]).or_else(|e| fault(format!("settings: {e:#}")))?;
-        let named = kelpdoor_terms::named(&root["settings"]);
+        let bad = |e| StartFault(format!("settings: {e:#}"));
+        let (terms, report) = kelpdoor_terms::terms(&root["settings"]).map_err(bad)?;
+        let named = kelpdoor_terms::named(&root["settings"]).map_err(bad)?;
         if named.groups.is_empty() {
             return fault("settings: no classes");
         }
--- a/crates/kelpdoor-platform/tests/codecs.rs
+++ b/crates/kelpdoor-platform/tests/codecs.rs
@@ -190,7 +190,7 @@
         limits.sockets: null is no number of at least 64
         changelog: "5" is no address and port
         known: no list under results
-        settings: no ladder of rates above 0
+        settings: specifics.ratesKb: no ladder of rates above 0
         PROXY_NAME: not set, and no name
         PROXY_CONFIG: FILE: not a JSON object
         PROXY_CONFIG: not set"#]]
--- a/crates/kelpdoor-platform/tests/common/mod.rs
+++ b/crates/kelpdoor-platform/tests/common/mod.rs
@@ -55,7 +55,7 @@
             known_to,
             terms,
             report,
-            named: kelpdoor_terms::named(&settings()),
+            named: kelpdoor_terms::named(&settings()).expect("good settings"),
         };
         let mut story = Story { exchange: Exchange::new(&start, 1000.0), now: 1000.0, trace: String::new() };
         story.pass(10.0);
