Count a live title's shared stream once; fill a link only to where its node refuses

Cause: specifics.join, live and refusesFrom are described on the wire and were read by no decoder; the account counted each viewer of a live title at full rate and with a place (books.rs, hold and release), so room and rungs are wrong where join is under 1. Change: viewers at one node, title, group and rung share a stream; a further one adds its part and takes no place. What a step down of one viewer frees is still taken at the full rate. The native settings have both too (join, refuses_from). A rung told of a session that is at no node is passed over: it was counted at the node it had last.

--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -55,6 +55,9 @@
     /// Sessions of one title that a director may hold; 0: any number.
     #[serde(default)]
     pub seats: u32,
+    /// What a further viewer of a live title adds to its stream at the same node and rung, as a part of the rate; 1: all.
+    #[serde(default = "one")]
+    pub join: f64,
     /// Sessions need an entitlement token and a seat of its school.
     #[serde(default)]
     pub token: bool,
@@ -148,6 +151,9 @@
     pub rack_uplink: f64,
     #[serde(default)]
     pub uplinks_told: bool,
+    /// Of its link, by what is asked; so full a node replies busy. 0: never for that.
+    #[serde(default)]
+    pub refuses_from: f64,
     /// s; how late notices of delivery and load are.
     pub seen_after: f64,
     /// s; between notices of load; 0: none come.
@@ -472,8 +478,8 @@
                     r.check(call, g.scale > 0.0 && g.start_target > 0.0, "scale and start_target above 0");
                     r.check(
                         call,
-                        sane(&[g.scale, g.start_target, g.utility, g.repeat_window]),
-                        "figures of at least 0",
+                        sane(&[g.scale, g.start_target, g.utility, g.repeat_window, g.join]) && g.join <= 1.0,
+                        "figures of at least 0, join 1 at most",
                     );
                     groups.push(g);
                 }
@@ -493,7 +499,15 @@
                 f.warm_within > 0.0 && f.fall_window > 0.0 && f.link_unit > 0.0,
                 "warm_within, fall_window and link_unit above 0",
             );
-            let all = [f.rack_uplink, f.seen_after, f.told_every, f.cold_from, f.tip_multiple, f.drain_grace];
+            let all = [
+                f.refuses_from,
+                f.rack_uplink,
+                f.seen_after,
+                f.told_every,
+                f.cold_from,
+                f.tip_multiple,
+                f.drain_grace,
+            ];
             r.check(call, sane(&all) && f.cold_from <= 1.0, "figures of at least 0, cold_from 1 at most");
         }
         let director = r.one::<Director>("director", true);
@@ -601,6 +615,7 @@
             top: g.top,
             scale: g.scale,
             seats: g.seats,
+            join: g.join,
         };
         Terms {
             me: d.me,
@@ -624,6 +639,7 @@
             cold_from: f.cold_from,
             warm_within: f.warm_within,
             tip_multiple: f.tip_multiple,
+            refuses_from: Some(f.refuses_from).filter(|&full| full > 0.0),
             fall_window: f.fall_window,
             further: self.further.map(|b| FurtherBudget {
                 free: b.free,
--- a/crates/kelpdoor-script/tests/faults.rs
+++ b/crates/kelpdoor-script/tests/faults.rs
@@ -32,7 +32,7 @@
     faults(
         &text,
         expect![[r#"
-        d.star:3:1: group: unknown field `utilty`, expected one of `name`, `utility`, `start_target`, `repeat`, `repeat_window`, `floor`, `top`, `scale`, `seats`, `token`
+        d.star:3:1: group: unknown field `utilty`, expected one of `name`, `utility`, `start_target`, `repeat`, `repeat_window`, `floor`, `top`, `scale`, `seats`, `join`, `token`
         d.star:4:1: fleet: 1 <= racks <= cells
         d.star:6:1: director: me is under of, of is 10,000 at most"#]],
     );
--- a/crates/kelpdoor-terms/src/lib.rs
+++ b/crates/kelpdoor-terms/src/lib.rs
@@ -78,6 +78,9 @@
             .map(|(key, most)| facts.to(key).and_then(|list| list.wholes(most)));
     let (floors, tops, seats) = (floors?, tops?, seats?);
     let scales = facts.to("scaleByClass")?.nums(0.0..=f64::MAX)?;
+    let join = facts.to("join")?.num(0.0..=1.0)?.unwrap_or(1.0);
+    let live = facts.to("live")?.list()?.iter().map(At::yes).collect::<Result<Vec<_>>>()?;
+    let refuses_from = facts.to("refusesFrom")?.num(0.0..=f64::MAX)?.filter(|&full| full > 0.0);
     let profiles = root.to("profiles")?.list()?;
     ensure!(profiles.len() <= MOST, "profiles: more than {MOST} classes");
     let group = |(i, p): (usize, &At)| -> Result<GroupTerms> {
@@ -98,6 +101,7 @@
             top: tops.get(i).map_or(u8::MAX, |&r| r.min(top) as u8),
             scale: scales.get(i).copied().filter(|&s| s > 0.0).unwrap_or(1.0),
             seats: seats.get(i).map_or(0, |&n| n as u32),
+            join: if live.get(i) == Some(&true) { join } else { 1.0 },
         })
     };
     let groups = profiles.iter().enumerate().map(group).collect::<Result<Vec<_>>>()?;
@@ -126,6 +130,7 @@
         racks: facts.to("racks")?.whole(u16::MAX.into())?.unwrap_or(1) as u16,
         link_unit: amount(facts.to("linkUnitKb")?)?,
         rack_uplink: amount(facts.to("rackKb")?)?,
+        refuses_from,
         seen_after: facts.to("seenAfterMs")?.seconds()?,
         told_every: facts.to("toldEveryMs")?.seconds()?,
         switch_cost: amount(facts.to("switchCostS")?)?,
--- a/crates/kelpdoor-terms/src/tests.rs
+++ b/crates/kelpdoor-terms/src/tests.rs
@@ -17,8 +17,9 @@
             "repeatWindowMs": 5000.0}],
         "rules": {"coldFrom": 0.4, "extraFree": 3.0, "fallMs": 3000.0, "ratioSpanMs": 5000.0, "repeatRatio": 0.2,
             "tipMultiple": 4.0, "warmWithinMs": 12000.0},
-        "specifics": {"cells": 12, "highestRung": [9], "levelWorth": [0.3, 1.0], "licenceCap": [2], "linkUnitKb": 1908.0,
-            "lowestRung": [1], "placesByKind": [39], "rackKb": 36230.0, "racks": 2, "ratesKb": [120.0, 221.0],
+        "specifics": {"cells": 12, "highestRung": [9], "join": 0.25, "levelWorth": [0.3, 1.0], "licenceCap": [2], "linkUnitKb": 1908.0,
+            "live": [true], "lowestRung": [1], "placesByKind": [39], "rackKb": 36230.0, "racks": 2, "ratesKb": [120.0, 221.0],
+            "refusesFrom": 1.2,
             "scaleByClass": [1.4], "seenAfterMs": 1000.0, "switchCostS": 0.8, "toldEveryMs": 3250.0},
         "not": {"of": "this page"},
     })
@@ -32,8 +33,7 @@
 #[test]
 fn each_key_present_is_read() {
     let (terms, report) = terms(&good()).expect("good settings");
-    expect![[r#"
-        Terms { me: 1, directors: 3, zone: 1, groups: [GroupTerms { start_target: 1.5, utility: 2.0, repeat: Within(Zone), repeat_window: 5.0, floor: 1, top: 1, scale: 1.4, seats: 2 }], ladder: [120.0, 221.0], rung_utility: [0.3, 1.0], places_by_kind: [39.0], cells: 12, racks: 2, link_unit: 1908.0, rack_uplink: 36230.0, seen_after: 1.0, told_every: 3.25, switch_cost: 0.8, cross_zone_price: 0.02, max_setups: 5, may_withdraw: true, come_back: Some(1.5), cold_from: 0.4, warm_within: 12.0, tip_multiple: 4.0, fall_window: 3.0, further: Some(FurtherBudget { free: 3.0, per_taken: 0.2, span: 5.0 }), ask_list: true, uplinks_told: true } ReportFields(["x0", "x1"]) Ok(Named { groups: ["lecture"], zones: ["a", "b"], kinds: ["box"], connect_timeout: 0.25, idle: 30.0 })"#]]
+    expect![[r#"Terms { me: 1, directors: 3, zone: 1, groups: [GroupTerms { start_target: 1.5, utility: 2.0, repeat: Within(Zone), repeat_window: 5.0, floor: 1, top: 1, scale: 1.4, seats: 2, join: 0.25 }], ladder: [120.0, 221.0], rung_utility: [0.3, 1.0], places_by_kind: [39.0], cells: 12, racks: 2, link_unit: 1908.0, rack_uplink: 36230.0, seen_after: 1.0, refuses_from: Some(1.2), told_every: 3.25, switch_cost: 0.8, cross_zone_price: 0.02, max_setups: 5, may_withdraw: true, come_back: Some(1.5), cold_from: 0.4, warm_within: 12.0, tip_multiple: 4.0, fall_window: 3.0, further: Some(FurtherBudget { free: 3.0, per_taken: 0.2, span: 5.0 }), ask_list: true, uplinks_told: true } ReportFields(["x0", "x1"]) Ok(Named { groups: ["lecture"], zones: ["a", "b"], kinds: ["box"], connect_timeout: 0.25, idle: 30.0 })"#]]
     .assert_eq(&format!("{terms:?} {report:?} {:?}", named(&good())));
 }
 
@@ -42,8 +42,7 @@
 fn each_key_absent_takes_the_meaning_of_its_absence() {
     let least = json!({"profiles": [{}], "specifics": {"ratesKb": [120.0], "levelWorth": [1.0]}});
     let (terms, report) = terms(&least).expect("enough");
-    expect![[r#"
-        Terms { me: 0, directors: 1, zone: 0, groups: [GroupTerms { start_target: 0.0, utility: 1.0, repeat: Never, repeat_window: 0.0, floor: 0, top: 255, scale: 1.0, seats: 0 }], ladder: [120.0], rung_utility: [1.0], places_by_kind: [], cells: 1, racks: 1, link_unit: 0.0, rack_uplink: 0.0, seen_after: 0.0, told_every: 0.0, switch_cost: 0.0, cross_zone_price: 0.0, max_setups: 1, may_withdraw: false, come_back: None, cold_from: 0.0, warm_within: 0.0, tip_multiple: 0.0, fall_window: 0.0, further: None, ask_list: false, uplinks_told: false } ReportFields([])"#]]
+    expect!["Terms { me: 0, directors: 1, zone: 0, groups: [GroupTerms { start_target: 0.0, utility: 1.0, repeat: Never, repeat_window: 0.0, floor: 0, top: 255, scale: 1.0, seats: 0, join: 1.0 }], ladder: [120.0], rung_utility: [1.0], places_by_kind: [], cells: 1, racks: 1, link_unit: 0.0, rack_uplink: 0.0, seen_after: 0.0, refuses_from: None, told_every: 0.0, switch_cost: 0.0, cross_zone_price: 0.0, max_setups: 1, may_withdraw: false, come_back: None, cold_from: 0.0, warm_within: 0.0, tip_multiple: 0.0, fall_window: 0.0, further: None, ask_list: false, uplinks_told: false } ReportFields([])"]
     .assert_eq(&format!("{terms:?} {report:?}"));
     let mut null = least.clone();
     null["rules"] = Value::Null;
@@ -75,6 +74,9 @@
         ("/specifics/cells", json!(70000)),
         ("/specifics/highestRung", json!([-1])),
         ("/specifics/lowestRung", json!([2])),
+        ("/specifics/join", json!(1.5)),
+        ("/specifics/live", json!([1])),
+        ("/specifics/refusesFrom", json!("0.8")),
         ("/specifics/levelWorth", json!([1.0])),
         ("/specifics/ratesKb", json!([221.0, 120.0])),
         ("/specifics/scaleByClass", json!(["wide"])),
@@ -110,6 +112,9 @@
         specifics.cells: 70000 is no whole number from 0 to 65535
         specifics.highestRung[0]: -1 is no whole number from 0 to 255
         specifics.lowestRung[0]: 2 is no whole number from 0 to 1
+        specifics.join: 1.5 is no number from 0 to 1
+        specifics.live[0]: 1 is neither true nor false
+        specifics.refusesFrom: "0.8" is no number from 0 on
         specifics.levelWorth and ratesKb differ in length
         specifics.ratesKb: the ladder falls
         specifics.scaleByClass[0]: "wide" is no number from 0 on
--- a/crates/kelpdoor/src/books.rs
+++ b/crates/kelpdoor/src/books.rs
@@ -117,8 +117,37 @@
         self.nodes.noted_at[i] = now + self.figures.seen_after;
     }
 
-    fn rate(&self, s: &Sess) -> f64 {
-        self.figures.groups[s.ask.group.0 as usize].kb[s.rung as usize]
+    /// Whether another viewer of ours has that title at a node, in that group and at that rung, whose stream is shared.
+    pub(crate) fn joins(&self, i: usize, ask: &NewSession, rung: u8) -> bool {
+        self.shared.contains_key(&(i, ask.title, ask.group.0, rung))
+    }
+
+    /// Counts a session's stream in at its node; what it adds.
+    fn enter(&mut self, sess: SessId) -> f64 {
+        let s = &self.sess[&sess];
+        let (i, rung, group) = (s.node, s.rung, &self.figures.groups[s.ask.group.0 as usize]);
+        let kb = group.kb[rung as usize];
+        let joins = self.joins(i, &s.ask, rung);
+        if group.join < 1.0 {
+            *self.shared.entry((i, s.ask.title, s.ask.group.0, rung)).or_default() += 1;
+        }
+        self.nodes.streams[i] += f64::from(u8::from(!joins));
+        if joins { kb * group.join } else { kb }
+    }
+
+    /// Counts a session's stream out again; what it took, which is its viewer's part while others share it.
+    fn leave(&mut self, sess: SessId) -> f64 {
+        let s = &self.sess[&sess];
+        let (i, group) = (s.node, &self.figures.groups[s.ask.group.0 as usize]);
+        let kb = group.kb[s.rung as usize];
+        let key = (i, s.ask.title, s.ask.group.0, s.rung);
+        if let Some(viewers) = self.shared.get_mut(&key).filter(|v| **v > 1) {
+            *viewers -= 1;
+            return kb * group.join;
+        }
+        self.shared.remove(&key);
+        self.nodes.streams[i] -= 1.0;
+        kb
     }
 
     /// Counts a session's rate in or out at its node.
@@ -132,16 +161,16 @@
     /// Counts a session in at its node: rate, place and seat.
     pub(crate) fn hold(&mut self, now: f64, sess: SessId) {
         let s = &self.sess[&sess];
-        let (i, group, title, kb) = (s.node, s.ask.group.0, s.ask.title, self.rate(s));
-        self.nodes.streams[i] += 1.0;
+        let (i, group, title) = (s.node, s.ask.group.0, s.ask.title);
+        let kb = self.enter(sess);
         *self.seats.entry((title, group)).or_default() += 1;
         self.count(now, i, kb);
     }
 
     pub(crate) fn release(&mut self, now: f64, sess: SessId) {
         let s = &self.sess[&sess];
-        let (i, group, title, kb) = (s.node, s.ask.group.0, s.ask.title, self.rate(s));
-        self.nodes.streams[i] -= 1.0;
+        let (i, group, title) = (s.node, s.ask.group.0, s.ask.title);
+        let kb = self.leave(sess);
         if let Some(held) = self.seats.get_mut(&(title, group)) {
             *held -= 1;
             if *held == 0 {
@@ -153,12 +182,19 @@
 
     /// Counts a session at another rung.
     pub(crate) fn recount(&mut self, now: f64, sess: SessId, rung: u8) {
-        let Some(s) = self.sess.get_mut(&sess) else { return };
-        let kb = &self.figures.groups[s.ask.group.0 as usize].kb;
-        let rung = rung.min(kb.len() as u8 - 1);
-        let (i, more) = (s.node, kb[rung as usize] - kb[s.rung as usize]);
-        s.rung = rung;
-        self.count(now, i, more);
+        // Without a SETUP out it is at no node, and nothing of it is counted.
+        let Some((i, g)) =
+            self.sess.get(&sess).filter(|s| s.stage != Stage::Owed).map(|s| (s.node, s.ask.group))
+        else {
+            return;
+        };
+        let before = self.leave(sess);
+        let rungs = self.figures.groups[g.0 as usize].kb.len();
+        if let Some(s) = self.sess.get_mut(&sess) {
+            s.rung = rung.min(rungs as u8 - 1);
+        }
+        let after = self.enter(sess);
+        self.count(now, i, after - before);
     }
 
     /// Gives up the index of each node that is gone and holds nothing of ours.
--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -103,6 +103,8 @@
     taken: VecDeque<f64>,
     further: VecDeque<f64>,
     pub(crate) seats: BTreeMap<(TitleId, u8), u32>,
+    /// Viewers on a shared stream of ours: by node, title, group and rung.
+    pub(crate) shared: BTreeMap<(usize, TitleId, u8, u8), u32>,
     ask_at: f64,
 }
 
@@ -144,6 +146,7 @@
             taken: VecDeque::new(),
             further: VecDeque::new(),
             seats: BTreeMap::new(),
+            shared: BTreeMap::new(),
             ask_at: now,
         }
     }
@@ -309,6 +312,11 @@
         (link, self.left_under(now, self.rack(i), fill.1, 1.0))
     }
 
+    /// Of a link and an uplink, what set-ups fill; a link only to where its node would reply busy.
+    fn fill(&self) -> (f64, f64) {
+        (FILL.min(self.figures.refuses_from), FILL)
+    }
+
     fn load_read(&mut self, now: f64, i: usize, load: &LoadReport) {
         let (l, r, then) = (self.link(i), self.rack(i), now - REPORT_AGE);
         if let Some(streams) = load.streams {
@@ -711,10 +719,14 @@
             return None;
         }
         let fits = |i: usize| {
-            let (link, uplink) = self.room(now, i, (FILL, FILL));
+            let (link, uplink) = self.room(now, i, self.fill());
             let room = link.min(uplink);
-            let rung =
-                (group.floor..=best).rev().find(|&r| group.kb[r as usize] * (1.0 + RATE_SPREAD) <= room);
+            let adds = |r: u8| {
+                // Beside a viewer of the same title there only a part of the rate comes on top.
+                let part = if self.joins(i, &s.ask, r) { group.join } else { 1.0 };
+                part * group.kb[r as usize] * (1.0 + RATE_SPREAD)
+            };
+            let rung = (group.floor..=best).rev().find(|&r| adds(r) <= room);
             // A guess is no ground for a busy reply.
             let blind = self.ledger.read_at[self.link(i)] < now - RISE_READING;
             rung.map_or(if blind { group.floor.into() } else { -1 }, i16::from)
@@ -749,7 +761,7 @@
     /// for each kB gave way.
     fn squeeze(&self, now: f64, i: usize, s: &Sess, from: i16, best: u8) -> (i16, Steps) {
         let group = &self.figures.groups[s.ask.group.0 as usize];
-        let (link, uplink) = self.room(now, i, (FILL, FILL));
+        let (link, uplink) = self.room(now, i, self.fill());
         let (mut reached, mut plan) = (from, Vec::new());
         for next in (from + 1).max(group.floor.into())..=best.into() {
             let next = next as usize;
--- a/crates/kelpdoor/src/figures.rs
+++ b/crates/kelpdoor/src/figures.rs
@@ -9,6 +9,8 @@
     pub seats: u32,
     pub repeat: Repeat,
     pub repeat_window: f64,
+    /// What a viewer beside another of its title adds, as a part of the rate; 1: all of it.
+    pub join: f64,
     /// kB a second of each rung.
     pub kb: Vec<f64>,
     /// Utility a second of each rung.
@@ -38,6 +40,8 @@
     pub link_unit: f64,
     pub rack_uplink: f64,
     pub seen_after: f64,
+    /// Of a link; infinite where nodes never reply busy for it.
+    pub refuses_from: f64,
     pub told_every: f64,
     pub near_first: bool,
     pub max_setups: u32,
@@ -63,6 +67,7 @@
                 seats: g.seats,
                 repeat: g.repeat,
                 repeat_window: g.repeat_window,
+                join: g.join,
                 kb: terms.ladder.iter().map(|kb| kb * g.scale).collect(),
                 earns: terms.rung_utility.iter().map(|u| u * g.utility).collect(),
                 switch: terms.switch_cost * g.utility,
@@ -82,6 +87,7 @@
             link_unit: terms.link_unit.max(1.0),
             rack_uplink: terms.rack_uplink,
             seen_after: terms.seen_after,
+            refuses_from: terms.refuses_from.unwrap_or(f64::INFINITY),
             told_every: terms.told_every,
             near_first: terms.cross_zone_price > 0.0,
             max_setups: terms.max_setups.max(1),
--- a/crates/kelpdoor/src/terms.rs
+++ b/crates/kelpdoor/src/terms.rs
@@ -43,6 +43,8 @@
     pub scale: f64,
     /// Sessions of one title that a director may hold; 0: any number.
     pub seats: u32,
+    /// What a further viewer of a title adds to its stream at the same node and rung, as a part of the rate; 1: nothing is shared.
+    pub join: f64,
 }
 
 /// Further SETUPs allowed in any span.
@@ -71,6 +73,8 @@
     pub rack_uplink: f64,
     /// How late delivery readings are.
     pub seen_after: f64,
+    /// So full by what is asked of its link, a node replies busy; `None`: never for that.
+    pub refuses_from: Option<f64>,
     /// Time between readings of a link's fullness; 0: none come.
     pub told_every: f64,
     /// A rung change costs so many seconds of the group's utility.
--- a/crates/kelpdoor/tests/any_settings.rs
+++ b/crates/kelpdoor/tests/any_settings.rs
@@ -168,6 +168,7 @@
             top: rng.u8(floor..=rungs as u8),
             scale: 0.3 + rng.f64(),
             seats: if rng.bool() { rng.u32(1..4) } else { 0 },
+            join: if rng.bool() { rng.f64() } else { 1.0 },
         }
     };
     let zero_or = |rng: &mut Rng, most: f64| if rng.u8(0..4) == 0 { 0.0 } else { rng.f64() * most };
@@ -183,6 +184,7 @@
         racks: rng.u16(0..4),
         link_unit: zero_or(rng, 30_000.0),
         rack_uplink: zero_or(rng, 90_000.0),
+        refuses_from: rng.bool().then(|| rng.f64() * 1.5),
         seen_after: zero_or(rng, 2.0),
         told_every: zero_or(rng, 5.0),
         switch_cost: zero_or(rng, 1.0),
--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -5,14 +5,20 @@
 use expect_test::{Expect, expect};
 use helper::{Desk, line, terms, viewer};
 use kelpdoor::Director;
-use kelpdoor::ids::NodeId;
-use kelpdoor::round::{Ending, ListChange, Phase, Playing, Reading};
+use kelpdoor::ids::{NodeId, SessId};
+use kelpdoor::round::{Ended, Ending, ListChange, LoadReport, Phase, Playing, Reading};
 use kelpdoor::terms::{FurtherBudget, GroupTerms, Reach, Repeat, Terms};
 
 fn check(desk: &Desk, kept: Expect) {
     kept.assert_eq(&desk.trace.text);
 }
 
+/// A session that played at node 0 and came to its end.
+fn played(sess: u64) -> Ended {
+    let load = LoadReport::default();
+    Ended { sess: SessId(sess), node: NodeId(0), how: Ending::Served, closed: true, load }
+}
+
 fn with_group(change: impl FnOnce(&mut GroupTerms)) -> Terms {
     let mut terms = terms();
     change(&mut terms.groups[0]);
@@ -56,6 +62,50 @@
     );
 }
 
+#[test]
+fn viewers_of_a_live_title_share_its_stream_at_a_node_and_rung() {
+    let mut desk = Desk::new(&with_group(|g| g.join = 0.1));
+    desk.full(1, 0, 0.0);
+    for sess in 1..=5 {
+        desk.asks(sess, 1);
+        desk.plays(sess);
+    }
+    let full = |desk: &Desk| format!("{:.3}", desk.director.fullness(NodeId(0)).expect("known").0);
+    let shared = full(&desk);
+    (2..=4).for_each(|sess| desk.round(|r| r.ended.push(played(sess))));
+    let two = full(&desk);
+    desk.round(|r| r.ended.push(played(1)));
+    check(
+        &desk,
+        expect![[r#"
+        100.0 sess 1 rung 2
+        100.0 sess 1 SETUP at 0, wait 0.45
+        100.0 sess 2 rung 2
+        100.0 sess 2 SETUP at 0, wait 0.45
+        100.0 sess 3 rung 2
+        100.0 sess 3 SETUP at 0, wait 0.45
+        100.0 sess 4 rung 2
+        100.0 sess 4 SETUP at 0, wait 0.45
+        100.0 sess 5 rung 2
+        100.0 sess 5 SETUP at 0, wait 0.45
+    "#]],
+    );
+    expect!["0.350 with five, 0.275 with two, 0.250 with one"]
+        .assert_eq(&format!("{shared} with five, {two} with two, {} with one", full(&desk)));
+}
+
+#[test]
+fn a_link_is_filled_only_to_where_its_node_replies_busy() {
+    let mut rungs = [0, 0];
+    for (count, refuses_from) in rungs.iter_mut().zip([None, Some(0.4)]) {
+        let mut desk = Desk::new(&Terms { refuses_from, ..terms() });
+        desk.full(1, 0, 0.0);
+        (1..=4).for_each(|sess| desk.asks(sess, 1));
+        *count = desk.trace.text.matches("rung 2").count();
+    }
+    assert_eq!(rungs, [3, 1], "of four sessions at the top rung");
+}
+
 #[test]
 fn a_shortage_is_answered_once() {
     let mut desk = Desk::new(&terms());
