Draw a shared live title's node by ids, so that its viewers meet

Change: the same draw by the same shares among the same holders, by hashes of ids in place of chance. A small test: twelve directors with seeds of their own choose one node; by chance four.

--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -8,7 +8,8 @@
 //!   3. squeeze: a new session may take room from steps that earn less for each kB; with many directors, who
 //!      hold little of a link each, such steps yield by chance before it is over
 //!   4. further SETUPs: time-outs that leave time for another, within cap, budget and time left
-//!   5. own zone first, where crossing zones has a price
+//!   5. among equals: own zone first where crossing zones has a price; where a live title's viewers share a
+//!      stream, one draw for all of them by ids in place of chance
 //!   6. fading: what was last heard drifts to the common load as it ages, and a link never read stands at it;
 //!      after a pause of our own all news is that much older
 
@@ -745,6 +746,20 @@
         if self.figures.near_first && offers.iter().any(|o| self.nodes.zone[o.0] == self.figures.zone) {
             offers.retain(|o| self.nodes.zone[o.0] == self.figures.zone);
         }
+        if group.join < 1.0 {
+            // Viewers of a live title share its stream where they meet: all directors draw by the title's and the
+            // nodes' ids in place of chance, each node by its share, and so mostly the same node. Harm: a title's
+            // viewers end together where that node dies.
+            let title = s.ask.title.0;
+            let far = |i: usize| {
+                let id = u64::from(self.nodes.id[i].0);
+                -Rng::with_seed(title ^ id.rotate_left(32)).f64().ln() / self.nodes.share[i].max(1e-9)
+            };
+            return offers
+                .into_iter()
+                .min_by(|a, b| far(a.0).total_cmp(&far(b.0)))
+                .map(|(i, rung, plan)| (i, rung as u8, plan));
+        }
         let sum: f64 = offers.iter().map(|o| self.nodes.share[o.0]).sum();
         let mut draw = self.rng.f64() * sum;
         let last = offers.len() - 1;
--- a/crates/kelpdoor/tests/traces.rs
+++ b/crates/kelpdoor/tests/traces.rs
@@ -94,6 +94,23 @@
         .assert_eq(&format!("{shared} with five, {two} with two, {} with one", full(&desk)));
 }
 
+#[test]
+fn directors_that_share_nothing_place_a_live_titles_viewers_at_one_node() {
+    let spread = |join: f64| {
+        let terms = with_group(|g| g.join = join);
+        let places = (0..12).map(|seed| {
+            let mut desk = Desk::with(Director::new(&terms, seed, 90.0), 90.0);
+            let lines = (0..6).map(|n| line(n, Phase::Ready, 0.0)).collect();
+            desk.round(|r| r.list_changes.push(ListChange::Cached(lines)));
+            desk.run_to(100.0);
+            desk.asks(1, 6);
+            desk.trace.sent[0].1
+        });
+        places.collect::<std::collections::BTreeSet<NodeId>>().len()
+    };
+    assert_eq!((spread(0.2), spread(1.0)), (1, 4), "nodes that twelve directors chose for one title");
+}
+
 #[test]
 fn a_link_is_filled_only_to_where_its_node_replies_busy() {
     let mut rungs = [0, 0];
