Read a connection to a node that we close to its end

Each end that came was logged: the lost ones never reached the core on a link it knew. Ruled out by the logs: ends passed over, ends told on lost viewers' connections, nodes given up. At fault: exchange.rs, hang_up_link, and the shell's end of a link: an idle connection is closed at once, and an end that its node wrote just then goes with it; no new connection need follow on which the node would say it again. Change: such a connection is shut for writing and read to its end, 1 s and eight at a time at most. Tests: on the core and on a socket; both fail on the code before.

--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -44,6 +44,8 @@
 const OTHER_SOCKETS: usize = 36;
 /// s; a second connection to a node that is idle for so long is closed: nodes say at once what they owe on a new one.
 const LINK_IDLE: f64 = 2.0;
+/// Connections to nodes that we closed and still read, for an end told just then; more are cut at once.
+const CLOSING: usize = 8;
 /// SETUPs given up lately: a late answer to one is released.
 const GIVEN_UP: usize = 4096;
 /// Releases and rungs that wait for a connection to one node.
@@ -123,7 +125,8 @@
         link: u64,
         bytes: Vec<u8>,
     },
-    /// Closes a connection; `at_once` without waiting for what is on its way, which must not come late.
+    /// Closes a connection; `at_once` without waiting for what is on its way, which must not come late; else what the node
+    /// said before it saw the close is still taken in, until it closes too.
     HangUp {
         link: u64,
         at_once: bool,
@@ -201,6 +204,8 @@
     tired: bool,
     /// Nothing came from its node since a SETUP on it that was given up.
     silent: bool,
+    /// Closed by us and none of its node's any more, but what was on its way is still read.
+    closing: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -245,6 +250,8 @@
     sess: BTreeMap<SessId, Session>,
     viewers: BTreeMap<u64, Viewer>,
     links: BTreeMap<u64, Link>,
+    /// How many of them are closing.
+    closing_links: usize,
     nodes: BTreeMap<NodeId, Node>,
     ids: HashMap<String, NodeId>,
     /// Who has an address now.
@@ -289,6 +296,7 @@
             sess: BTreeMap::new(),
             viewers: BTreeMap::new(),
             links: BTreeMap::new(),
+            closing_links: 0,
             nodes: BTreeMap::new(),
             ids: HashMap::new(),
             by_address: HashMap::new(),
@@ -384,7 +392,7 @@
             open: h.open,
             standing: h.standing,
             viewers: h.viewers.len(),
-            links: h.links.len(),
+            links: h.links.len() - h.closing_links,
             nodes: h.nodes.values().filter(|n| n.phase != Phase::Gone).count(),
             owed: h.untold.len() + h.nodes.values().map(|n| n.owed.len()).sum::<usize>(),
             timers: h.timers.len(),
@@ -772,12 +780,19 @@
     }
 
     fn hang_up_link(&mut self, link: u64, at_once: bool) {
-        if let Some(l) = self.links.remove(&link) {
-            if let Some(n) = self.nodes.get_mut(&l.node) {
-                n.links.remove(&link);
-            }
-            self.effects.push(Effect::HangUp { link, at_once });
+        let Some(l) = self.links.get_mut(&link).filter(|l| !l.closing) else { return };
+        if let Some(n) = self.nodes.get_mut(&l.node) {
+            n.links.remove(&link);
+        }
+        let at_once = at_once || self.closing_links >= CLOSING;
+        if at_once {
+            self.links.remove(&link);
+        } else {
+            // Its node may be telling an end on it at this moment, and would not tell it again.
+            (l.closing, l.up) = (true, false);
+            self.closing_links += 1;
         }
+        self.effects.push(Effect::HangUp { link, at_once });
     }
 
     /// Gives up a SETUP: its node is told, and a late answer will be released.
@@ -832,7 +847,8 @@
         let (link, address) = (self.next_link, n.address);
         self.next_link += 1;
         n.links.insert(link);
-        let new = Link { node, up: false, out: BTreeSet::new(), used: self.now, tired: false, silent: false };
+        let (used, out) = (self.now, BTreeSet::new());
+        let new = Link { node, up: false, out, used, tired: false, silent: false, closing: false };
         self.links.insert(link, new);
         self.effects.push(Effect::Dial { link, address });
         Some(link)
@@ -840,7 +856,7 @@
 
     /// Whether another connection may be opened, if need be in place of an idle one.
     fn room_for_link(&mut self) -> bool {
-        if self.links.len() < self.most_links {
+        if self.links.len() - self.closing_links < self.most_links {
             return true;
         }
         // Rather a spare one than the only one to a node where something stands.
@@ -986,6 +1002,10 @@
     /// A connection ended. What stood lives on; its SETUPs hang on whether the node does.
     fn link_lost(&mut self, link: u64) {
         let Some(l) = self.links.remove(&link) else { return };
+        if l.closing {
+            self.closing_links -= 1;
+            return;
+        }
         let Some(n) = self.nodes.get_mut(&l.node) else { return };
         n.links.remove(&link);
         for sess in l.out {
@@ -1044,7 +1064,7 @@
                 }
             }
             media::Word::Released { sess, cause, cseq, load } => {
-                self.effects.push(Effect::Node { link, bytes: media::heard(sess, cseq) });
+                self.reply(link, media::heard(sess, cseq));
                 let stands = self.sess.get(&sess).filter(|s| s.stage == Stage::Stands && s.node == node);
                 if let Some((conn, sent)) = stands.map(|s| (s.conn, s.sent)) {
                     let anew = self.nodes.get(&node).is_some_and(|n| n.linked_since > sent);
@@ -1071,6 +1091,14 @@
         }
     }
 
+    /// Answers on the connection that a message came on. On one that we closed nothing can be said any more, and what was
+    /// given up there was released before the close.
+    fn reply(&mut self, link: u64, bytes: Vec<u8>) {
+        if self.links.get(&link).is_some_and(|l| !l.closing) {
+            self.effects.push(Effect::Node { link, bytes });
+        }
+    }
+
     fn is_out(&self, sess: SessId, link: u64) -> bool {
         self.sess.get(&sess).is_some_and(|s| s.stage == Stage::Out && s.link == link)
     }
@@ -1078,7 +1106,7 @@
     fn set_up(&mut self, link: u64, node: NodeId, sess: SessId, blob: Option<String>) {
         if !self.is_out(sess, link) {
             if self.given_up.contains(&(sess, node)) {
-                self.effects.push(Effect::Node { link, bytes: media::release(sess, cause::CLEARED) });
+                self.reply(link, media::release(sess, cause::CLEARED));
             }
             return;
         }
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -205,9 +205,9 @@
     }
 }
 
-/// Serves one connection: `take` reads what is whole off the buffer and passes it on, and says whether to go on. Returns
-/// whether the end is the peer's.
-async fn serve<F>(stream: &TcpStream, pipe: &Pipe, mut take: F) -> bool
+/// Serves one connection: `take` reads what is whole off the buffer and passes it on, and says whether to go on. With
+/// `to_its_end`, one that we close is read until the peer closes it too, for a while. Returns whether the end is the peer's.
+async fn serve<F>(stream: &TcpStream, pipe: &Pipe, to_its_end: bool, mut take: F) -> bool
 where
     F: AsyncFnMut(&mut Vec<u8>) -> bool,
 {
@@ -222,6 +222,19 @@
             let flushed =
                 async { while pipe.waits() && stream.writable().await.is_ok() && pipe.flush(stream) {} };
             let _ = timeout(LINGER, flushed).await;
+            if to_its_end && !deaf && !pipe.waits() {
+                let _ = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write);
+                let rest = async {
+                    while stream.readable().await.is_ok() && !pipe.cut.get() {
+                        match read(stream, &mut buf) {
+                            Read::Some if !take(&mut buf).await => break,
+                            Read::Over => break,
+                            Read::Some | Read::Nothing => {}
+                        }
+                    }
+                };
+                let _ = timeout(LINGER, rest).await;
+            }
             return false;
         }
         let woken = if deaf {
@@ -276,7 +289,7 @@
     conn: u64, stream: Rc<TcpStream>, pipe: Rc<Pipe>, to: mpsc::Sender<Came>, lingering: Rc<Semaphore>,
 ) {
     let _ = to.send((Instant::now(), Input::ViewerUp { conn })).await;
-    let lost = serve(&stream, &pipe, async |buf: &mut Vec<u8>| {
+    let lost = serve(&stream, &pipe, false, async |buf: &mut Vec<u8>| {
         let came = Instant::now();
         let mut from = 0;
         while let Some(end) = buf[from..].iter().position(|&b| b == b'\n') {
@@ -337,7 +350,7 @@
     let _ = stream.set_nodelay(true);
     *pipe.stream.borrow_mut() = Some(stream.clone());
     let _ = to.send((Instant::now(), Input::LinkUp { link })).await;
-    serve(&stream, &pipe, async |buf: &mut Vec<u8>| {
+    serve(&stream, &pipe, true, async |buf: &mut Vec<u8>| {
         let came = Instant::now();
         let mut from = 0;
         loop {
@@ -773,7 +786,7 @@
         }
         assert!(pipe.waits() && !pipe.cut.get());
         pipe.close();
-        let end = timeout(LINGER * 2, serve(&ours, &pipe, async |_: &mut Vec<u8>| true)).await;
+        let end = timeout(LINGER * 2, serve(&ours, &pipe, true, async |_: &mut Vec<u8>| true)).await;
         assert_eq!(end, Ok(false), "it ends though its last words are not read");
         (0..10).for_each(|_| pipe.write(&chunk));
         assert!(pipe.cut.get() && all.bytes.get() <= PENDING);
@@ -781,6 +794,26 @@
         assert_eq!(all.bytes.get(), 0);
     }
 
+    #[tokio::test]
+    async fn what_a_peer_said_before_it_saw_our_close_is_read() {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let (ours, mut theirs) = pair().await;
+        let pipe = Pipe::new(Some(ours.clone()), backlog(1 << 20));
+        pipe.close();
+        let said = RefCell::new(Vec::new());
+        let served = serve(&ours, &pipe, true, async |buf: &mut Vec<u8>| {
+            said.borrow_mut().append(buf);
+            true
+        });
+        let peer = async {
+            theirs.write_all(b"over").await.expect("the way to us is open");
+            assert_eq!(theirs.read(&mut [0; 8]).await.expect("our end"), 0);
+            drop(theirs);
+        };
+        let (ours_to_end, ()) = tokio::join!(served, peer);
+        assert_eq!((ours_to_end, &said.borrow()[..]), (false, &b"over"[..]));
+    }
+
     #[tokio::test]
     async fn all_peers_together_keep_within_their_bound() {
         let all = backlog(20 << 10);
--- a/crates/kelpdoor-platform/tests/exchange.rs
+++ b/crates/kelpdoor-platform/tests/exchange.rs
@@ -71,6 +71,28 @@
     "#]].assert_eq(&s.told());
 }
 
+#[test]
+fn an_end_that_crosses_our_close_of_an_idle_connection_is_told() {
+    let mut s = Story::playing(1);
+    s.ask(1, 6);
+    s.ask(1, 7);
+    s.settle_all();
+    s.serves(0, 6);
+    s.serves(1, 7);
+    s.told();
+    s.pass(2.2);
+    let told = s.told();
+    assert!(told.contains("link 0 hang up") && !told.contains("link 1 hang up"), "one is enough: {told}");
+    // Written before its node saw the close.
+    s.node(0, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000006|Reason: cause=16");
+    s.go(Input::LinkLost { link: 0 });
+    assert_eq!(s.exchange.counts().standing, 2);
+    expect![[r#"
+        12.20 viewer 1 < {"verb":"FINISH","tag":"0000000000000006","opts":{},"rc":16}
+    "#]]
+    .assert_eq(&s.told());
+}
+
 #[test]
 fn what_a_node_says_of_a_setup_decides_what_becomes_of_it() {
     let mut table = String::new();
