--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -8,7 +8,8 @@
 //!   3. squeeze: a new session may take room from steps that earn less for each kB; with many directors, who
 //!      hold little of a link each, such steps yield by chance before it is over
 //!   4. further SETUPs: time-outs that leave time for another, within cap, budget and time left
-//!   5. own zone first, where crossing zones has a price
+//!   5. among equals: own zone first where crossing zones has a price; where a live title's viewers share a
+//!      stream, one draw for all of them by ids in place of chance
 //!   6. fading: what was last heard drifts to the common load as it ages, and a link never read stands at it;
 //!      after a pause of our own all news is that much older
 
@@ -103,6 +104,8 @@
     taken: VecDeque<f64>,
     further: VecDeque<f64>,
     pub(crate) seats: BTreeMap<(TitleId, u8), u32>,
+    /// Viewers on a shared stream of ours: by node, title, group and rung.
+    pub(crate) shared: BTreeMap<(usize, TitleId, u8, u8), u32>,
     ask_at: f64,
 }
 
@@ -144,6 +147,7 @@
             taken: VecDeque::new(),
             further: VecDeque::new(),
             seats: BTreeMap::new(),
+            shared: BTreeMap::new(),
             ask_at: now,
         }
     }
@@ -309,6 +313,11 @@
         (link, self.left_under(now, self.rack(i), fill.1, 1.0))
     }
 
+    /// Of a link and an uplink, what set-ups fill; a link only to where its node would reply busy.
+    fn fill(&self) -> (f64, f64) {
+        (FILL.min(self.figures.refuses_from), FILL)
+    }
+
     fn load_read(&mut self, now: f64, i: usize, load: &LoadReport) {
         let (l, r, then) = (self.link(i), self.rack(i), now - REPORT_AGE);
         if let Some(streams) = load.streams {
@@ -711,10 +720,14 @@
             return None;
         }
         let fits = |i: usize| {
-            let (link, uplink) = self.room(now, i, (FILL, FILL));
+            let (link, uplink) = self.room(now, i, self.fill());
             let room = link.min(uplink);
-            let rung =
-                (group.floor..=best).rev().find(|&r| group.kb[r as usize] * (1.0 + RATE_SPREAD) <= room);
+            let adds = |r: u8| {
+                // Beside a viewer of the same title there only a part of the rate comes on top.
+                let part = if self.joins(i, &s.ask, r) { group.join } else { 1.0 };
+                part * group.kb[r as usize] * (1.0 + RATE_SPREAD)
+            };
+            let rung = (group.floor..=best).rev().find(|&r| adds(r) <= room);
             // A guess is no ground for a busy reply.
             let blind = self.ledger.read_at[self.link(i)] < now - RISE_READING;
             rung.map_or(if blind { group.floor.into() } else { -1 }, i16::from)
@@ -733,6 +746,20 @@
         if self.figures.near_first && offers.iter().any(|o| self.nodes.zone[o.0] == self.figures.zone) {
             offers.retain(|o| self.nodes.zone[o.0] == self.figures.zone);
         }
+        if group.join < 1.0 {
+            // Viewers of a live title share its stream where they meet: all directors draw by the title's and the
+            // nodes' ids in place of chance, each node by its share, and so mostly the same node. Harm: a title's
+            // viewers end together where that node dies.
+            let title = s.ask.title.0;
+            let far = |i: usize| {
+                let id = u64::from(self.nodes.id[i].0);
+                -Rng::with_seed(title ^ id.rotate_left(32)).f64().ln() / self.nodes.share[i].max(1e-9)
+            };
+            return offers
+                .into_iter()
+                .min_by(|a, b| far(a.0).total_cmp(&far(b.0)))
+                .map(|(i, rung, plan)| (i, rung as u8, plan));
+        }
         let sum: f64 = offers.iter().map(|o| self.nodes.share[o.0]).sum();
         let mut draw = self.rng.f64() * sum;
         let last = offers.len() - 1;
@@ -749,7 +776,7 @@
     /// for each kB gave way.
     fn squeeze(&self, now: f64, i: usize, s: &Sess, from: i16, best: u8) -> (i16, Steps) {
         let group = &self.figures.groups[s.ask.group.0 as usize];
-        let (link, uplink) = self.room(now, i, (FILL, FILL));
+        let (link, uplink) = self.room(now, i, self.fill());
         let (mut reached, mut plan) = (from, Vec::new());
         for next in (from + 1).max(group.floor.into())..=best.into() {
             let next = next as usize;
