--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -810,7 +810,8 @@
             assert_eq!(theirs.read(&mut [0; 8]).await.expect("our end"), 0);
             drop(theirs);
         };
-        let (ours_to_end, ()) = tokio::join!(served, peer);
+        let both = timeout(LINGER * 2, async { tokio::join!(served, peer) }).await;
+        let (ours_to_end, ()) = both.expect("both ends close");
         assert_eq!((ours_to_end, &said.borrow()[..]), (false, &b"over"[..]));
     }
 
