Number the platform's nodes by their ids, the same at each director

Cause: read again after the draw by ids: on the platform's route nodes were numbered in the order in which a director heard of them (exchange.rs, listed), so directors would have drawn different nodes for one shared live title. Now a number comes from the node's id, the next free one where two share it. Native directors still number by order: stated as open.

--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -10,6 +10,7 @@
 //! connection, releases that no viewer could be told, and ids given up lately (the oldest are dropped).
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
 use kelpdoor::ids::{GroupId, NodeId, SessId};
@@ -265,7 +266,6 @@
     closing: bool,
     timers: Timers<Timer>,
     next_sweep: f64,
-    next_node: u32,
     next_link: u64,
     most_viewers: usize,
     most_links: usize,
@@ -309,7 +309,6 @@
             closing: false,
             timers: Timers::default(),
             next_sweep: now,
-            next_node: 0,
             next_link: 0,
             most_viewers: room / 2,
             most_links: room - room / 2,
@@ -918,7 +917,7 @@
     }
 
     fn link_up(&mut self, link: u64) {
-        let Some(l) = self.links.get(&link) else { return };
+        let Some(l) = self.links.get(&link).filter(|l| !l.closing) else { return };
         let (node, waiting) = (l.node, l.out.clone());
         let alone = self.up_link(node).is_none();
         if let Some(l) = self.links.get_mut(&link) {
@@ -945,6 +944,10 @@
 
     fn link_failed(&mut self, link: u64, how: Failed) {
         let Some(l) = self.links.remove(&link) else { return };
+        if l.closing {
+            self.closing_links -= 1;
+            return;
+        }
         if let Some(n) = self.nodes.get_mut(&l.node) {
             n.links.remove(&link);
         }
@@ -1150,15 +1153,24 @@
 
     // The change log.
 
+    /// A number for a node not known so far: by its id, so that it is the same at each director whatever it heard first, as
+    /// decisions may draw by it; where another has it, the next free one. 0 stands for none.
+    fn number(&self, id: &str) -> NodeId {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        let mut n = hasher.finish() as u32;
+        while n == 0 || self.nodes.contains_key(&NodeId(n)) {
+            n = n.wrapping_add(1);
+        }
+        NodeId(n)
+    }
+
     fn listed(&mut self, host: &Host) -> Option<Listed> {
         let known = self.ids.get(&host.id).copied();
         if known.is_none() && host.phase == Phase::Gone {
             return None;
         }
-        let id = known.unwrap_or_else(|| {
-            self.next_node += 1;
-            NodeId(self.next_node)
-        });
+        let id = known.unwrap_or_else(|| self.number(&host.id));
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let line = Listed {
             node: id,
@@ -1399,6 +1411,24 @@
         }
     }
 
+    #[test]
+    fn a_node_has_one_number_at_all_directors_whatever_they_heard_first() {
+        let numbers = |order: [u32; 4]| {
+            let host = |n: u32| {
+                serde_json::json!({"host": format!("s-{n}"), "dial": format!("10.1.0.{n}:1"), "site": "a", "class": "b",
+                    "block": 0, "health": "up", "share": 1, "born_ms": 0})
+            };
+            let event = serde_json::json!({"seq": 1, "fleet": {"whole": true, "hosts": order.map(host)}});
+            let known = serde_json::json!({"seq": 1, "results": [event]});
+            let (known, known_to) = crate::changes::read_known(&known).expect("good events");
+            let x = Exchange::new(&Start { known, known_to, ..start() }, 1000.0);
+            x.hands.ids.into_iter().collect::<BTreeMap<_, _>>()
+        };
+        let one = numbers([1, 2, 3, 4]);
+        assert_eq!(one, numbers([4, 2, 1, 3]));
+        assert_eq!(one.values().collect::<BTreeSet<_>>().len(), 4);
+    }
+
     #[test]
     fn what_the_decisions_forget_is_answered_when_it_is_due() {
         let mut x = Exchange::new(&start(), 1000.0);
