Wait for the keeper to read a director's last words before it is ended

Its answer was Busy after 0.6 ms with four links up: the seat that a director gave back at a planned end was lost. keeping.rs, talk: words were written and the keeper told to end beside its socket, so the end overtook them. Now the way to the keeper stays until the keeper has closed it, 0.5 s at most: it then has taken all words in before its end. The test says the answer it got.

--- a/crates/kelpdoor-director/src/keeping.rs
+++ b/crates/kelpdoor-director/src/keeping.rs
@@ -20,6 +20,9 @@
 /// s; wait before the keeper is connected again, at first and at most; also the longest wait for a connection.
 const WAIT: (f64, f64) = (0.1, 5.0);
 
+/// How long a keeper is waited for that has not read our last words.
+const LAST_READ: Duration = Duration::from_millis(500);
+
 /// What a keeper is started with, by its settings.
 pub fn keeper_options(keeper: &Keeper, schools: &[School]) -> KeeperOptions {
     KeeperOptions {
@@ -91,10 +94,8 @@
             }
             match serde_json::from_slice::<Tell>(&line) {
                 Ok(Tell::Word(word)) => {
-                    if inputs.send((Instant::now(), Input::Keeper(word))).await.is_err() {
-                        // The desk has ended: what it still says is written below.
-                        std::future::pending::<()>().await;
-                    }
+                    // Where the desk has ended nobody hears it; what the desk still said is written below.
+                    let _ = inputs.send((Instant::now(), Input::Keeper(word))).await;
                 }
                 Ok(Tell::Fault(why)) => return why,
                 Ok(Tell::Standing { .. }) => {}
@@ -119,8 +120,14 @@
         let _ = write.shutdown().await;
         None
     };
-    tokio::select! {
-        why = reader => Some(why),
+    let mut reader = std::pin::pin!(reader);
+    let why = tokio::select! {
+        why = &mut reader => return Some(why),
         why = writer => why,
+    };
+    if why.is_none() {
+        // All is written; a keeper that closes in turn has read it too, and may be ended then without losing a seat.
+        let _ = timeout(LAST_READ, reader).await;
     }
+    why
 }
--- a/crates/kelpdoor-lab/tests/seats.rs
+++ b/crates/kelpdoor-lab/tests/seats.rs
@@ -269,7 +269,14 @@
     let running = begin().await;
     let mut socket = open(&running).await;
     ask(&mut socket, "key-00003", hall.token("b", 300.0)).await;
-    assert!(matches!(answer(&mut socket).await, ToPlayer::Playing { .. }));
+    let began = Instant::now();
+    let said = answer(&mut socket).await;
+    assert!(
+        matches!(said, ToPlayer::Playing { .. }),
+        "{said:?} after {:?}, {:?}",
+        began.elapsed(),
+        running.counts()
+    );
     // Killed, its seat stands for the lease; only the viewer itself gets it before.
     running.abort();
     drop(running);
