--- /dev/null
+++ b/crates/kelpdoor-agreement/src/lib.rs
@@ -0,0 +1,31 @@
+//! Rules on which directors agree: one content for each version, decided by a majority of voters, and the lease under
+//! which a director acts on it. No I/O: calls in, words and one write out, steady time passed in.
+//!
+//! - [`Voter`]: for each next version one decree of Paxos (Lamport 2001). The version before has to be chosen and known
+//!   first, so a voter holds a promise and an accepted value for one version alone, and a proposal is a compare-and-set.
+//! - [`Follower`]: a director's side. It acts on a version as long as a majority of voters, *asked* less than a lease ago,
+//!   had accepted nothing newer (Gray and Cheriton 1989). Voters hold no lease that anybody waits for: who acts on the old
+//!   alone ends a lease after the new one was chosen, by its own clock.
+//! - [`keys`]: what may differ while a change goes round, what is acted on at its stricter side, what waits.
+
+mod follower;
+pub mod keys;
+mod voter;
+mod words;
+
+pub use follower::{Acting, Follower};
+pub use voter::{Durable, Out, Voter};
+pub use words::{Ask, Ballot, Chosen, DirectorStanding, MAX_DOCUMENT, MAX_LINE, Tell, Value, VoterId, Word};
+
+/// Of time; how far apart two steady clocks may run, the slewing of a director's time included. Clocks of machines keep
+/// to 0.0002 of their rate when undisturbed; fifty times that.
+pub const RATE_ERROR: f64 = 0.01;
+
+/// Of the stated longest contradiction; a lease. The rest is for what was decided in time and has still to reach a
+/// node, and for directors that hear of a change at different times.
+pub const LEASE_PART: f64 = 0.5;
+
+/// A lease on a version that states this longest contradiction, s.
+pub fn lease_of(contradiction: f64) -> f64 {
+    contradiction * LEASE_PART
+}
--- /dev/null
+++ b/crates/kelpdoor-agreement/src/words.rs
@@ -0,0 +1,186 @@
+//! What crosses between voters, and between a voter and directors or operators: a JSON line for each.
+
+use ring::digest::{SHA256, digest};
+use serde::{Deserialize, Serialize};
+
+/// Bytes of a document at most.
+pub const MAX_DOCUMENT: usize = 1 << 18;
+/// Bytes of a line at most: a document with every byte escaped, twice, and what stands round it.
+pub const MAX_LINE: usize = 16 * MAX_DOCUMENT;
+
+/// A voter's place in the list of voters, from 0.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct VoterId(pub u8);
+
+/// A proposer's try; the default is under every try.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ballot {
+    pub round: u64,
+    pub voter: VoterId,
+}
+
+/// A content, under the number that names its proposal: two proposals of the same text are told apart.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Value {
+    pub id: u64,
+    pub text: String,
+}
+
+/// A version as it was agreed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Chosen {
+    pub number: u64,
+    pub value: Value,
+}
+
+impl Chosen {
+    /// SHA-256 of the text, the first 16 hexadecimal digits.
+    pub fn digest(&self) -> String {
+        let sum = digest(&SHA256, self.value.text.as_bytes());
+        sum.as_ref()[..8].iter().map(|b| format!("{b:02x}")).collect()
+    }
+
+    /// Number and digest, as logs and records name it.
+    pub fn label(&self) -> String {
+        format!("{}/{}", self.number, self.digest())
+    }
+}
+
+/// Between voters.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Word {
+    Prepare {
+        number: u64,
+        ballot: Ballot,
+    },
+    Promise {
+        number: u64,
+        ballot: Ballot,
+        accepted: Option<(Ballot, u64, String)>,
+    },
+    Accept {
+        number: u64,
+        ballot: Ballot,
+        id: u64,
+        text: String,
+    },
+    Accepted {
+        number: u64,
+        ballot: Ballot,
+    },
+    /// A higher try was promised.
+    Refuse {
+        number: u64,
+        promised: Ballot,
+    },
+    /// That version is chosen.
+    Learn {
+        number: u64,
+        id: u64,
+        text: String,
+    },
+    /// The sender lacks the version before.
+    Behind {
+        have: u64,
+    },
+    /// How far are you? Answered with `Have`, and with `Learn` where something is chosen.
+    Want,
+    Have {
+        number: u64,
+        /// Something was accepted for the version after.
+        accepted: bool,
+    },
+}
+
+/// From a director or an operator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ask {
+    /// A director asks to go on.
+    Renew {
+        name: String,
+        /// Drawn at its start.
+        boot: u64,
+        seq: u64,
+        /// The version it knows; 0: none.
+        have: u64,
+        /// s; the lease that it takes.
+        lease: f64,
+        /// s left of the lease it has.
+        left: f64,
+        /// What it acts on, for operators.
+        acts: String,
+    },
+    Propose {
+        after: u64,
+        value: Value,
+        /// Said by an operator: half of what was listed may go at once.
+        sure: bool,
+    },
+    Standing,
+    /// An earlier version's content.
+    Content {
+        number: u64,
+    },
+    Voter {
+        from: VoterId,
+        word: Word,
+    },
+}
+
+/// How a director stands with a voter.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DirectorStanding {
+    pub name: String,
+    pub have: u64,
+    pub acts: String,
+    /// s since it last asked.
+    pub heard: f64,
+    /// s left of its lease when it asked.
+    pub left: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Tell {
+    /// At that moment nothing newer than `newest` was accepted, unless `pending`.
+    Granted {
+        seq: u64,
+        newest: u64,
+        pending: bool,
+        /// The newest version, where the director lacks it.
+        document: Option<Chosen>,
+    },
+    Refused {
+        seq: u64,
+        why: String,
+    },
+    Agreed {
+        number: u64,
+    },
+    /// Another proposal came first.
+    Lost {
+        newest: u64,
+        digest: String,
+    },
+    /// Nothing was decided in time; it may still be.
+    Unknown {
+        why: String,
+    },
+    NotTaken {
+        why: String,
+    },
+    Standing {
+        newest: u64,
+        digest: String,
+        pending: bool,
+        votes: bool,
+        directors: Vec<DirectorStanding>,
+    },
+    Content {
+        found: Option<Chosen>,
+    },
+    /// That line was none; the connection ends.
+    Fault(String),
+}
--- /dev/null
+++ b/crates/kelpdoor-agreement/tests/simulated.rs
@@ -0,0 +1,437 @@
+//! Voters and directors' sides in virtual time: words lost, doubled and late, cuts both ways and one way, pauses, restarts,
+//! a lost disk, clocks that run apart, proposals all the while. Judged by what each knew and acted on, in true time.
+
+use std::collections::{BTreeMap, BinaryHeap};
+
+use fastrand::Rng;
+use kelpdoor_agreement::{Ask, Chosen, Durable, Follower, Out, Tell, Value, Voter, VoterId, Word, lease_of};
+
+/// s; what the documents here state.
+const CONTRADICTION: f64 = 2.0;
+/// s of trouble, then of calm.
+const TROUBLE: f64 = 20.0;
+const CALM: f64 = 8.0;
+
+fn lease(_: &str) -> f64 {
+    lease_of(CONTRADICTION)
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Voter(usize, u64, VoterId, Word),
+    Asked(usize, u64, usize, Ask),
+    Told(usize, u64, usize, Tell),
+    Proposed(usize, Ask),
+    Outcome(Value, Tell),
+    Propose,
+    Trouble,
+    Look,
+}
+
+/// By true time, then by number.
+struct Due(f64, u64, Event);
+
+impl PartialEq for Due {
+    fn eq(&self, o: &Self) -> bool {
+        self.cmp(o).is_eq()
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, o: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, o: &Self) -> std::cmp::Ordering {
+        o.0.total_cmp(&self.0).then(o.1.cmp(&self.1))
+    }
+}
+
+struct Site {
+    /// Of true time.
+    rate: f64,
+    paused_until: f64,
+    life: u64,
+}
+
+struct Sim {
+    rng: Rng,
+    t: f64,
+    count: u64,
+    due: BinaryHeap<Due>,
+    voters: Vec<Voter>,
+    followers: Vec<Follower>,
+    /// Voters first, then directors.
+    sites: Vec<Site>,
+    /// From and to, until when.
+    cuts: BTreeMap<(usize, usize), f64>,
+    next_id: u64,
+    rough: bool,
+    contents: BTreeMap<u64, Value>,
+    acknowledged: Vec<(u64, Value)>,
+    /// By version, when it was first acted on with nothing older beside it, and when first as what has no stricter side.
+    alone: BTreeMap<u64, f64>,
+    switched: BTreeMap<u64, f64>,
+    worst: (f64, f64),
+    wrong: Vec<String>,
+    acted: u64,
+    lost_disks: usize,
+}
+
+impl Sim {
+    fn new(seed: u64, voters: usize, directors: usize) -> Self {
+        let mut rng = Rng::with_seed(seed);
+        let sites = (0..voters + directors)
+            .map(|_| Site { rate: 0.9975 + 0.005 * rng.f64(), paused_until: 0.0, life: 0 })
+            .collect();
+        let of = |k: usize| {
+            Voter::new(VoterId(k as u8), voters as u8, Durable::founded("f"), lease, seed ^ k as u64, 0.0)
+        };
+        let director = |k: usize| Follower::new(&format!("d{k}"), seed + k as u64, voters, None, lease);
+        Sim {
+            t: 0.0,
+            count: 0,
+            due: BinaryHeap::new(),
+            voters: (0..voters).map(of).collect(),
+            followers: (0..directors).map(director).collect(),
+            sites,
+            cuts: BTreeMap::new(),
+            next_id: 1,
+            rough: true,
+            contents: BTreeMap::new(),
+            acknowledged: Vec::new(),
+            alone: BTreeMap::new(),
+            switched: BTreeMap::new(),
+            worst: (0.0, 0.0),
+            wrong: Vec::new(),
+            acted: 0,
+            lost_disks: 0,
+            rng,
+        }
+    }
+
+    fn local(&self, site: usize) -> f64 {
+        self.t * self.sites[site].rate
+    }
+
+    fn at(&mut self, t: f64, event: Event) {
+        self.count += 1;
+        self.due.push(Due(t, self.count, event));
+    }
+
+    /// A word between two sites, with all that can happen to it.
+    fn carry(&mut self, from: usize, to: usize, event: Event) {
+        let cut = self.cuts.get(&(from, to)).is_some_and(|until| *until > self.t);
+        if cut || (self.rough && self.rng.f64() < 0.05) {
+            return;
+        }
+        let copies = if self.rough && self.rng.f64() < 0.05 { 2 } else { 1 };
+        for _ in 0..copies {
+            let mut late = 0.002 + 0.02 * self.rng.f64();
+            if self.rough && self.rng.f64() < 0.1 {
+                late += 3.0 * self.rng.f64().powi(2);
+            }
+            self.at(self.t + late, event.clone());
+        }
+    }
+
+    fn flush(&mut self, k: usize) {
+        let (_, out) = self.voters[k].take_out();
+        // It may die between its write and its words.
+        let lost = self.rough && self.rng.f64() < 0.002;
+        if let Some(c) = self.voters[k].newest().cloned() {
+            self.content(c);
+        }
+        for o in out {
+            match o {
+                _ if lost => {}
+                Out::To(to, word) => {
+                    let to = usize::from(to.0);
+                    let event = Event::Voter(to, self.sites[to].life, VoterId(k as u8), word);
+                    self.carry(k, to, event);
+                }
+                Out::Tell(client, tell) if client < 1000 => {
+                    let f = client as usize;
+                    let site = self.voters.len() + f;
+                    let event = Event::Told(f, self.sites[site].life, k, tell);
+                    self.carry(k, site, event);
+                }
+                Out::Tell(id, tell) => {
+                    let value = Value { id, text: format!("text {id}") };
+                    self.at(self.t, Event::Outcome(value, tell));
+                }
+            }
+        }
+        if lost {
+            self.restart(k, false);
+        }
+    }
+
+    fn restart(&mut self, k: usize, disk_lost: bool) {
+        let durable = if disk_lost { Durable::lost("f") } else { self.voters[k].durable().clone() };
+        self.sites[k].life += 1;
+        let now = self.local(k);
+        let of = self.voters.len() as u8;
+        self.voters[k] = Voter::new(VoterId(k as u8), of, durable, lease, self.rng.u64(..), now);
+    }
+
+    fn content(&mut self, c: Chosen) {
+        let known = self.contents.entry(c.number).or_insert_with(|| c.value.clone());
+        if *known != c.value {
+            self.wrong.push(format!("{:.3}: version {} has two contents", self.t, c.number));
+        }
+    }
+
+    fn trouble(&mut self) {
+        let (v, d) = (self.voters.len(), self.followers.len());
+        let any = self.rng.usize(..v + d);
+        match self.rng.u8(..8) {
+            0 | 1 => {
+                // One way or both, with one or with all.
+                let lasts = self.t + 4.0 * self.rng.f64();
+                let (both, all) = (self.rng.bool(), self.rng.bool());
+                let other = self.rng.usize(..v);
+                for to in (0..v + d).filter(|to| *to != any && (all || *to == other)) {
+                    self.cuts.insert((any, to), lasts);
+                    if both {
+                        self.cuts.insert((to, any), lasts);
+                    }
+                }
+            }
+            2 | 3 => self.sites[any].paused_until = self.t + 3.0 * self.rng.f64(),
+            4 => {
+                let k = self.rng.usize(..v);
+                self.restart(k, false);
+            }
+            5 if self.lost_disks == 0 => {
+                // One at a time: the others have to remember.
+                self.lost_disks += 1;
+                let k = self.rng.usize(..v);
+                self.restart(k, true);
+            }
+            _ => {
+                let f = self.rng.usize(..d);
+                let kept = self.followers[f].known().cloned();
+                self.sites[v + f].life += 1;
+                let boot = self.rng.u64(..);
+                self.followers[f] = Follower::new(&format!("d{f}"), boot, v, kept, lease);
+            }
+        }
+    }
+
+    fn paused(&self, site: usize) -> bool {
+        self.sites[site].paused_until > self.t
+    }
+
+    /// What a director does now, against what all did before.
+    fn look(&mut self, f: usize) {
+        let site = self.voters.len() + f;
+        if self.paused(site) {
+            return;
+        }
+        let now = self.local(site);
+        if let Some(c) = self.followers[f].known().cloned() {
+            self.content(c);
+        }
+        let Some(a) = self.followers[f].acting(now).filter(|a| a.from <= now && now < a.until) else {
+            return;
+        };
+        self.acted += 1;
+        let newest = a.version.number;
+        let oldest = a.beside.first().map_or(newest, |b| b.number);
+        let t = self.t;
+        // Alone on the new: nobody may be alone on an older one from then on.
+        if a.beside.is_empty() {
+            self.alone.entry(newest).or_insert(t);
+        }
+        self.switched.entry(oldest).or_insert(t);
+        let since =
+            |of: &BTreeMap<u64, f64>, n: u64| of.range(n + 1..).map(|(_, at)| t - at).fold(0.0, f64::max);
+        self.worst.0 = self.worst.0.max(since(&self.alone, newest));
+        self.worst.1 = self.worst.1.max(since(&self.switched, oldest));
+    }
+
+    fn ask(&mut self, f: usize) {
+        let site = self.voters.len() + f;
+        if self.paused(site) {
+            return;
+        }
+        let now = self.local(site);
+        for k in 0..self.voters.len() {
+            if let Some(ask) = self.followers[f].ask(now, k) {
+                let event = Event::Asked(k, self.sites[k].life, f, ask);
+                self.carry(site, k, event);
+            }
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Voter(k, life, from, word) => {
+                if self.sites[k].life != life {
+                    return;
+                }
+                if self.paused(k) {
+                    let at = self.sites[k].paused_until;
+                    return self.at(at, Event::Voter(k, life, from, word));
+                }
+                let now = self.local(k);
+                self.voters[k].hear(now, from, word);
+                self.flush(k);
+            }
+            Event::Asked(k, life, f, ask) => {
+                if self.sites[k].life != life {
+                    return;
+                }
+                if self.paused(k) {
+                    let at = self.sites[k].paused_until;
+                    return self.at(at, Event::Asked(k, life, f, ask));
+                }
+                let now = self.local(k);
+                self.voters[k].ask(now, f as u64, ask);
+                self.flush(k);
+            }
+            Event::Told(f, life, k, tell) => {
+                let site = self.voters.len() + f;
+                if self.sites[site].life != life {
+                    return;
+                }
+                if self.paused(site) {
+                    let at = self.sites[site].paused_until;
+                    return self.at(at, Event::Told(f, life, k, tell));
+                }
+                let now = self.local(site);
+                let _ = self.followers[f].heard(now, k, tell);
+                self.look(f);
+            }
+            Event::Proposed(k, ask) => {
+                if self.paused(k) {
+                    let at = self.sites[k].paused_until;
+                    return self.at(at, Event::Proposed(k, ask));
+                }
+                let Ask::Propose { value, .. } = &ask else { return };
+                let (now, client) = (self.local(k), value.id);
+                self.voters[k].ask(now, client, ask);
+                self.flush(k);
+            }
+            Event::Outcome(value, tell) => {
+                if let Tell::Agreed { number } = tell {
+                    self.acknowledged.push((number, value));
+                }
+            }
+            Event::Propose => {
+                let k = self.rng.usize(..self.voters.len());
+                let after = self.voters[k].durable().newest();
+                self.next_id += 1;
+                let id = 1000 + self.next_id;
+                let value = Value { id, text: format!("text {id}") };
+                self.at(self.t, Event::Proposed(k, Ask::Propose { after, value, sure: false }));
+                if self.t < TROUBLE {
+                    let wait = 3.0 * self.rng.f64().powi(2);
+                    self.at(self.t + wait, Event::Propose);
+                }
+            }
+            Event::Trouble => {
+                self.trouble();
+                let wait = 1.5 * self.rng.f64();
+                if self.t + wait < TROUBLE {
+                    self.at(self.t + wait, Event::Trouble);
+                }
+            }
+            Event::Look => {
+                for k in 0..self.voters.len() {
+                    if !self.paused(k) {
+                        let now = self.local(k);
+                        self.voters[k].tick(now);
+                        self.flush(k);
+                    }
+                }
+                for f in 0..self.followers.len() {
+                    self.look(f);
+                    self.ask(f);
+                }
+                if self.t < TROUBLE + CALM {
+                    self.at(self.t + 0.02, Event::Look);
+                }
+            }
+        }
+    }
+
+    fn run(mut self) -> Self {
+        self.at(0.0, Event::Look);
+        self.at(0.1, Event::Propose);
+        self.at(1.0, Event::Trouble);
+        while let Some(Due(t, _, event)) = self.due.pop() {
+            self.t = t;
+            if self.rough && t > TROUBLE {
+                self.rough = false;
+                self.cuts.clear();
+                self.sites.iter_mut().for_each(|s| s.paused_until = 0.0);
+                // So that a voter without a disk has one to come back with.
+                self.at(t + 1.0, Event::Propose);
+            }
+            self.step(event);
+        }
+        for (number, value) in std::mem::take(&mut self.acknowledged) {
+            if self.contents.get(&number) != Some(&value) {
+                self.wrong.push(format!("version {number} was acknowledged and has another content"));
+            }
+        }
+        let last = self.contents.keys().max().copied().unwrap_or(0);
+        for f in 0..self.followers.len() {
+            let now = self.local(self.voters.len() + f);
+            let acting = self.followers[f].acting(now);
+            if !acting.is_some_and(|a| a.version.number == last && a.beside.is_empty() && now < a.until) {
+                self.wrong.push(format!("director {f} does not act on version {last} in the end"));
+            }
+        }
+        // Slack for what is looked at each 20 ms only.
+        if self.worst.0 > 0.0 {
+            self.wrong.push(format!("an older version was acted on alone {:.3} s late", self.worst.0));
+        }
+        if self.worst.1 > CONTRADICTION {
+            self.wrong.push(format!("two versions' switched keys for {:.3} s", self.worst.1));
+        }
+        self
+    }
+}
+
+fn sweep(seeds: std::ops::Range<u64>, voters: usize, directors: usize) {
+    let (mut acted, mut versions, mut worst, mut schedules) = (0, 0, 0.0f64, 0);
+    for seed in seeds {
+        let sim = Sim::new(seed, voters, directors).run();
+        assert!(sim.wrong.is_empty(), "seed {seed}, {voters} voters: {:#?}", sim.wrong);
+        acted += sim.acted;
+        versions += sim.contents.len();
+        worst = worst.max(sim.worst.1);
+        schedules += 1;
+    }
+    println!(
+        "{schedules} schedules, {voters} voters, {directors} directors: {versions} versions, acted on at {acted} looks, \
+         two versions' switched keys for {worst:.3} s at most of {CONTRADICTION} s"
+    );
+    assert!(versions > schedules * 2 && acted > 100);
+}
+
+#[test]
+fn directors_never_contradict_each_other_for_longer_than_stated() {
+    sweep(0..250, 3, 4);
+    sweep(0..100, 5, 4);
+}
+
+/// `SEEDS=100000 cargo test --release -p kelpdoor-agreement --test simulated -- --ignored --nocapture`
+#[test]
+#[ignore = "as long as SEEDS says"]
+fn many_schedules() {
+    let seeds = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(1000);
+    let from = std::env::var("FROM").ok().and_then(|s| s.parse().ok()).unwrap_or(1000);
+    sweep(from..from + seeds, 3, 4);
+    sweep(from..from + seeds / 10, 5, 12);
+}
+
+#[test]
+#[ignore = "a minute"]
+fn three_hundred_directors() {
+    sweep(0..3, 5, 300);
+}
--- /dev/null
+++ b/crates/kelpdoor-agreement/tests/table.rs
@@ -0,0 +1,349 @@
+//! Single cases of voters and followers, in words.
+
+use expect_test::expect;
+use kelpdoor_agreement::keys::{Class, both, may_follow, numbering};
+use kelpdoor_agreement::{Ask, Chosen, Durable, Follower, Out, Tell, Value, Voter, VoterId, Word, lease_of};
+use kelpdoor_script::Shared;
+
+fn lease(_: &str) -> f64 {
+    lease_of(2.0)
+}
+
+fn voters() -> Vec<Voter> {
+    (0..3).map(|k| Voter::new(VoterId(k), 3, Durable::founded("f"), lease, 1, 0.0)).collect()
+}
+
+fn value(id: u64) -> Value {
+    Value { id, text: format!("text {id}") }
+}
+
+/// Carries words until none is left, but for those that `cut` takes; what clients are told.
+fn pump(voters: &mut [Voter], now: f64, cut: impl Fn(u8, u8, &Word) -> bool) -> Vec<Tell> {
+    let mut told = Vec::new();
+    loop {
+        let mut net = Vec::new();
+        for (k, v) in voters.iter_mut().enumerate() {
+            for o in v.take_out().1 {
+                match o {
+                    Out::To(to, word) if !cut(k as u8, to.0, &word) => net.push((k as u8, to, word)),
+                    Out::To(..) => {}
+                    Out::Tell(_, tell) => told.push(tell),
+                }
+            }
+        }
+        if net.is_empty() {
+            return told;
+        }
+        for (from, to, word) in net {
+            voters[usize::from(to.0)].hear(now, VoterId(from), word);
+        }
+    }
+}
+
+fn propose(voters: &mut [Voter], k: usize, after: u64, id: u64) {
+    voters[k].ask(0.0, 1, Ask::Propose { after, value: value(id), sure: false });
+}
+
+#[test]
+fn a_proposal_is_a_compare_and_set() {
+    let mut v = voters();
+    propose(&mut v, 0, 0, 1);
+    assert_eq!(pump(&mut v, 0.0, |_, _, _| false), [Tell::Agreed { number: 1 }]);
+    propose(&mut v, 1, 0, 2);
+    let digest = v[0].newest().unwrap().digest();
+    assert_eq!(pump(&mut v, 0.0, |_, _, _| false), [Tell::Lost { newest: 1, digest }]);
+    // An answer that was lost is asked for again, at any voter.
+    propose(&mut v, 2, 0, 1);
+    assert_eq!(pump(&mut v, 0.0, |_, _, _| false), [Tell::Agreed { number: 1 }]);
+    propose(&mut v, 2, 7, 3);
+    let told = pump(&mut v, 0.0, |_, _, _| false);
+    assert_eq!(told, [Tell::NotTaken { why: "version 7 is not known here, the newest is 1".into() }]);
+}
+
+#[test]
+fn two_at_once_one_wins_and_the_other_is_told_by_what() {
+    let mut v = voters();
+    propose(&mut v, 0, 0, 1);
+    propose(&mut v, 2, 0, 2);
+    let mut told = Vec::new();
+    for k in 0..40 {
+        let now = f64::from(k) * 0.1;
+        v.iter_mut().for_each(|v| v.tick(now));
+        told.extend(pump(&mut v, now, |_, _, _| false));
+    }
+    let won = v[0].newest().unwrap().clone();
+    assert!(v.iter().all(|v| v.newest() == Some(&won)), "all know the same");
+    let lost = Tell::Lost { newest: 1, digest: won.digest() };
+    told.sort_by_key(|t| matches!(t, Tell::Lost { .. }));
+    assert_eq!(told, [Tell::Agreed { number: 1 }, lost]);
+}
+
+#[test]
+fn what_a_minority_accepted_is_finished_when_its_proposer_is_gone() {
+    let mut v = voters();
+    propose(&mut v, 0, 0, 1);
+    // Accepted by 0 and 1, which chooses it; then 0 dies before it hears so.
+    pump(&mut v, 0.0, |from, to, w| to == 2 || from == 2 || matches!(w, Word::Accepted { .. }));
+    assert!(v.iter().all(|v| v.newest().is_none()));
+    for k in 0..20 {
+        let now = 1.0 + f64::from(k) * 0.2;
+        v[1].tick(now);
+        pump(&mut v, now, |from, to, _| from == 0 || to == 0);
+    }
+    assert_eq!(v[1].newest().map(|c| c.value.id), Some(1));
+    assert_eq!(v[2].newest().map(|c| c.value.id), Some(1));
+}
+
+/// The old voter 2 was of the majority that chose version 1, and lost its disk.
+fn lost_disk() -> Vec<Voter> {
+    let mut v = voters();
+    propose(&mut v, 0, 0, 1);
+    pump(&mut v, 0.0, |from, to, w| to == 1 || from == 1 || matches!(w, Word::Accepted { .. }));
+    assert!(v[0].durable().accepted.is_some() && v[2].durable().accepted.is_some());
+    v[2] = Voter::new(VoterId(2), 3, Durable::lost("f"), lease, 1, 0.0);
+    v
+}
+
+#[test]
+fn a_voter_that_lost_its_disk_does_not_vote() {
+    let mut v = lost_disk();
+    propose(&mut v, 1, 0, 2);
+    for k in 0..40 {
+        let now = f64::from(k) * 0.1;
+        v[1].tick(now);
+        v[2].tick(now);
+        let told = pump(&mut v, now, |from, to, _| from == 0 || to == 0);
+        assert!(!told.iter().any(|t| matches!(t, Tell::Agreed { .. })), "1 and 2 chose another content");
+    }
+}
+
+#[test]
+fn nor_where_it_may_have_voted_once_it_has_heard_the_others() {
+    let mut v = lost_disk();
+    v[2].tick(0.0);
+    pump(&mut v, 0.0, |_, _, _| false);
+    // Version 1 was accepted at 0: it may be chosen, and 2 may have chosen it.
+    assert_eq!(v[2].durable().votes_from, Some(3));
+    v[2].ask(0.0, 1, Ask::Propose { after: 0, value: value(2), sure: false });
+    let told = pump(&mut v, 0.0, |from, to, _| from == 0 || to == 0);
+    assert!(matches!(&told[..], [Tell::NotTaken { why }] if why.contains("lost its store")), "{told:?}");
+    let renew = |have| Ask::Renew {
+        name: "d".into(),
+        boot: 1,
+        seq: 1,
+        have,
+        lease: 1.0,
+        left: 0.0,
+        acts: String::new(),
+    };
+    v[2].ask(9.0, 1, renew(0));
+    assert!(matches!(&pump(&mut v, 9.0, |_, _, _| false)[..], [Tell::Refused { .. }]), "it grants nothing");
+    // The others go on, and with version 2 it votes again.
+    v[0].tick(9.0);
+    pump(&mut v, 9.0, |_, _, _| false);
+    propose(&mut v, 0, 1, 3);
+    assert_eq!(pump(&mut v, 9.0, |_, _, _| false), [Tell::Agreed { number: 2 }]);
+    assert!(v[2].durable().votes());
+    v[2].ask(99.0, 1, renew(2));
+    assert!(matches!(&pump(&mut v, 99.0, |_, _, _| false)[..], [Tell::Granted { newest: 2, .. }]));
+}
+
+#[test]
+fn a_name_has_one_director_at_a_time() {
+    let mut v = voters();
+    let mut ask = |now: f64, boot: u64, left: f64| {
+        let (name, acts) = ("d".to_owned(), String::new());
+        v[0].ask(now, 1, Ask::Renew { name, boot, seq: 1, have: 0, lease: 1.0, left, acts });
+        match v[0].take_out().1.remove(0) {
+            Out::Tell(_, Tell::Refused { why, .. }) => why,
+            Out::Tell(_, Tell::Granted { .. }) => "granted".to_owned(),
+            other => format!("{other:?}"),
+        }
+    };
+    let mut told = String::new();
+    for (now, boot, left) in [(0.0, 1, 0.0), (0.9, 1, 0.1), (1.5, 2, 0.0), (1.93, 2, 0.0), (2.0, 1, 0.0)] {
+        told += &format!("{now} start {boot}: {}\n", ask(now, boot, left));
+    }
+    expect![[r#"
+        0 start 1: granted
+        0.9 start 1: granted
+        1.5 start 2: the name "d" is in use by another director
+        1.93 start 2: granted
+        2 start 1: the name "d" is in use by another director
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn a_voter_just_started_gives_no_name_to_who_holds_none() {
+    let mut v = voters();
+    propose(&mut v, 0, 0, 1);
+    pump(&mut v, 0.0, |_, _, _| false);
+    let durable = v[0].durable().clone();
+    let mut voter = Voter::new(VoterId(0), 3, durable, lease, 1, 100.0);
+    let mut ask = |now: f64, name: &str, left: f64| {
+        let (name, acts) = (name.to_owned(), String::new());
+        voter.ask(now, 1, Ask::Renew { name, boot: 1, seq: 1, have: 1, lease: 1.0, left, acts });
+        matches!(voter.take_out().1[..], [Out::Tell(_, Tell::Granted { .. })])
+    };
+    assert!(!ask(100.5, "new", 0.0) && ask(100.5, "goes on", 0.3) && ask(101.1, "new", 0.0));
+}
+
+fn granted(f: &mut Follower, now: f64, voter: usize, newest: u64, pending: bool, doc: Option<u64>) {
+    if let Some(Ask::Renew { seq, .. }) = f.ask(now, voter) {
+        let document = doc.map(|number| Chosen { number, value: value(number) });
+        f.heard(now + 0.01, voter, Tell::Granted { seq, newest, pending, document }).unwrap();
+    }
+}
+
+#[test]
+fn a_lease_runs_from_when_a_majority_was_asked_and_ends_with_what_is_pending() {
+    let mut f = Follower::new("d", 1, 3, None, lease);
+    granted(&mut f, 0.0, 0, 1, false, Some(1));
+    granted(&mut f, 0.1, 1, 1, false, None);
+    let a = f.acting(0.2).unwrap();
+    // From 0.0, on a clock that may run slow by 1 in 100; begun only when nobody acts on an older version alone.
+    assert_eq!((a.until, a.from), (0.99, 0.01 + 1.02));
+    // One of two says that something newer was accepted: no longer lease, whatever the third said long ago.
+    granted(&mut f, 0.5, 0, 1, true, None);
+    granted(&mut f, 0.5, 1, 1, false, None);
+    assert_eq!(f.acting(0.5).unwrap().until, 0.99);
+    // The third, cut off until now, knows nothing newer either: with 1, a majority.
+    granted(&mut f, 0.6, 2, 1, false, None);
+    assert_eq!(f.acting(0.6).unwrap().until, 0.5 + 0.99);
+    // An answer that was on its way for long counts from its question.
+    let Some(Ask::Renew { seq, .. }) = f.ask(1.2, 1) else { panic!() };
+    let late = Tell::Granted { seq, newest: 1, pending: false, document: None };
+    f.heard(2.1, 1, late).unwrap();
+    assert_eq!(f.acting(2.1).unwrap().until, 0.6 + 0.99);
+}
+
+#[test]
+fn a_newer_version_stands_beside_the_old_until_nobody_acts_on_the_old_alone() {
+    let mut f = Follower::new("d", 1, 3, None, lease);
+    for k in 0..8 {
+        let now = f64::from(k) * 0.25;
+        (0..3).for_each(|v| granted(&mut f, now, v, 1, false, Some(1).filter(|_| k == 0)));
+    }
+    let label =
+        |f: &Follower, t: f64| f.acting(t).map(|a| a.beside.iter().map(|b| b.number).collect::<Vec<_>>());
+    granted(&mut f, 2.0, 0, 2, false, Some(2));
+    assert_eq!(label(&f, 2.1), Some(vec![1]));
+    assert!((f.changes_at(2.1) - 3.03).abs() < 1e-9);
+    assert_eq!(label(&f, 3.1), Some(vec![]));
+    // A version between was missed: nothing until the others' leases are over.
+    for k in 9..12 {
+        let now = f64::from(k) * 0.25;
+        (0..3).for_each(|v| granted(&mut f, now, v, 2, false, None));
+    }
+    granted(&mut f, 3.0, 1, 4, false, Some(4));
+    let a = f.acting(3.1).unwrap();
+    assert!(a.version.number == 4 && a.beside.is_empty() && (a.from - 4.03).abs() < 1e-9, "{a:?}");
+    // Older words and older documents change nothing.
+    granted(&mut f, 3.3, 2, 3, false, Some(3));
+    assert_eq!(f.known().map(|c| c.number), Some(4));
+}
+
+const DOCUMENT: &str = r#"
+ladder(rates = [120, 221], utility = [0.2, 0.42])
+group("story", utility = 1, start_target = 1, floor = 0, top = 1, seats = 0)
+group("paid", utility = 2, start_target = 1, floor = 1, seats = 9, repeat = "never")
+fleet(zones = ["east"], kinds = {"box": 26}, cells = 4, racks = 2, link_unit = 2600, seen_after = 0.6, told_every = 2,
+      cold_from = 0.4, warm_within = 8, tip_multiple = 4, fall_window = 2, drain_grace = 1)
+further(free = 4, per_taken = 0.25, span = 10)
+directors(names = ["a", "b", "c"], max_setups = 3)
+"#;
+
+fn document(changes: &[(&str, &str)]) -> Shared {
+    let mut text = DOCUMENT.to_owned();
+    for (old, new) in changes {
+        assert!(text.contains(old), "{old}");
+        text = text.replace(old, new);
+    }
+    Shared::run("document", &text).unwrap_or_else(|f| panic!("{f:?}"))
+}
+
+#[test]
+fn what_is_acted_on_between_two_versions_is_no_laxer_than_either() {
+    let old = document(&[]);
+    let new = document(&[
+        ("floor = 0, top = 1, seats = 0", "floor = 1, top = 1, seats = 5"),
+        ("floor = 1, seats = 9, repeat = \"never\"", "floor = 0, seats = 12, repeat = \"zone\""),
+        ("free = 4, per_taken = 0.25", "free = 2, per_taken = 0.5"),
+        ("tip_multiple = 4", "tip_multiple = 8"),
+        ("max_setups = 3", "max_setups = 2"),
+        ("[\"a\", \"b\", \"c\"]", "[\"a\", \"c\", \"d\"]"),
+    ]);
+    let (m, changes) = both(&old, &new);
+    let shown: String = changes
+        .iter()
+        .map(|c| {
+            format!(
+                "{} {}: {} -> {}{}\n",
+                c.key,
+                c.class.name(),
+                c.old,
+                c.new,
+                c.cuts.as_ref().map(|c| format!(" ({c})")).unwrap_or_default()
+            )
+        })
+        .collect();
+    expect![[r#"
+        group story.floor stricter of both: 0 -> 1 (sessions that want less are turned away)
+        group story.seats stricter of both: 0 -> 5 (new sessions of a title, until enough have ended)
+        group paid.floor stricter of both: 1 -> 0
+        group paid.repeat switched: Never -> Zone
+        group paid.seats stricter of both: 9 -> 12
+        fleet.tip_multiple stricter of both: 4.0 -> 8.0
+        further.free stricter of both: 4.0 -> 2.0 (SETUPs beyond a session's first)
+        further.per_taken stricter of both: 0.25 -> 0.5
+        directors.names switched: ["a", "b", "c"] -> ["a", "c", "d"] (directors that act no more: b)
+        directors.max_setups stricter of both: 3 -> 2 (SETUPs a session)
+    "#]]
+    .assert_eq(&shown);
+    let (story, paid) = (&m.groups[0], &m.groups[1]);
+    assert_eq!((story.floor, story.seats, paid.floor, paid.seats), (1, 5, 1, 9));
+    assert_eq!((m.further.unwrap().free, m.further.unwrap().per_taken), (2.0, 0.25));
+    assert_eq!((m.fleet.tip_multiple, m.directors.max_setups), (4.0, 2));
+    assert_eq!(paid.repeat, old.groups[1].repeat);
+    assert_eq!(both(&old, &old), (old.clone(), vec![]));
+    // The stricter side does not hang on which one was first.
+    let (back, _) = both(&new, &old);
+    assert_eq!((back.groups[0].floor, back.groups[1].seats, back.fleet.tip_multiple), (1, 9, 4.0));
+}
+
+#[test]
+fn what_stands_was_built_on_does_not_change_while_it_stands() {
+    let old = document(&[]);
+    let refused = |changes: &[(&str, &str)]| may_follow(&old, &document(changes), false).unwrap_err();
+    expect!["ladder.rates: it cannot change while the fleet runs, from [120.0, 221.0] to [120.0, 300.0]"]
+        .assert_eq(&refused(&[("[120, 221]", "[120, 300]")]));
+    expect![[
+        r#"groups: it cannot change while the fleet runs, from ["story", "paid"] to ["story", "other"]"#
+    ]]
+    .assert_eq(&refused(&[("\"paid\"", "\"other\"")]));
+    expect!["directors.names: 2 of 3 directors would go at once; say --sure if so"]
+        .assert_eq(&refused(&[("[\"a\", \"b\", \"c\"]", "[\"a\"]")]));
+    assert!(may_follow(&old, &document(&[("[\"a\", \"b\", \"c\"]", "[\"a\"]")]), true).is_ok());
+    let free = may_follow(&old, &document(&[("told_every = 2", "told_every = 3")]), false).unwrap();
+    assert_eq!((free.len(), free[0].class), (1, Class::Free));
+}
+
+#[test]
+fn turns_under_two_numberings_are_turns_under_each() {
+    for a in 1..9u32 {
+        for b in 1..9u32 {
+            for me_a in 0..a {
+                for me_b in 0..b {
+                    let (me, of) = numbering(&[(Some(me_a), a), (Some(me_b), b)]);
+                    let ours = (0..a * b).filter(|t| t % of == me);
+                    let both = (0..a * b).filter(|t| t % a == me_a && t % b == me_b);
+                    assert!(ours.eq(both), "{me_a} of {a}, {me_b} of {b}: {me} of {of}");
+                }
+            }
+        }
+    }
+    assert_eq!(numbering(&[(Some(2), 5)]), (2, 5));
+    // Who is on one list alone takes no turn while the other may be in use.
+    assert_eq!(numbering(&[(None, 5), (Some(5), 6)]).1, 1_000_000_000);
+}
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -11,7 +11,7 @@
 use crate::run::{Call, Fault, Place};
 
 /// The ladder of rates, kB a second, and what each rung earns.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Ladder {
     pub rates: Vec<f64>,
@@ -34,7 +34,7 @@
     Never,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Group {
     pub name: String,
@@ -64,7 +64,7 @@
 }
 
 /// What entitlement tokens have to keep to.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tokens {
     /// A JWK set; read again while running.
@@ -90,7 +90,7 @@
 }
 
 /// Who counts the seats: another process at an address, or this one.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Keeper {
     /// Of the keeper; absent: it runs in this process.
@@ -119,7 +119,7 @@
 }
 
 /// Seats that a school bought.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct School {
     pub name: String,
@@ -136,7 +136,7 @@
 }
 
 /// What is known of the media nodes beforehand.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fleet {
     pub zones: Vec<String>,
@@ -170,7 +170,7 @@
     pub cross_zone_price: f64,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Director {
     /// This director's number among `of`, from 0.
@@ -187,7 +187,7 @@
     pub seed: Option<u64>,
 }
 
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Further {
     pub free: f64,
@@ -196,7 +196,7 @@
     pub span: f64,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Roster {
     pub address: SocketAddr,
@@ -209,7 +209,7 @@
 }
 
 /// Limits towards players.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Players {
     pub sockets: usize,
@@ -244,7 +244,7 @@
 }
 
 /// Limits towards nodes.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct NodeLinks {
     /// s
@@ -270,8 +270,72 @@
     }
 }
 
+/// Where a director asks for the rules that it shares with others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Agreement {
+    /// Of each voter, in the order that they all have.
+    pub voters: Vec<SocketAddr>,
+    pub fleet: String,
+    /// This director's name in the agreed list.
+    pub name: String,
+    /// Where the newest version known is kept.
+    #[serde(default)]
+    pub copy: Option<PathBuf>,
+}
+
+/// A voter's own settings.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Voter {
+    /// Its place among the voters, from 0.
+    pub me: u8,
+    /// Of each voter as the others reach it, in the order that they all have.
+    pub voters: Vec<SocketAddr>,
+    /// Where it listens, if not at its place in the list.
+    #[serde(default)]
+    pub listen: Option<SocketAddr>,
+    pub fleet: String,
+    pub store: PathBuf,
+}
+
+/// The directors of a fleet that agrees on its rules, and what each of them keeps to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Directors {
+    /// The order is their numbering.
+    pub names: Vec<String>,
+    pub max_setups: u32,
+    /// s
+    #[serde(default)]
+    pub come_back: Option<f64>,
+    /// s; no two directors act on rules that contradict each other for longer.
+    #[serde(default = "two")]
+    pub contradiction: f64,
+}
+
+/// Rules that directors agree on, as one document.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Shared {
+    pub ladder: Ladder,
+    pub groups: Vec<Group>,
+    pub fleet: Fleet,
+    pub further: Option<Further>,
+    pub directors: Directors,
+    pub tokens: Option<Tokens>,
+    pub keeper: Option<Keeper>,
+}
+
+/// A director's own settings, where the rest is agreed.
+#[derive(Clone, Debug)]
+pub struct Own {
+    file: String,
+    calls: Vec<Call>,
+    pub agreement: Agreement,
+}
+
 /// All settings of one director.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Deployment {
     pub ladder: Ladder,
     pub groups: Vec<Group>,
@@ -442,6 +506,170 @@
     values.iter().all(|v| v.is_finite() && *v >= 0.0)
 }
 
+impl Voter {
+    /// Reads the settings of a voter's own process.
+    ///
+    /// # Errors
+    /// Every fault found, each with its place.
+    pub fn read(path: &std::path::Path) -> Result<Self, Vec<Fault>> {
+        let file = path.display().to_string();
+        let calls = crate::run::read(path, crate::VOTER)?;
+        let mut r = Reader { file: &file, calls: &calls, faults: Vec::new() };
+        let voter = r.one::<Voter>("voter", true);
+        if let Some((v, call)) = &voter {
+            r.check(call, matches!(v.voters.len(), 3 | 5), "three or five voters");
+            r.check(call, usize::from(v.me) < v.voters.len(), "me is a place in the list of voters");
+            r.check(call, plain_name(&v.fleet), "fleet is a name of 1 to 64 letters, digits and . _ -");
+            let distinct: std::collections::BTreeSet<_> = v.voters.iter().collect();
+            r.check(call, distinct.len() == v.voters.len(), "an address stands twice");
+        }
+        voter.map(|v| v.0).filter(|_| r.faults.is_empty()).ok_or(r.faults)
+    }
+}
+
+fn plain_name(name: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"._-".contains(&b);
+    (1..=64).contains(&name.len()) && name.bytes().all(plain)
+}
+
+/// The `director` call of a director whose rules are agreed: its own arguments and those that the document gives.
+fn completed(own: &Call, d: &Directors, me: u32) -> Call {
+    let mut call = own.clone();
+    let mut put = |name: &str, value: serde_json::Value| {
+        call.args.insert(name.to_owned(), value);
+    };
+    put("me", me.into());
+    put("of", d.names.len().into());
+    put("max_setups", d.max_setups.into());
+    if let Some(come_back) = d.come_back {
+        put("come_back", come_back.into());
+    }
+    call
+}
+
+impl Own {
+    /// What a settings file holds of its own, where it has `agreement(..)`; `None` where it is a whole deployment.
+    ///
+    /// # Errors
+    /// Every fault found, each with its place.
+    pub fn read(path: &std::path::Path) -> Result<Option<Self>, Vec<Fault>> {
+        let file = path.display().to_string();
+        let calls = crate::run::read(path, crate::OWN_OR_WHOLE)?;
+        if !calls.iter().any(|c| c.word == "agreement") {
+            return Ok(None);
+        }
+        let mut r = Reader { file: &file, calls: &calls, faults: Vec::new() };
+        let agreement = r.one::<Agreement>("agreement", true);
+        if let Some((a, call)) = &agreement {
+            r.check(call, matches!(a.voters.len(), 3 | 5), "three or five voters");
+            r.check(
+                call,
+                plain_name(&a.name) && plain_name(&a.fleet),
+                "name and fleet of 1 to 64 letters, digits and . _ -",
+            );
+        }
+        for call in &calls {
+            if !crate::OWN.contains(&call.word.as_str()) {
+                r.faults.push(
+                    call.fault(&file, format!("{} is agreed, it is no setting of one director", call.word)),
+                );
+            }
+            for key in ["me", "of", "max_setups", "come_back"] {
+                if call.word == "director" && call.args.contains_key(key) {
+                    r.faults.push(call.fault(
+                        &file,
+                        format!("director: {key} is agreed, it is no setting of one director"),
+                    ));
+                }
+            }
+        }
+        for word in ["director", "roster"] {
+            if !calls.iter().any(|c| c.word == word) {
+                let what = format!("{word}(..) is missing");
+                r.faults.push(Fault { file: file.clone(), at: Place::default(), what });
+            }
+        }
+        let faults = r.faults;
+        match agreement.map(|a| a.0) {
+            Some(agreement) if faults.is_empty() => Ok(Some(Own { file, calls, agreement })),
+            _ => Err(faults),
+        }
+    }
+
+    /// This director's settings under a document, and whether its list names this director. One that it does not name
+    /// reads as the last.
+    ///
+    /// # Errors
+    /// Every fault found, each with its place.
+    pub fn under(&self, text: &str) -> Result<(Deployment, Shared, bool), Vec<Fault>> {
+        let (shared, doc) = Shared::parts(DOCUMENT, text)?;
+        let d = &shared.directors;
+        let place = d.names.iter().position(|n| *n == self.agreement.name);
+        let me = place.unwrap_or(d.names.len() - 1) as u32;
+        let own = self.calls.iter().filter(|c| c.word != "agreement");
+        let own = own.map(|c| if c.word == "director" { completed(c, d, me) } else { c.clone() });
+        let all: Vec<Call> = doc.into_iter().chain(own).collect();
+        Ok((Deployment::from_calls(&self.file, &all)?, shared, place.is_some()))
+    }
+}
+
+/// How faults name an agreed document.
+const DOCUMENT: &str = "the document";
+
+impl Shared {
+    /// Checks a document as directors will read it.
+    ///
+    /// # Errors
+    /// Every fault found, each with its place.
+    pub fn run(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        Ok(Shared::parts(file, text)?.0)
+    }
+
+    /// And the calls that are a director's too.
+    fn parts(file: &str, text: &str) -> Result<(Self, Vec<Call>), Vec<Fault>> {
+        let calls = crate::run::run(file, text, crate::SHARED)?;
+        let mut r = Reader { file, calls: &calls, faults: Vec::new() };
+        let directors = r.one::<Directors>("directors", true);
+        if let Some((d, call)) = &directors {
+            r.check(call, (1..=1000).contains(&d.names.len()), "1 to 1000 names");
+            r.check(
+                call,
+                d.names.iter().all(|n| plain_name(n)),
+                "names of 1 to 64 letters, digits and . _ -",
+            );
+            let distinct: std::collections::BTreeSet<_> = d.names.iter().collect();
+            r.check(call, distinct.len() == d.names.len(), "a name stands twice");
+            r.check(call, (0.5..=10.0).contains(&d.contradiction), "contradiction from 0.5 to 10 s");
+        }
+        // A director's own words, so that all that is checked for one is checked here.
+        let zone =
+            calls.iter().find(|c| c.word == "fleet").and_then(|c| c.args.get("zones")?.get(0).cloned());
+        let own = |word: &str, args: serde_json::Value| {
+            let args = args.as_object().cloned().unwrap_or_default();
+            Call { word: word.to_owned(), at: Place::default(), args }
+        };
+        let stand_in = "127.0.0.1:1";
+        let director = own("director", serde_json::json!({ "zone": zone, "listen": stand_in }));
+        let roster = own("roster", serde_json::json!({ "address": stand_in }));
+        let Some((directors, _)) = directors else { return Err(r.faults) };
+        let mut faults = r.faults;
+        let mut all: Vec<Call> = calls.iter().filter(|c| c.word != "directors").cloned().collect();
+        let doc = all.clone();
+        all.extend([completed(&director, &directors, 0), roster]);
+        match Deployment::from_calls(file, &all) {
+            Ok(d) if faults.is_empty() => {
+                let Deployment { ladder, groups, fleet, further, tokens, keeper, .. } = d;
+                Ok((Shared { ladder, groups, fleet, further, directors, tokens, keeper }, doc))
+            }
+            Ok(_) => Err(faults),
+            Err(more) => {
+                faults.extend(more);
+                Err(faults)
+            }
+        }
+    }
+}
+
 impl Deployment {
     /// Reads the settings from a script's calls.
     ///
--- a/crates/kelpdoor-script/src/lib.rs
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -7,8 +7,8 @@
 mod run;
 
 pub use deployment::{
-    Deployment, Director, Fleet, Further, Group, Keeper, KeeperBook, Ladder, NodeLinks, Players, RepeatWord,
-    Roster, School, Tokens,
+    Agreement, Deployment, Director, Directors, Fleet, Further, Group, Keeper, KeeperBook, Ladder, NodeLinks,
+    Own, Players, RepeatWord, Roster, School, Shared, Tokens, Voter,
 };
 pub use run::{Call, Fault, Place, read, run};
 
@@ -27,6 +27,31 @@
     "school",
 ];
 
+/// Words of a document that directors agree on.
+pub const SHARED: &[&str] = &["ladder", "group", "fleet", "further", "directors", "tokens", "keeper"];
+
+/// Words of a director's own settings, where the rest is agreed.
+pub const OWN: &[&str] = &["director", "roster", "players", "node_links", "agreement"];
+
+/// Both kinds of a director's settings.
+pub const OWN_OR_WHOLE: &[&str] = &[
+    "ladder",
+    "group",
+    "fleet",
+    "director",
+    "further",
+    "roster",
+    "players",
+    "node_links",
+    "tokens",
+    "keeper",
+    "school",
+    "agreement",
+];
+
+/// Words of a voter's settings.
+pub const VOTER: &[&str] = &["voter"];
+
 /// Words of a keeper's settings.
 pub const KEEPER: &[&str] = &["keeper", "school"];
 
--- a/crates/kelpdoor-script/src/run.rs
+++ b/crates/kelpdoor-script/src/run.rs
@@ -111,7 +111,7 @@
     };
 }
 
-words!(ladder group fleet director further roster players node_links tokens keeper school
+words!(ladder group fleet director further roster players node_links tokens keeper school directors agreement voter
     day crash vanish slow neighbour rack_sag ageing deploy discovery_stale report_late balancer_roll
     balancer_stall zone_loss hot_key preempt drain keeper_roll keeper_stall new_key);
 
