--- a/crates/kelpdoor-agreement/src/keys.rs
+++ b/crates/kelpdoor-agreement/src/keys.rs
@@ -3,7 +3,11 @@
 
 use std::fmt::Debug;
 
-use kelpdoor_script::{Directors, Fleet, Further, Group, Keeper, Ladder, Shared, Tokens};
+use kelpdoor_script::{
+    Deployment, Directors, Fault, Fleet, Further, Group, Keeper, Ladder, Own, Shared, Tokens,
+};
+
+use crate::follower::Acting;
 
 /// What becomes of a key while both versions may be acted on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -284,6 +288,13 @@
     if let Some(c) = changes.iter().find(|c| c.class == Class::Fixed) {
         return Err(format!("{}: it cannot change while the fleet runs, from {} to {}", c.key, c.old, c.new));
     }
+    // A keeper knows directors by their numbers.
+    let mut places = old.directors.names.iter().zip(&new.directors.names);
+    if let Some((was, is)) = places.find(|(was, is)| was != is).filter(|_| new.keeper.is_some()) {
+        return Err(format!(
+            "directors.names: {was} has the place that {is} would get; where seats are kept, names come and go at the end"
+        ));
+    }
     let left = old.directors.names.iter().filter(|n| new.directors.names.contains(n)).count();
     if left * 2 <= old.directors.names.len() && !sure {
         let of = old.directors.names.len();
@@ -295,6 +306,33 @@
     Ok(changes)
 }
 
+/// The settings that a director goes by while it acts on these versions, and whether the newest lists it.
+///
+/// # Errors
+/// Every fault found in a version, which no voter lets pass.
+pub fn acted_on(own: &Own, acting: &Acting) -> Result<(Deployment, bool), Vec<Fault>> {
+    let (mut book, newest, listed) = own.under(&acting.version.value.text)?;
+    let place = |s: &Shared| {
+        let at = s.directors.names.iter().position(|n| *n == own.agreement.name);
+        (at.map(|at| at as u32), s.directors.names.len() as u32)
+    };
+    let mut places = Vec::new();
+    let mut merged: Option<Shared> = None;
+    for b in &acting.beside {
+        let (_, shared, _) = own.under(&b.value.text)?;
+        places.push(place(&shared));
+        merged = Some(merged.map_or(shared.clone(), |m| both(&m, &shared).0));
+    }
+    places.push(place(&newest));
+    let Shared { ladder, groups, fleet, further, directors, tokens, keeper } =
+        merged.map_or(newest.clone(), |m| both(&m, &newest).0);
+    (book.ladder, book.groups, book.fleet, book.further) = (ladder, groups, fleet, further);
+    (book.tokens, book.keeper) = (tokens, keeper);
+    (book.director.max_setups, book.director.come_back) = (directors.max_setups, directors.come_back);
+    (book.director.me, book.director.of) = numbering(&places);
+    Ok((book, listed))
+}
+
 /// Under which number among how many a director takes its turns while several numberings may be in use: turns that are its
 /// own under all of them. `places`: its number, if listed, and how many there are, under each version.
 pub fn numbering(places: &[(Option<u32>, u32)]) -> (u32, u32) {
--- a/crates/kelpdoor-agreement/src/voter.rs
+++ b/crates/kelpdoor-agreement/src/voter.rs
@@ -438,7 +438,12 @@
                 let found = self.durable.chosen.iter().find(|c| c.number == number).cloned();
                 self.tell(client, Tell::Content { found });
             }
-            Ask::Voter { from, word } => self.hear(now, from, word),
+            // Of a place that there is, and not ours: who says otherwise is none of us.
+            Ask::Voter { from, word } if from != self.me && from.0 < self.voters => {
+                self.hear(now, from, word)
+            }
+            // Of the connection alone.
+            Ask::Voter { .. } | Ask::Hello { .. } | Ask::Ping => {}
         }
     }
 
--- a/crates/kelpdoor-agreement/src/words.rs
+++ b/crates/kelpdoor-agreement/src/words.rs
@@ -97,6 +97,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ask {
+    /// First on each connection; answered with `Welcome`.
+    Hello {
+        fleet: String,
+    },
+    /// Whether the connection lives; answered with `Pong`.
+    Ping,
     /// A director asks to go on.
     Renew {
         name: String,
@@ -144,6 +150,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Tell {
+    Welcome {
+        me: VoterId,
+    },
+    Pong,
     /// At that moment nothing newer than `newest` was accepted, unless `pending`.
     Granted {
         seq: u64,
--- a/crates/kelpdoor-clock/src/lib.rs
+++ b/crates/kelpdoor-clock/src/lib.rs
@@ -4,6 +4,8 @@
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
+
 /// Of elapsed time; the fastest that the clock runs off its rate. 1 s of error goes within some 200 s.
 const SLEW: f64 = 0.005;
 /// s; wall time further off than this was stepped, which is reported.
@@ -59,6 +61,28 @@
     }
 }
 
+/// Seconds on a clock that nobody sets and that goes on while a process stands still or its machine is suspended: what
+/// leases are counted by.
+#[derive(Clone, Copy, Debug)]
+pub struct Steady {
+    rate: f64,
+}
+
+impl Steady {
+    /// `rate`: 1, or for trials how fast it is taken to run.
+    pub fn new(rate: f64) -> Self {
+        Steady { rate }
+    }
+
+    pub fn now(&self) -> f64 {
+        // It is there on any Linux; without it a time that never moves on would grant leases for ever.
+        let read =
+            clock_gettime(ClockId::CLOCK_BOOTTIME).or_else(|_| clock_gettime(ClockId::CLOCK_MONOTONIC));
+        let t = read.expect("a steady clock");
+        (t.tv_sec() as f64 + t.tv_nsec() as f64 / 1e9) * self.rate
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -79,6 +79,9 @@
     next_link: u64,
     next_title: u64,
     rng: fastrand::Rng,
+    /// Until when something new may be begun, where rules are agreed, and the versions that are acted on.
+    lease: Option<f64>,
+    label: String,
     saving: bool,
     closing: bool,
     done: bool,
@@ -125,6 +128,8 @@
             next_link: 1,
             next_title: 1,
             rng,
+            lease: None,
+            label: String::new(),
             saving: false,
             closing: false,
             done: false,
@@ -152,6 +157,13 @@
             Input::Node { node, link, word } => h.node(node, link, word),
             Input::Roster(message) => h.roster(message),
             Input::Cached(list) => h.cached(list),
+            Input::Rules { book, label } => {
+                h.book = *book;
+                h.label = label;
+                self.director.go_by(&h.book.terms());
+            }
+            Input::Lease { until } => h.lease = Some(until),
+            Input::Unsent { sess, number } => h.unsent(sess, number),
             Input::ShutDown => h.closing = true,
         }
     }
@@ -291,7 +303,8 @@
         let come_back = self.book.director.come_back;
         let left = timeout - self.book.players.answer_ahead.min(timeout / 2.0) - waited;
         // No room, or it lay so long before we came to it that its viewer has given up.
-        let refused = self.closing || self.held >= self.book.players.sessions || left < LEAST_LEFT;
+        let full = self.held >= self.book.players.sessions;
+        let refused = self.closing || full || left < LEAST_LEFT || !self.may_begin();
         let id = self.next_sess;
         self.next_sess += 1;
         let names = &mut self.titles;
@@ -356,6 +369,33 @@
         self.round.new_sessions.push(wanted);
     }
 
+    /// Whether something new may be begun, or a session's rung changed: always where nothing is agreed, else under a lease.
+    fn may_begin(&self) -> bool {
+        self.lease.is_none_or(|until| self.now < until)
+    }
+
+    /// A session that has a SETUP which must not leave is given up at once: nothing ran.
+    fn barred(&mut self, id: u64) {
+        let come_back = self.book.director.come_back;
+        self.note(Some(id), "no lease on the rules: not set up");
+        self.give_up(id, Ending::Moot, true);
+        self.answer(id, |key| ToPlayer::Busy { key, come_back });
+        self.over(id);
+    }
+
+    /// The lease was over when the turn of a SETUP came.
+    fn unsent(&mut self, id: u64, number: u8) {
+        let Some(s) = self.sess.get_mut(&id).filter(|s| s.stage == Stage::Asked) else { return };
+        let Some(a) = s.attempt.as_mut().filter(|a| a.number == number && a.sent) else { return };
+        a.sent = false;
+        let (node, link, of) = (a.node, a.link, a.pipe);
+        if let Some(link) = self.links.get_mut(&node).filter(|l| l.number == link) {
+            // Neither its SETUP nor its PLAY is answered.
+            link.out.retain(|_, asked| !matches!(asked, Asked::Setup { pipe, .. } | Asked::Play { pipe, .. } if *pipe == of));
+        }
+        self.barred(id);
+    }
+
     /// The viewer is done or gone.
     fn stop(&mut self, id: u64) {
         let Some(s) = self.sess.get(&id) else { return };
@@ -460,12 +500,15 @@
         let mut bytes = Vec::with_capacity(192);
         Message::Request(request).write(&mut bytes);
         let link = link.number;
-        // One write for what goes out together.
-        if let Some(Effect::Node { node: n, link: l, bytes: before }) = self.effects.last_mut()
-            && (*n, *l) == (node, link)
-        {
-            before.append(&mut bytes);
-            return;
+        // One write for what goes out together; a SETUP under a lease takes its own PLAY along and nothing else.
+        match self.effects.last_mut() {
+            Some(Effect::Node { node: n, link: l, bytes: before }) if (*n, *l) == (node, link) => {
+                return before.append(&mut bytes);
+            }
+            Some(Effect::Setup { bytes: before, .. }) if matches!(method, Method::Setup | Method::Play) => {
+                return before.append(&mut bytes);
+            }
+            _ => {}
         }
         self.effects.push(Effect::Node { node, link, bytes });
     }
@@ -568,12 +611,17 @@
 
     /// Puts a session's SETUP on the wire, its PLAY right behind it.
     fn send(&mut self, id: u64) {
+        let (may, label) = (self.may_begin(), self.label.clone());
         let Some(s) = self.sess.get_mut(&id) else { return };
         let Some(a) = s.attempt.as_mut().filter(|a| !a.sent) else { return };
-        let (node, pipe) = (a.node, a.pipe);
+        let (node, pipe, number) = (a.node, a.pipe, a.number);
         let Some(link) = self.links.get(&node).filter(|l| l.line == Line::Up) else { return };
+        if !may {
+            return self.barred(id);
+        }
         (a.sent, a.link) = (true, link.number);
-        let setup = [
+        let of_link = link.number;
+        let mut setup = vec![
             (names::PIPELINED, pipe.to_string()),
             (names::TRANSPORT, "RTP/AVP/TCP;unicast".to_owned()),
             (names::RUNG, s.rung.to_string()),
@@ -581,6 +629,11 @@
             (names::KEY, s.key.0.clone()),
         ];
         let uri = format!("rtsp://{}/{}", link.address, s.title_name);
+        if self.lease.is_some() {
+            setup.push((names::RULES, label));
+            // A mark that nothing joins: what follows stands apart from what went before.
+            self.effects.push(Effect::Setup { node, link: of_link, sess: id, number, bytes: Vec::new() });
+        }
         self.request(node, Asked::Setup { sess: id, pipe }, Method::Setup, &uri, &setup);
         self.request(node, Asked::Play { sess: id, pipe }, Method::Play, &uri, &setup[..1]);
     }
@@ -1034,7 +1087,13 @@
 
 impl Orders for Hands {
     fn rung(&mut self, sess: SessId, rung: u8) {
+        let may = self.may_begin();
         let Some(s) = self.sess.get_mut(&sess.0) else { return };
+        if s.stage == Stage::Playing && !may {
+            // Floors may have changed meanwhile: what plays stays as it is.
+            let rung = s.rung;
+            return self.round.readings.push(Reading::Rung { sess, rung });
+        }
         let was = std::mem::replace(&mut s.rung, rung);
         if s.stage != Stage::Playing || was == rung {
             return;
@@ -1079,6 +1138,9 @@
         if let Some(wait) = wait {
             self.timers.set(now + wait, Timer::SetupDue { sess: id, number });
         }
+        if !self.may_begin() {
+            return self.barred(id);
+        }
         let Some(link) = self.links.get_mut(&node.0) else {
             return self.give_up(id, Ending::Unreachable, false);
         };
--- a/crates/kelpdoor-director/src/effect.rs
+++ b/crates/kelpdoor-director/src/effect.rs
@@ -5,6 +5,7 @@
 
 use kelpdoor_api::{FromPlayer, ToPlayer};
 use kelpdoor_rtsp::Message;
+use kelpdoor_script::Deployment;
 use kelpdoor_seats::{FromKeeper, ToKeeper};
 use kelpdoor_tokens::Entitlement;
 use serde::{Deserialize, Serialize};
@@ -61,6 +62,20 @@
     Roster(FromRoster),
     /// The list kept from before this start.
     Cached(RosterList),
+    /// Other rules are in force, as agreed; `label` names their versions.
+    Rules {
+        book: Box<Deployment>,
+        label: String,
+    },
+    /// Something new may be begun until then, s; nothing where it is past.
+    Lease {
+        until: f64,
+    },
+    /// A SETUP did not leave: the lease was over when its turn came.
+    Unsent {
+        sess: u64,
+        number: u8,
+    },
     /// No new sessions from now on; what is owed is answered.
     ShutDown,
 }
@@ -85,6 +100,15 @@
         #[serde(with = "bytes_text")]
         bytes: Vec<u8>,
     },
+    /// A SETUP, its PLAY behind it, of a director that acts under a lease: it leaves while that lasts, or not at all.
+    Setup {
+        node: u32,
+        link: u64,
+        sess: u64,
+        number: u8,
+        #[serde(with = "bytes_text")]
+        bytes: Vec<u8>,
+    },
     HangUp {
         node: u32,
         link: u64,
--- /dev/null
+++ b/crates/kelpdoor-director/src/following.rs
@@ -0,0 +1,221 @@
+//! The way to the voters: a line to each, what they say, and what this director may act on by it. Beside the desk, and on no
+//! session's path: a voter that is slow or gone delays nothing here.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpdoor_agreement::keys::acted_on;
+use kelpdoor_agreement::{Chosen, Follower, VoterId};
+use kelpdoor_clock::Steady;
+use kelpdoor_keeper::{Heard, MOST_OUT, document_lease, fleet_id, line};
+use kelpdoor_script::{Deployment, Own};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+const FORMAT: &str = "kelpdoor-agreed 1";
+/// Words of voters waiting at most; their lines wait beyond it.
+const WORDS: usize = 256;
+/// s; the longest wait between two looks at what is due.
+const LOOK: f64 = 0.25;
+
+/// What is kept of a version, for a start without any voter: knowledge, no permission.
+#[derive(Serialize, Deserialize)]
+struct Copy {
+    fleet: String,
+    chosen: Chosen,
+}
+
+/// What may be acted on, as of its last change.
+#[derive(Clone, Debug)]
+pub struct Ruling {
+    pub book: Arc<Deployment>,
+    /// Versions, the newest first.
+    pub label: String,
+    /// Steady time, between which something new may be begun.
+    pub from: f64,
+    pub until: f64,
+}
+
+impl Ruling {
+    /// Until when something new may be begun, as of now; past, if it may not.
+    pub fn lease(&self, now: f64) -> f64 {
+        if now < self.from { f64::NEG_INFINITY } else { self.until }
+    }
+}
+
+/// A director's part in an agreement, at work.
+pub struct Following {
+    pub(crate) ruling: watch::Receiver<Ruling>,
+    pub(crate) steady: Steady,
+    pub(crate) tasks: JoinSet<()>,
+}
+
+impl Following {
+    /// Starts to follow, and waits until a version is known: from an earlier start, or from a voter.
+    ///
+    /// # Errors
+    /// Where a kept copy is not as it was written or is another fleet's, or no version reads.
+    pub async fn start(own: Own) -> anyhow::Result<(Following, Deployment)> {
+        let steady = Steady::new(own.agreement.clock_rate);
+        let fleet = fleet_id(&own.agreement.fleet, own.agreement.voters.len());
+        let kept = match &own.agreement.copy {
+            None => None,
+            Some(path) => kelpdoor_kept::load::<Copy>(path, FORMAT)?,
+        };
+        if let Some(copy) = kept.as_ref().filter(|c| c.fleet != fleet) {
+            let path = own.agreement.copy.as_ref().map(|p| p.display().to_string()).unwrap_or_default();
+            anyhow::bail!("{path}: it is a copy of fleet {:?}, not of {fleet:?}", copy.fleet);
+        }
+        let kept = kept.map(|c| c.chosen);
+        let (first, mut waits) = mpsc::channel(1);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(follow(own, fleet, kept, steady, first));
+        let Some(ruling) = waits.recv().await else { anyhow::bail!("no version of the rules reads") };
+        let book = Deployment::clone(&ruling.borrow().book);
+        Ok((Following { ruling, steady, tasks }, book))
+    }
+}
+
+async fn follow(
+    own: Own, fleet: String, kept: Option<Chosen>, steady: Steady,
+    first: mpsc::Sender<watch::Receiver<Ruling>>,
+) {
+    let voters = own.agreement.voters.clone();
+    let mut follower =
+        Follower::new(&own.agreement.name, fastrand::u64(..), voters.len(), kept, document_lease);
+    let (to, mut words) = mpsc::channel(WORDS);
+    let mut lines = JoinSet::new();
+    let mut asks = Vec::new();
+    for (k, at) in voters.iter().enumerate() {
+        let (ask, asked) = mpsc::channel(MOST_OUT);
+        asks.push(ask);
+        lines.spawn(line(*at, fleet.clone(), VoterId(k as u8), asked, Some(to.clone())));
+    }
+    let (save, saved) = watch::channel(None);
+    lines.spawn(keep(own.agreement.copy.clone(), fleet.clone(), saved));
+    let mut told: Option<watch::Sender<Ruling>> = None;
+    let mut said = Said::default();
+    loop {
+        let now = steady.now();
+        for (k, to) in asks.iter().enumerate() {
+            if let Some(ask) = follower.ask(now, k) {
+                let _ = to.try_send(ask);
+            }
+        }
+        if let Some(acting) = follower.acting(now) {
+            let label = acting.label();
+            let before = told.as_ref().map(|t| t.borrow().clone()).filter(|r| r.label == label);
+            let ruling = match before {
+                Some(r) => Some(Ruling { from: acting.from, until: acting.until, ..r }),
+                None => match acted_on(&own, &acting) {
+                    Ok((book, listed)) => {
+                        if !listed {
+                            tracing::error!(name = own.agreement.name, %label, "the agreed list does not name this director");
+                        }
+                        // Who is not listed begins nothing.
+                        let from = if listed { acting.from } else { f64::INFINITY };
+                        tracing::info!(%label, "rules");
+                        Some(Ruling { book: Arc::new(book), label, from, until: acting.until })
+                    }
+                    Err(faults) => {
+                        tracing::error!(%label, fault = %faults[0], "a version does not read here; going on with what was");
+                        None
+                    }
+                },
+            };
+            if let Some(mut ruling) = ruling {
+                if told
+                    .as_ref()
+                    .is_some_and(|t| t.borrow().from == f64::INFINITY && t.borrow().label == ruling.label)
+                {
+                    ruling.from = f64::INFINITY;
+                }
+                said.lease(now, &ruling);
+                match &told {
+                    Some(to) => {
+                        to.send_replace(ruling);
+                    }
+                    None => {
+                        let (to, from) = watch::channel(ruling);
+                        told = Some(to);
+                        if first.send(from).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+            }
+        }
+        if told.as_ref().is_some_and(|t| t.is_closed()) {
+            return;
+        }
+        let due = follower.ask_at().min(follower.changes_at(now)).min(now + LOOK);
+        let word = tokio::select! {
+            word = words.recv() => word,
+            () = sleep(Duration::from_secs_f64((due - now).max(0.001))) => None,
+        };
+        let Some((VoterId(voter), heard)) = word else { continue };
+        let voter = usize::from(voter);
+        match heard {
+            Heard::Connected => follower.connected(voter),
+            Heard::Told(tell) => {
+                let before = follower.known().map_or(0, |c| c.number);
+                if let Err(why) = follower.heard(steady.now(), voter, tell) {
+                    said.refused(voter, why);
+                }
+                if let Some(c) = follower.known().filter(|c| c.number > before) {
+                    save.send_replace(Some(c.clone()));
+                }
+            }
+        }
+    }
+}
+
+/// What was logged, so that only what changes is.
+#[derive(Default)]
+struct Said {
+    acts: Option<bool>,
+    refused: Vec<(usize, String)>,
+}
+
+impl Said {
+    fn lease(&mut self, now: f64, ruling: &Ruling) {
+        let acts = now < ruling.lease(now);
+        if self.acts.replace(acts) == Some(acts) {
+            return;
+        }
+        match acts {
+            true => tracing::info!(label = ruling.label, "under a lease: beginning sessions"),
+            false => tracing::warn!(label = ruling.label, "no lease: what plays plays on, nothing is begun"),
+        }
+        if acts {
+            self.refused.clear();
+        }
+    }
+
+    fn refused(&mut self, voter: usize, why: String) {
+        if self.refused.contains(&(voter, why.clone())) {
+            return;
+        }
+        tracing::warn!(voter, %why, "a voter's answer does not count");
+        if self.refused.len() < 64 {
+            self.refused.push((voter, why));
+        }
+    }
+}
+
+/// Keeps the newest version on disk, one write at a time.
+async fn keep(path: Option<PathBuf>, fleet: String, mut known: watch::Receiver<Option<Chosen>>) {
+    while known.changed().await.is_ok() {
+        let latest = known.borrow_and_update().clone();
+        let (Some(path), Some(chosen)) = (path.clone(), latest) else { continue };
+        let copy = Copy { fleet: fleet.clone(), chosen };
+        match tokio::task::spawn_blocking(move || kelpdoor_kept::save(&path, FORMAT, &copy)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => tracing::error!(%e, "the agreed rules cannot be kept"),
+            Err(e) => tracing::error!(%e, "the agreed rules cannot be kept"),
+        }
+    }
+}
--- a/crates/kelpdoor-director/src/journal.rs
+++ b/crates/kelpdoor-director/src/journal.rs
@@ -11,9 +11,12 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Line {
+    /// `book`: the settings, where they are agreed and no file has them whole.
     Start {
         seed: u64,
         now: f64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        book: Option<Box<Deployment>>,
     },
     /// `waited`: how long it lay between its arrival and now.
     Took {
@@ -53,7 +56,9 @@
         let at = |e: &dyn std::fmt::Display| anyhow::anyhow!("journal line {}: {e}", k + 1);
         let line: Line = serde_json::from_str(&line.map_err(|e| at(&e))?).map_err(|e| at(&e))?;
         match (line, &mut desk) {
-            (Line::Start { seed, now }, desk) => *desk = Some(Desk::new(book, seed, now)),
+            (Line::Start { seed, now, book: own }, desk) => {
+                *desk = Some(Desk::new(own.as_deref().unwrap_or(book), seed, now));
+            }
             (_, None) => return Err(at(&"comes before any start")),
             (Line::Took { now, waited, input }, Some(desk)) => {
                 done.inputs += 1;
--- a/crates/kelpdoor-director/src/lib.rs
+++ b/crates/kelpdoor-director/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod desk;
 pub mod effect;
+mod following;
 mod gate;
 pub mod journal;
 mod keeping;
@@ -17,6 +18,7 @@
 
 pub use desk::{Counts, Desk};
 pub use effect::{Effect, Input, NodeWord, Shown};
+pub use following::{Following, Ruling};
 pub use gate::{Gate, Pass};
 pub use keeping::keeper_options;
 pub use kelpdoor_clock::{Clock, Slew};
--- a/crates/kelpdoor-director/src/shell.rs
+++ b/crates/kelpdoor-director/src/shell.rs
@@ -12,7 +12,7 @@
 
 use futures_util::{SinkExt, StreamExt};
 use kelpdoor_api::{ErrorCode, FromPlayer, MAX_MESSAGE, SUBPROTOCOL, ToPlayer};
-use kelpdoor_clock::Clock;
+use kelpdoor_clock::{Clock, Steady};
 use kelpdoor_keeper::RunningKeeper;
 use kelpdoor_parts::{CATCH_UP, stood_still};
 use kelpdoor_script::Deployment;
@@ -31,6 +31,7 @@
 
 use crate::desk::{Counts, Desk};
 use crate::effect::{Effect, Input, NodeWord};
+use crate::following::{Following, Ruling};
 use crate::gate::{Gate, Pass};
 use crate::journal;
 use crate::keeping;
@@ -64,6 +65,8 @@
 /// How a director is started.
 pub struct ServeOptions {
     pub deployment: Deployment,
+    /// Where rules are agreed: the deployment is what [`Following::start`] gave with it.
+    pub agreed: Option<Following>,
     /// Where all inputs and effects are written, for a replay.
     pub journal: Option<PathBuf>,
 }
@@ -103,6 +106,12 @@
     }
 }
 
+/// Bytes for a node; what may leave only under a lease has its end, and session and number of its SETUP.
+struct ToNode {
+    bytes: Vec<u8>,
+    leased: Option<(f64, u64, u8)>,
+}
+
 /// A queue to a socket with a bound in bytes.
 struct Outbox<T> {
     to: mpsc::UnboundedSender<T>,
@@ -135,6 +144,7 @@
 /// Where the address cannot be bound or the journal not be written.
 pub async fn serve(options: ServeOptions) -> io::Result<Running> {
     let book = Arc::new(options.deployment);
+    let agreed = options.agreed;
     let verifier = Verifier::new(&book)?;
     let listener = TcpListener::bind(book.director.listen).await?;
     let address = listener.local_addr()?;
@@ -166,6 +176,14 @@
         ask,
         socks: HashMap::new(),
         links: HashMap::new(),
+        agreed: agreed.map(|Following { ruling, steady, tasks: following }| {
+            // Ended with the shell.
+            tasks.spawn(async move {
+                let mut following = following;
+                while following.join_next().await.is_some() {}
+            });
+            Agreed { ruling, steady, label: String::new(), lease: f64::NEG_INFINITY, told: f64::NAN }
+        }),
         journal,
         tell,
         save,
@@ -179,13 +197,25 @@
     Ok(Running { address, inputs, counts, task })
 }
 
+/// Rules that others have too: what may be acted on, and what the desk was told of it.
+struct Agreed {
+    ruling: watch::Receiver<Ruling>,
+    steady: Steady,
+    label: String,
+    /// Steady time, until when something new may leave.
+    lease: f64,
+    /// The same as the desk was told it, on its own clock.
+    told: f64,
+}
+
 struct Shell {
     book: Arc<Deployment>,
     clock: Clock,
     inputs: mpsc::Sender<Came>,
     ask: mpsc::UnboundedSender<ToRoster>,
     socks: HashMap<u64, Outbox<Out>>,
-    links: HashMap<(u32, u64), Outbox<Vec<u8>>>,
+    links: HashMap<(u32, u64), Outbox<ToNode>>,
+    agreed: Option<Agreed>,
     journal: Option<BufWriter<File>>,
     tell: watch::Sender<Counts>,
     /// The list to be kept: the latest, if one is being written when another comes.
@@ -233,7 +263,8 @@
     ) {
         let now = self.now();
         let mut desk = Desk::new(&self.book, seed, now);
-        self.keep(&journal::Line::Start { seed, now });
+        let whole = self.agreed.is_some().then(|| Box::new(Deployment::clone(&self.book)));
+        self.keep(&journal::Line::Start { seed, now, book: whole });
         if let Some(path) = &self.book.roster.cache {
             match load_list(path) {
                 Ok(Some(list)) => {
@@ -257,6 +288,7 @@
                     continue;
                 }
                 Some(first) = input.recv() => Some(first),
+                () = changed(&mut self.agreed) => None,
                 () = sleep_until(due) => None,
             };
             let gap = last.elapsed();
@@ -274,6 +306,7 @@
             }
             let began = Instant::now();
             let now = self.now();
+            self.rules(&mut desk, now);
             if let Some(first) = first {
                 self.take(&mut desk, now, first);
             }
@@ -290,6 +323,7 @@
             if self.carry_out(effects) {
                 // What was read before this moment is answered too.
                 let now = self.now();
+                self.rules(&mut desk, now);
                 while let Ok(next) = input.try_recv() {
                     self.take(&mut desk, now, next);
                 }
@@ -310,6 +344,34 @@
         self.last_words(input, sock).await;
     }
 
+    /// Tells the desk what it may act on now: looked at before each round, for we may have stood still.
+    fn rules(&mut self, desk: &mut Desk, now: f64) {
+        /// s; a lease's end is told again when it moved by more.
+        const FINE: f64 = 1e-3;
+        let Some(agreed) = &mut self.agreed else { return };
+        let ruling = agreed.ruling.borrow_and_update().clone();
+        let steady = agreed.steady.now();
+        agreed.lease = ruling.lease(steady);
+        let until = now + (agreed.lease - steady);
+        let label = (agreed.label != ruling.label).then(|| ruling.label.clone());
+        let moved = agreed.told.is_nan() || (until != agreed.told && (until - agreed.told).abs() > FINE);
+        if let Some(label) = &label {
+            agreed.label.clone_from(label);
+        }
+        if moved {
+            agreed.told = until;
+        }
+        if let Some(label) = label {
+            let book = Box::new(Deployment::clone(&ruling.book));
+            self.take(desk, now, (Instant::now(), Input::Rules { book, label }));
+        }
+        if moved {
+            // Where nothing may be begun, in the desk's own past: its journal knows no endless numbers.
+            let until = if until.is_finite() { until } else { 0.0 };
+            self.take(desk, now, (Instant::now(), Input::Lease { until }));
+        }
+    }
+
     fn socket(&mut self, news: ToSocks) {
         match news {
             ToSocks::Opened(sock, outbox) => {
@@ -329,13 +391,11 @@
                 Effect::Player { sock, sess, message } => self.tell_player(sock, sess, &message),
                 Effect::Dial { node, link, address } => self.dial(node, link, address),
                 Effect::Node { node, link, bytes } => {
-                    let most = self.book.node_links.queued_bytes;
-                    let len = bytes.len();
-                    if self.links.get(&(node, link)).is_some_and(|l| !l.put(bytes, len, most)) {
-                        tracing::warn!(node, "the node does not read; closing its link");
-                        self.hang_up(node, link);
-                        self.say_lost(node, link);
-                    }
+                    self.tell_node(node, link, ToNode { bytes, leased: None });
+                }
+                Effect::Setup { node, link, sess, number, bytes } => {
+                    let until = self.agreed.as_ref().map_or(f64::INFINITY, |a| a.lease);
+                    self.tell_node(node, link, ToNode { bytes, leased: Some((until, sess, number)) });
                 }
                 Effect::HangUp { node, link } => self.hang_up(node, link),
                 Effect::AskRoster(ask) => {
@@ -359,6 +419,16 @@
         done
     }
 
+    fn tell_node(&mut self, node: u32, link: u64, what: ToNode) {
+        let most = self.book.node_links.queued_bytes;
+        let len = what.bytes.len();
+        if self.links.get(&(node, link)).is_some_and(|l| !l.put(what, len, most)) {
+            tracing::warn!(node, "the node does not read; closing its link");
+            self.hang_up(node, link);
+            self.say_lost(node, link);
+        }
+    }
+
     fn tell_player(&mut self, sock: u64, sess: Option<u64>, message: &ToPlayer) {
         tracing::debug!(sock, sess, key = message.key().map(|k| k.0.as_str()), ?message, "to the player");
         let text = message.text();
@@ -389,7 +459,8 @@
         let (to, from) = mpsc::unbounded_channel();
         let queued = Arc::new(AtomicUsize::new(0));
         let (hold, held) = oneshot::channel();
-        let talk = talk(node, link, address, from, queued.clone(), self.inputs.clone());
+        let steady = self.agreed.as_ref().map(|a| a.steady);
+        let talk = talk(node, link, address, from, queued.clone(), self.inputs.clone(), steady);
         self.tasks.spawn(async move {
             tokio::select! {
                 () = talk => {}
@@ -438,6 +509,16 @@
     }
 }
 
+/// Comes when what may be acted on has changed; never where nothing is agreed.
+async fn changed(agreed: &mut Option<Agreed>) {
+    if let Some(a) = agreed
+        && a.ruling.changed().await.is_ok()
+    {
+        return;
+    }
+    std::future::pending().await
+}
+
 /// Keeps the latest list on disk, one write at a time.
 async fn keep_list(path: Option<PathBuf>, mut list: watch::Receiver<Option<Box<RosterList>>>) {
     while list.changed().await.is_ok() {
@@ -454,8 +535,8 @@
 
 /// One connection to a node, from connecting to its end.
 async fn talk(
-    node: u32, link: u64, address: SocketAddr, mut from: mpsc::UnboundedReceiver<Vec<u8>>,
-    queued: Arc<AtomicUsize>, to: mpsc::Sender<Came>,
+    node: u32, link: u64, address: SocketAddr, mut from: mpsc::UnboundedReceiver<ToNode>,
+    queued: Arc<AtomicUsize>, to: mpsc::Sender<Came>, steady: Option<Steady>,
 ) {
     let say = |word| to.send((Instant::now(), Input::Node { node, link, word }));
     let stream = match TcpStream::connect(address).await {
@@ -493,7 +574,14 @@
         }
     };
     let writer = async {
-        while let Some(bytes) = from.recv().await {
+        while let Some(ToNode { bytes, leased }) = from.recv().await {
+            let over = |until: f64| steady.is_some_and(|s| s.now() >= until);
+            if let Some((_, sess, number)) = leased.filter(|l| over(l.0)) {
+                // We stood still, or it lay behind what the node did not read.
+                queued.fetch_sub(bytes.len(), Ordering::Relaxed);
+                let _ = to.send((Instant::now(), Input::Unsent { sess, number })).await;
+                continue;
+            }
             if let Err(e) = write.write_all(&bytes).await {
                 return e.to_string();
             }
--- a/crates/kelpdoor-director/src/store.rs
+++ b/crates/kelpdoor-director/src/store.rs
@@ -1,39 +1,19 @@
-//! The last good list on disk: one line of a header with a version and a checksum, then JSON. Written to a file
-//! beside it, synced and renamed, so that it is there whole or not at all.
+//! The last good list on disk.
 
-use std::io::Write;
-use std::path::{Path, PathBuf};
+use std::path::Path;
+
+pub use kelpdoor_kept::StoreFault;
 
 use crate::roster::RosterList;
 
 const FORMAT: &str = "kelpdoor-roster 1";
 
-#[derive(Debug, thiserror::Error)]
-pub enum StoreFault {
-    #[error("{0}: {1}")]
-    Io(PathBuf, std::io::Error),
-    #[error("{0}: the header is not \"{FORMAT} CHECKSUM\"")]
-    Header(PathBuf),
-    #[error("{0}: the checksum says {1:08x}, the content {2:08x}")]
-    Checksum(PathBuf, u32, u32),
-    #[error("{0}: {1}")]
-    Content(PathBuf, serde_json::Error),
-}
-
 /// Writes the list whole or not at all.
 ///
 /// # Errors
 /// Where the folder cannot be written; the old file stands then.
 pub fn save_list(path: &Path, list: &RosterList) -> Result<(), StoreFault> {
-    let io = |e| StoreFault::Io(path.to_owned(), e);
-    let body = serde_json::to_vec(list).map_err(|e| StoreFault::Content(path.to_owned(), e))?;
-    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-    let mut file = tempfile::NamedTempFile::new_in(folder).map_err(io)?;
-    writeln!(file, "{FORMAT} {:08x}", crc32fast::hash(&body)).map_err(io)?;
-    file.write_all(&body).map_err(io)?;
-    file.as_file().sync_all().map_err(io)?;
-    file.persist(path).map_err(|e| io(e.error))?;
-    Ok(())
+    kelpdoor_kept::save(path, FORMAT, list)
 }
 
 /// Reads the list back; `None` where there is no file.
@@ -41,44 +21,5 @@
 /// # Errors
 /// A file that is not as it was written is named and never loaded.
 pub fn load_list(path: &Path) -> Result<Option<RosterList>, StoreFault> {
-    let bytes = match std::fs::read(path) {
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
-        other => other.map_err(|e| StoreFault::Io(path.to_owned(), e))?,
-    };
-    let header = || StoreFault::Header(path.to_owned());
-    let end = bytes.iter().position(|&b| b == b'\n').ok_or_else(header)?;
-    let first = std::str::from_utf8(&bytes[..end]).map_err(|_| header())?;
-    let digits = first.strip_prefix(FORMAT).and_then(|s| s.strip_prefix(' ')).ok_or_else(header)?;
-    let whole = digits.len() == 8 && digits.bytes().all(|b| b.is_ascii_hexdigit());
-    let sum = whole.then(|| u32::from_str_radix(digits, 16).ok()).flatten().ok_or_else(header)?;
-    let body = &bytes[end + 1..];
-    let found = crc32fast::hash(body);
-    if found != sum {
-        return Err(StoreFault::Checksum(path.to_owned(), sum, found));
-    }
-    serde_json::from_slice(body).map(Some).map_err(|e| StoreFault::Content(path.to_owned(), e))
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn any_flipped_or_missing_byte_is_found() {
-        let dir = tempfile::tempdir().unwrap();
-        let path = dir.path().join("list");
-        assert!(load_list(&path).unwrap().is_none());
-        let list = RosterList { version: 7, ..RosterList::default() };
-        save_list(&path, &list).unwrap();
-        assert_eq!(load_list(&path).unwrap(), Some(list));
-        let good = std::fs::read(&path).unwrap();
-        for at in 0..good.len() {
-            let mut bad = good.clone();
-            bad[at] ^= 0x10;
-            std::fs::write(&path, &bad).unwrap();
-            assert!(load_list(&path).is_err(), "byte {at} flipped");
-            std::fs::write(&path, &good[..at]).unwrap();
-            assert!(load_list(&path).is_err(), "cut at {at}");
-        }
-    }
+    kelpdoor_kept::load(path, FORMAT)
 }
--- a/crates/kelpdoor-director/tests/desk.rs
+++ b/crates/kelpdoor-director/tests/desk.rs
@@ -66,6 +66,15 @@
         lasts: u8,
         renew: bool,
     },
+    /// The rules are agreed from now on: a lease of so many tenths of a second, and other floors and seats.
+    Lease {
+        tenths: u8,
+        strict: bool,
+    },
+    /// SETUPs leave in time, or find their lease over when their turn comes.
+    Outbox {
+        slow: bool,
+    },
     /// The keeper reads so many words and answers, or so many are lost.
     Keeper {
         words: u8,
@@ -88,6 +97,8 @@
         1 => (0..6u8, 0..3u8).prop_map(|(node, phase)| Step::List { node, phase }),
         6 => (1..800u16).prop_map(|ms| Step::Wait { ms }),
         1 => (1..12u8).prop_map(|s| Step::Stall { s }),
+        2 => (0..30u8, any::<bool>()).prop_map(|(tenths, strict)| Step::Lease { tenths, strict }),
+        1 => prop::bool::weighted(0.3).prop_map(|slow| Step::Outbox { slow }),
         5 => (30..50u8, 0..6u8, 0..8u8, prop::bool::weighted(0.2))
             .prop_map(|(key, token, lasts, renew)| Step::Ticket { key, token, lasts, renew }),
         5 => (1..9u8, prop::bool::weighted(0.15)).prop_map(|(words, lost)| Step::Keeper { words, lost }),
@@ -130,6 +141,9 @@
     words: Vec<ToKeeper>,
     tokens: BTreeMap<String, u8>,
     keeping: bool,
+    /// Where rules are agreed: until when something may be begun, and whether SETUPs leave too late for it.
+    lease: Option<f64>,
+    slow: bool,
 }
 
 impl Peers {
@@ -148,13 +162,26 @@
             words: Vec::new(),
             tokens: BTreeMap::new(),
             keeping: false,
+            lease: None,
+            slow: false,
         }
     }
 
     fn take(&mut self, effects: Vec<Effect>) {
         let now = self.bench.now;
+        let mut unsent = Vec::new();
         for effect in effects {
             match effect {
+                Effect::Setup { sess, number, .. } if self.slow => unsent.push((sess, number)),
+                Effect::Setup { node, link, bytes, .. } => {
+                    assert!(self.lease.is_some_and(|until| now < until), "a SETUP without a lease");
+                    let mut rest = &bytes[..];
+                    while let Ok(Some((message, len))) = kelpdoor_rtsp::parse(rest) {
+                        rest = &rest[len..];
+                        self.heard(node, link, message);
+                    }
+                    assert!(rest.is_empty(), "half a message was written");
+                }
                 Effect::Player { message, .. } => {
                     let Some(key) = message.key().map(|k| k.0.clone()) else { continue };
                     let seen = self.seen.entry(key).or_default();
@@ -185,12 +212,16 @@
                 Effect::AskRoster(_) | Effect::SaveList(_) | Effect::Note { .. } => {}
             }
         }
+        for (sess, number) in unsent {
+            self.input(Input::Unsent { sess, number });
+        }
     }
 
     fn heard(&mut self, node: u32, link: u64, message: Message) {
         let Message::Request(r) = message else { return };
         let pipe = r.headers.get(names::PIPELINED).unwrap_or("").to_owned();
         if r.method == Method::Setup {
+            assert_eq!(r.headers.get(names::RULES).is_some(), self.lease.is_some(), "versions are named");
             let key = r.headers.get(names::KEY).expect("a key").to_owned();
             let other = self.live.values().find(|(k, _, _)| *k == key);
             assert!(other.is_none(), "two SETUPs of {key} are out or play: {other:?}");
@@ -309,6 +340,15 @@
                 }
                 self.input(Input::Shown { sock: 0, message, shown });
             }
+            Step::Lease { tenths, strict } => {
+                let until = self.bench.now + f64::from(tenths) / 10.0;
+                self.lease = Some(until);
+                let mut book = book();
+                book.groups.iter_mut().filter(|_| strict).for_each(|g| (g.floor, g.seats) = (2, 1));
+                self.input(Input::Rules { book: Box::new(book), label: "1/ab".into() });
+                self.input(Input::Lease { until });
+            }
+            Step::Outbox { slow } => self.slow = slow,
             Step::Keeper { words, lost } => self.keep(words, lost),
             Step::Stop { key, sock } => {
                 let key = RequestKey(self.key(key));
--- a/crates/kelpdoor-director/tests/story.rs
+++ b/crates/kelpdoor-director/tests/story.rs
@@ -310,7 +310,7 @@
 fn a_journal_replays_to_the_same_effects_and_shows_a_difference() {
     let (seed, now) = (7, common::START);
     let mut desk = Desk::new(&book(), seed, now);
-    let mut lines = vec![journal::Line::Start { seed, now }];
+    let mut lines = vec![journal::Line::Start { seed, now, book: None }];
     let message = common::start("key-00001", "any", "t0");
     let inputs = [Input::Roster(roster()), Input::Player { sock: 1, message }, Input::ShutDown];
     for (k, input) in inputs.into_iter().enumerate() {
@@ -420,3 +420,56 @@
     let effects = bench.input(Input::Roster(stale));
     assert!(effects.contains(&Effect::AskRoster(kelpdoor_director::ToRoster::Whole)), "{effects:?}");
 }
+
+#[test]
+fn without_a_lease_nothing_is_begun_and_each_is_answered_at_once() {
+    let mut bench = Bench::new(&book(), 3);
+    let effects = bench.input(Input::Roster(roster()));
+    // Nodes 0 to 2, which have title t0, are connected; 3 to 5 are still dialled.
+    let dial = |e: &Effect| if let Effect::Dial { node, link, .. } = e { Some((*node, *link)) } else { None };
+    let (near, far): (Vec<_>, Vec<_>) = effects.iter().filter_map(dial).partition(|(node, _)| *node < 3);
+    for (node, link) in near {
+        bench.input(Input::Node { node, link, word: NodeWord::Up });
+    }
+    bench.input(Input::Rules { book: Box::new(book()), label: "4/ab".into() });
+    let lease = |bench: &mut Bench, seconds: f64| {
+        let until = bench.now + seconds;
+        bench.input(Input::Lease { until })
+    };
+    let setups = |effects: &[Effect]| effects.iter().filter(|e| matches!(e, Effect::Setup { .. })).count();
+    let answers = |effects: &[Effect]| -> Vec<String> {
+        let of = |e: &Effect| match e {
+            Effect::Player { message, .. } if message.is_final() => Some(message.text()),
+            _ => None,
+        };
+        effects.iter().filter_map(of).collect()
+    };
+    lease(&mut bench, 0.1);
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    assert_eq!(setups(&effects), 1, "{effects:?}");
+    // Another waits for its node's connection, which is up after the lease: it does not go out.
+    bench.start(1, "key-00002", "any", "t3");
+    bench.wait(0.11);
+    let mut effects = bench.start(1, "key-00003", "any", "t0");
+    for (node, link) in far {
+        effects.extend(bench.input(Input::Node { node, link, word: NodeWord::Up }));
+    }
+    assert_eq!(setups(&effects), 0, "nothing leaves: {effects:?}");
+    let busy = |key: &str| format!(r#"{{"come_back":2.0,"key":"{key}","type":"busy"}}"#);
+    assert_eq!(answers(&effects), [busy("key-00003"), busy("key-00002")]);
+    // One that an outbox gave back is answered as well, and its link does not wait for what never left.
+    lease(&mut bench, 1.0);
+    let effects = bench.start(1, "key-00004", "any", "t0");
+    let sent = effects.iter().find_map(|e| match e {
+        Effect::Setup { sess, number, .. } => Some((*sess, *number)),
+        _ => None,
+    });
+    if let Some((sess, number)) = sent {
+        let out = bench.desk.counts().requests_out;
+        let effects = bench.input(Input::Unsent { sess, number });
+        assert_eq!(answers(&effects), [busy("key-00004")]);
+        assert_eq!(bench.desk.counts().requests_out, out - 2);
+    } else {
+        panic!("a SETUP goes out: {effects:?}");
+    }
+}
--- a/crates/kelpdoor-keeper/src/serve.rs
+++ b/crates/kelpdoor-keeper/src/serve.rs
@@ -4,31 +4,25 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::time::Duration;
 
 use kelpdoor_clock::Clock;
 use kelpdoor_seats::{DirectorId, Lease, Ledger, School, ToKeeper};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
 use crate::log::{Log, Opened};
+use crate::sockets::{Came, accept};
 use crate::wire::{Ask, MAX_LINE, SchoolStanding, Tell};
 
-/// Connections at most; more are closed at once, and directors come again.
-const CONNS: usize = 1024;
 /// Directors with a connection at most; words of more are not answered.
 const DIRECTORS: usize = 20_000;
 /// Lines waiting for the loop at most; readers wait beyond it.
 const ASKS: usize = 4096;
 /// Lines written down together at most.
 const BATCH: usize = 1024;
-/// Answers waiting for one connection at most; beyond it the connection is closed.
-const ANSWERS: usize = 8192;
 /// Bytes of log before it is written anew, and how many times its size when last written anew.
 const REWRITE: (u64, u64) = (4 << 20, 4);
 /// s; tokens that run out so soon are shown as expiring.
@@ -45,13 +39,17 @@
 }
 
 enum Come {
-    Opened(u64, mpsc::Sender<Tell>),
-    Closed(u64),
-    Asked(u64, Ask),
+    Socket(Came<Ask, Tell>),
     Bought(Vec<(School, u32)>),
     End,
 }
 
+impl From<Came<Ask, Tell>> for Come {
+    fn from(came: Came<Ask, Tell>) -> Self {
+        Come::Socket(came)
+    }
+}
+
 /// A keeper at work.
 pub struct RunningKeeper {
     pub address: SocketAddr,
@@ -165,7 +163,7 @@
     ) -> Result<(), String> {
         // Ended with this task, however that ends.
         let mut listen = JoinSet::new();
-        listen.spawn(accept(listener, to));
+        listen.spawn(accept::<Ask, Tell, Come>(listener, to, MAX_LINE, Tell::Fault));
         let done = self.work(&mut from).await;
         if let Err(why) = &done {
             tracing::error!(%why, "the keeper of seats ends");
@@ -205,14 +203,14 @@
     /// Whether that was the end.
     fn come(&mut self, now: f64, come: Come) -> bool {
         match come {
-            Come::Opened(conn, to) => {
+            Come::Socket(Came::Opened(conn, to)) => {
                 self.conns.insert(conn, to);
             }
-            Come::Closed(conn) => {
+            Come::Socket(Came::Closed(conn)) => {
                 self.conns.remove(&conn);
                 self.at.retain(|_, at| *at != conn);
             }
-            Come::Asked(conn, Ask::Word(word)) => {
+            Come::Socket(Came::Asked(conn, Ask::Word(word))) => {
                 let from = director(&word);
                 if self.at.len() >= DIRECTORS && !self.at.contains_key(&from) {
                     return false;
@@ -224,7 +222,7 @@
                     }
                 }
             }
-            Come::Asked(conn, Ask::Standing) => {
+            Come::Socket(Came::Asked(conn, Ask::Standing)) => {
                 let tell = self.standing(now);
                 self.out.push((conn, tell));
             }
@@ -284,83 +282,3 @@
         Ok(())
     }
 }
-
-async fn accept(listener: TcpListener, to: mpsc::Sender<Come>) {
-    let room = Arc::new(Semaphore::new(CONNS));
-    let mut tasks = JoinSet::new();
-    let mut next = 0;
-    loop {
-        while tasks.try_join_next().is_some() {}
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                tracing::warn!(%e, "a connection was not accepted");
-                sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
-        let Ok(permit) = room.clone().try_acquire_owned() else { continue };
-        next += 1;
-        let (conn, to) = (next, to.clone());
-        tasks.spawn(async move {
-            let _ = stream.set_nodelay(true);
-            attend(conn, stream, &to).await;
-            let _ = to.send(Come::Closed(conn)).await;
-            drop(permit);
-        });
-    }
-}
-
-async fn attend(conn: u64, stream: TcpStream, to: &mpsc::Sender<Come>) {
-    let (read, mut write) = stream.into_split();
-    let (tell, mut told) = mpsc::channel::<Tell>(ANSWERS);
-    if to.send(Come::Opened(conn, tell)).await.is_err() {
-        return;
-    }
-    let writer = async {
-        while let Some(tell) = told.recv().await {
-            let mut text = serde_json::to_vec(&tell).expect("plain data");
-            text.push(b'\n');
-            // What waits together goes out together.
-            while text.len() < 1 << 16
-                && let Ok(more) = told.try_recv()
-            {
-                text.extend(serde_json::to_vec(&more).expect("plain data"));
-                text.push(b'\n');
-            }
-            if write.write_all(&text).await.is_err() {
-                return;
-            }
-        }
-    };
-    let fault = tokio::select! {
-        fault = listen(conn, read, to) => fault,
-        () = writer => None,
-    };
-    if let Some(fault) = fault {
-        tracing::warn!(conn, %fault, "closing a connection");
-        let mut text = serde_json::to_vec(&Tell::Fault(fault)).expect("plain data");
-        text.push(b'\n');
-        let _ = write.write_all(&text).await;
-    }
-}
-
-/// Reads lines to the connection's end; what was wrong with one.
-async fn listen(conn: u64, read: OwnedReadHalf, to: &mpsc::Sender<Come>) -> Option<String> {
-    let mut lines = BufReader::new(read);
-    let mut line = Vec::new();
-    loop {
-        line.clear();
-        match (&mut lines).take(MAX_LINE as u64).read_until(b'\n', &mut line).await {
-            Ok(0) | Err(_) => return None,
-            Ok(_) if !line.ends_with(b"\n") => {
-                return (line.len() >= MAX_LINE).then(|| format!("a line of more than {MAX_LINE} bytes"));
-            }
-            Ok(_) => {}
-        }
-        match serde_json::from_slice::<Ask>(&line) {
-            Err(e) => return Some(format!("not a message: {e}")),
-            Ok(ask) => to.send(Come::Asked(conn, ask)).await.ok()?,
-        }
-    }
-}
--- /dev/null
+++ b/crates/kelpdoor-lab/src/chaos.rs
@@ -0,0 +1,164 @@
+//! Random schedules of faults by seed, played against real processes, and shortened when a property breaks.
+
+use std::path::Path;
+
+use anyhow::Result;
+use fastrand::Rng;
+
+use crate::agreed::{Judged, judge};
+use crate::check::{Verdict, check};
+use crate::day;
+use crate::record;
+use crate::trouble::Script;
+
+/// How large a schedule is.
+#[derive(Clone, Copy, Debug)]
+pub struct Scale {
+    pub directors: u32,
+    pub voters: u32,
+    pub seconds: f64,
+    /// Times that a schedule is played anew to find a shorter one that breaks too.
+    pub shorten: usize,
+}
+
+/// s without trouble at the end, and at the begin.
+const CALM: f64 = 12.0;
+const BEGIN: f64 = 3.0;
+
+/// Viewers a second for each director: enough that a director which acts on what it should not is seen to.
+const RATE: f64 = 4.0;
+
+/// What a play came to.
+pub struct Played {
+    pub rules: Verdict,
+    pub agreed: Judged,
+    pub ended_well: bool,
+}
+
+impl Played {
+    pub fn good(&self) -> bool {
+        self.rules.broken.is_empty() && self.agreed.broken.is_empty() && self.ended_well
+    }
+
+    /// What broke, a line each.
+    pub fn broken(&self) -> Vec<String> {
+        let rules =
+            self.rules.broken.iter().map(|b| format!("rule {} broken, line {}: {}", b.rule, b.line, b.what));
+        let agreed = self.agreed.broken.iter().map(|(n, what)| format!("agreement broken, line {n}: {what}"));
+        let end = (!self.ended_well).then(|| "a director did not end well".to_owned());
+        rules.chain(agreed).chain(end).collect()
+    }
+}
+
+/// The lines of a schedule, the day first, each a call of a trouble script.
+pub fn schedule(seed: u64, scale: Scale) -> Vec<String> {
+    let mut rng = Rng::with_seed(seed);
+    let Scale { directors, voters, seconds, .. } = scale;
+    let players = (seconds * f64::from(directors) * RATE) as u32;
+    let mut lines = vec![format!(
+        "day(seconds = {seconds}, directors = {directors}, voters = {voters}, nodes = 10, racks = 2, zones = [\"east\", \"west\"], \
+         players = {players}, class_of = 10, class_at = 6, watch = 5, roster_lag = 0.5, seed = {seed}, clocks_apart = True)"
+    )];
+    let last = seconds - CALM;
+    let mut at = BEGIN;
+    let mut change = 0;
+    let mut disk_lost = false;
+    while at < last {
+        let lasts = (0.3 + 4.0 * rng.f64()).min(last - at).max(0.1);
+        let v = rng.u32(..voters);
+        let other = (v + 1 + rng.u32(..voters - 1)) % voters;
+        let d = rng.u32(..directors);
+        let some: Vec<String> = (0..directors).filter(|_| rng.bool()).map(|d| d.to_string()).collect();
+        let some = if some.is_empty() { d.to_string() } else { some.join(", ") };
+        let way = ["both", "there", "back"][rng.usize(..3)];
+        let all: Vec<String> = (0..voters).map(|v| v.to_string()).collect();
+        let all = all.join(", ");
+        let span = format!("at = {at:.2}, lasts = {lasts:.2}");
+        lines.push(match rng.u8(..16) {
+            // A director from all, some from one, a voter from the others.
+            0 => format!("cut({span}, directors = [{d}], voters = [{all}], way = \"{way}\")"),
+            1 => format!("cut({span}, directors = [{some}], voters = [{v}, {other}], way = \"{way}\")"),
+            2 => format!("cut({span}, voters = [{v}], way = \"{way}\")"),
+            3 => format!(
+                "late({span}, directors = [{some}], voters = [{all}], factor = {:.2})",
+                3.0 * rng.f64().powi(2)
+            ),
+            4 => format!("late({span}, voters = [{v}], factor = {:.2})", 2.0 * rng.f64().powi(2)),
+            5 => format!(
+                "trickle({span}, directors = [{some}], voters = [{v}], factor = {})",
+                200 + rng.u32(..2000)
+            ),
+            6 => format!("line_reset(at = {at:.2}, directors = [{some}], voters = [{all}])"),
+            7 => format!("voter_roll(at = {at:.2}, voters = [{v}], notice = {:.2})", lasts.min(2.0)),
+            8 => format!("voter_stall({span}, voters = [{v}])"),
+            9 if !disk_lost => {
+                disk_lost = true;
+                format!("voter_disk(at = {at:.2}, voters = [{v}], notice = {:.2})", lasts.min(1.0))
+            }
+            10 => format!("voter_full({span}, voters = [{v}])"),
+            11 => format!("balancer_roll(at = {at:.2}, directors = [{d}], notice = {:.2})", lasts.min(1.0)),
+            12 | 13 => format!("balancer_stall({span}, directors = [{d}])"),
+            _ => {
+                change += 1;
+                format!("propose(at = {at:.2}, change = {change}, directors = [{d}])")
+            }
+        });
+        // Rules change all the while.
+        if rng.f64() < 0.4 {
+            change += 1;
+            let d = rng.u32(..directors);
+            lines.push(format!(
+                "propose(at = {:.2}, change = {change}, directors = [{d}])",
+                at + 0.5 * rng.f64()
+            ));
+        }
+        at += 0.2 + 1.8 * rng.f64();
+    }
+    // A last change, with which whatever lost its disk votes again.
+    change += 1;
+    lines.push(format!("propose(at = {:.2}, change = {change}, directors = [0])", last + 0.5));
+    lines
+}
+
+pub fn read(lines: &[String]) -> Result<Script> {
+    Script::run("schedule", &lines.join("\n")).map_err(|f| anyhow::anyhow!("{}", f[0]))
+}
+
+/// Plays a schedule once and judges it.
+///
+/// # Errors
+/// Where it cannot be played.
+pub async fn play(script: &Script, program: &Path, dir: &Path) -> Result<Played> {
+    std::fs::create_dir_all(dir)?;
+    let over = day::run(script, "", program, dir, false, |_| {}).await?;
+    let lines = record::read(&over.record)?;
+    let agreed = judge(&lines, script.size.contradiction);
+    Ok(Played { rules: check(&lines), agreed, ended_well: over.ended_well })
+}
+
+/// Takes lines out of a schedule that broke for as long as it still breaks, halves first, within so many plays.
+///
+/// # Errors
+/// Where it cannot be played.
+pub async fn shorten(
+    mut lines: Vec<String>, program: &Path, dir: &Path, plays: usize,
+) -> Result<Vec<String>> {
+    let mut left = plays;
+    let mut part = (lines.len() - 1).div_ceil(2);
+    while part > 0 {
+        let mut from = 1;
+        while from < lines.len() && left > 0 {
+            let mut fewer = lines.clone();
+            fewer.drain(from..(from + part).min(lines.len()));
+            left -= 1;
+            let played = play(&read(&fewer)?, program, &dir.join(format!("shorter-{left}"))).await?;
+            if played.good() {
+                from += part;
+            } else {
+                lines = fewer;
+            }
+        }
+        part /= 2;
+    }
+    Ok(lines)
+}
--- a/crates/kelpdoor-lab/src/check.rs
+++ b/crates/kelpdoor-lab/src/check.rs
@@ -280,6 +280,8 @@
                 _ => self.keeper_down.iter_mut().for_each(|d| d.1 = d.1.min(t)),
             },
             What::NodeConn { .. } | What::Trouble { .. } | What::PlayerSock { .. } => {}
+            // Judged apart, in `agreed`.
+            What::Voter { .. } | What::Proposed { .. } | What::Outcome { .. } | What::Calm => {}
             What::Node { node, conn, got, text } => self.rtsp(n, t, *node, *conn, *got, text),
             What::Stream { node, key, share, .. } => {
                 let of = self.setups.iter_mut().rev().find(|s| s.node == *node && s.key == *key);
--- a/crates/kelpdoor-lab/src/day.rs
+++ b/crates/kelpdoor-lab/src/day.rs
@@ -10,11 +10,13 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::between::{Between, Site, Way};
 use crate::fleet::{Fold, World, settings};
 use crate::player::{Ticket, Wish, play};
 use crate::record::{Recorder, What};
 use crate::tickets;
 use crate::trouble::{Kind, Script, Trouble};
+use crate::voting::{Agreeing, Voting};
 
 /// s; a lease, a clock error and a sweep of the keeper's, after its restart.
 const LAST_LEASE: f64 = 16.0;
@@ -95,6 +97,7 @@
     pub world: Arc<World>,
     pub fold: Arc<Mutex<Fold>>,
     pub script: Arc<Script>,
+    pub agreeing: Option<Agreeing>,
 }
 
 async fn pause(seconds: f64) {
@@ -236,6 +239,61 @@
                 }
             }
             Kind::HotKey => {}
+            Kind::Cut | Kind::Late | Kind::Trickle => {
+                let set = |on: bool| {
+                    let act = move |w: &mut Way| match kind {
+                        Kind::Cut => w.cut = on,
+                        Kind::Late => w.late = if on { t.factor } else { 0.0 },
+                        _ => w.rate = if on { t.factor } else { 0.0 },
+                    };
+                    move |between: &Between, from, to| between.set(from, to, act)
+                };
+                self.lines(t, set(true)).await;
+                pause(t.lasts).await;
+                self.lines(t, set(false)).await;
+            }
+            Kind::LineReset => self.lines(t, |between, from, to| between.reset(from, to)).await,
+            Kind::VoterRoll | Kind::VoterDisk => {
+                for &v in &t.voters {
+                    self.voter(async |voting| {
+                        voting.kill(v).await;
+                        if kind == Kind::VoterDisk { voting.lose_disk(v) } else { Ok(()) }
+                    })
+                    .await;
+                    pause(t.notice).await;
+                    self.voter(async |voting| voting.again(v).await).await;
+                }
+            }
+            Kind::VoterStall => {
+                for on in [true, false] {
+                    self.voter(async |voting| {
+                        t.voters.iter().for_each(|&v| voting.stall(v, on));
+                        Ok(())
+                    })
+                    .await;
+                    pause(if on { t.lasts } else { 0.0 }).await;
+                }
+            }
+            Kind::VoterFull => {
+                for &v in &t.voters {
+                    self.voter(async |voting| voting.full_disk(v, true)).await;
+                    pause(t.lasts).await;
+                    self.voter(async |voting| {
+                        // It ended at its first write, if any came.
+                        voting.full_disk(v, false)?;
+                        voting.kill(v).await;
+                        voting.again(v).await
+                    })
+                    .await;
+                }
+            }
+            Kind::Propose => {
+                let through = t.directors.first().copied().unwrap_or(0);
+                let Some(agreeing) = &self.agreeing else { return };
+                if let Err(e) = agreeing.proposer.lock().await.propose(t.change, through).await {
+                    tracing::error!(%e, "a proposal");
+                }
+            }
             Kind::Preempt => {
                 t.nodes.iter().for_each(|&id| nodes.drain(id, true));
                 pause(t.notice).await;
@@ -258,6 +316,40 @@
         }
     }
 
+    /// Does something to the voters, where the day has any.
+    async fn voter(&self, act: impl AsyncFnOnce(&mut Voting) -> Result<()>) {
+        let Some(agreeing) = &self.agreeing else { return };
+        if let Err(e) = act(&mut *agreeing.voting.lock().await).await {
+            tracing::error!(%e, "a voter");
+        }
+    }
+
+    /// Does something to each way that a trouble names: between directors and voters, or, where it names no director,
+    /// between the voters named and the others.
+    async fn lines(&self, t: &Trouble, act: impl Fn(&Between, Site, Site)) {
+        let Some(Agreeing { between, .. }) = &self.agreeing else { return };
+        let near: Vec<Site> = if t.directors.is_empty() {
+            t.voters.iter().map(|&v| Site::Voter(v)).collect()
+        } else {
+            t.directors.iter().map(|&d| Site::Director(d)).collect()
+        };
+        let far: Vec<Site> = if t.directors.is_empty() {
+            (0..self.script.size.voters).filter(|v| !t.voters.contains(v)).map(Site::Voter).collect()
+        } else {
+            t.voters.iter().map(|&v| Site::Voter(v)).collect()
+        };
+        for &one in &near {
+            for &other in &far {
+                if t.way != "back" {
+                    act(between, one, other);
+                }
+                if t.way != "there" {
+                    act(between, other, one);
+                }
+            }
+        }
+    }
+
     fn links(&self, nodes: &[u32], factor: f64) {
         self.world.nodes.with_fleet(|f| {
             for id in nodes {
@@ -322,6 +414,8 @@
     let world = Arc::new(World::start(size, &shared, recorder.clone()).await?);
     let mut fold = Fold::new(size, &shared, program.into(), world.roster_at, recorder.clone(), dir, journal);
     fold.start_keeper().await?;
+    fold.start_voters().await?;
+    let agreeing = fold.agreeing.clone();
     for d in 0..size.directors as usize {
         fold.start(d).await?;
     }
@@ -332,7 +426,12 @@
     let started = Instant::now();
     let mut troubles = JoinSet::new();
     for (kind, t) in script.troubles.clone() {
-        let stage = Stage { world: world.clone(), fold: fold.clone(), script: script.clone() };
+        let stage = Stage {
+            world: world.clone(),
+            fold: fold.clone(),
+            script: script.clone(),
+            agreeing: agreeing.clone(),
+        };
         troubles.spawn(async move {
             sleep_until(started + Duration::from_secs_f64(t.at)).await;
             stage.act(kind, &t).await;
@@ -348,8 +447,13 @@
         });
     }
     let end = started + Duration::from_secs_f64(script.size.seconds);
+    let mut calm = false;
     while Instant::now() < end {
         sleep(Duration::from_millis(200)).await;
+        while troubles.try_join_next().is_some() {}
+        if troubles.is_empty() && script.size.voters > 0 && !std::mem::replace(&mut calm, true) {
+            recorder.put(What::Calm);
+        }
         tick(started.elapsed().as_secs_f64());
     }
     let mut ended_well = true;
--- a/crates/kelpdoor-lab/src/fleet.rs
+++ b/crates/kelpdoor-lab/src/fleet.rs
@@ -21,7 +21,10 @@
 use crate::roster::Roster;
 use crate::tickets::{self, Issuing, KeeperProcess};
 use crate::trouble::Size;
+use crate::voting::Agreeing;
 
+/// A director listens within this, if it ever does.
+const START: std::time::Duration = std::time::Duration::from_secs(20);
 /// kB a second for each unit of a node's size.
 const LINK_UNIT: f64 = 2600.0;
 
@@ -179,6 +182,8 @@
     /// Where the day has schools.
     pub keeper: Option<KeeperProcess>,
     pub issuing: Option<std::sync::Arc<Issuing>>,
+    /// Where the day has voters.
+    pub agreeing: Option<Agreeing>,
 }
 
 impl Fold {
@@ -201,6 +206,7 @@
             journal,
             keeper: None,
             issuing: None,
+            agreeing: None,
         }
     }
 
@@ -219,6 +225,30 @@
         Ok(())
     }
 
+    /// Starts the voters, where the day has any, and has them agree on a first document; before any director.
+    pub async fn start_voters(&mut self) -> Result<()> {
+        if self.size.voters == 0 {
+            return Ok(());
+        }
+        let shared = self.with_keeper(self.shared.clone());
+        let recorder = self.recorder.clone();
+        let agreeing = Agreeing::start(&self.program, &self.dir, &self.size, &shared, recorder).await?;
+        let said = agreeing.proposer.lock().await.propose(0, 0).await?;
+        if !said.starts_with("agreed 1/") {
+            bail!("the first document: {said}");
+        }
+        self.agreeing = Some(agreeing);
+        Ok(())
+    }
+
+    /// Keys and keeper put in, where the day has schools.
+    fn with_keeper(&self, script: String) -> String {
+        let (Some(keeper), Some(issuing)) = (&self.keeper, &self.issuing) else { return script };
+        script
+            .replace(tickets::KEYS, &issuing.keys().display().to_string())
+            .replace(tickets::KEEPER, &keeper.address)
+    }
+
     pub fn note_keeper(&self, event: &str) {
         self.recorder.put(What::Keeper { event: event.to_owned() });
     }
@@ -233,11 +263,11 @@
 
     pub async fn start(&mut self, d: usize) -> Result<SocketAddr> {
         let cache = self.dir.join(format!("director-{d}.list"));
-        let mut script = director_script(&self.shared, &self.size, d as u32, self.roster_at, &cache);
-        if let (Some(keeper), Some(issuing)) = (&self.keeper, &self.issuing) {
-            script = script.replace(tickets::KEYS, &issuing.keys().display().to_string());
-            script = script.replace(tickets::KEEPER, &keeper.address);
-        }
+        let script = match &self.agreeing {
+            Some(agreeing) => agreeing.director_script(d as u32, &format!("d{d}"), self.roster_at, &cache),
+            None => director_script(&self.shared, &self.size, d as u32, self.roster_at, &cache),
+        };
+        let script = self.with_keeper(script);
         let path = self.script_path(d);
         std::fs::File::create(&path)?.write_all(script.as_bytes())?;
         self.boots[d] += 1;
@@ -259,7 +289,8 @@
             .context("starting a director")?;
         let out = child.stdout.take().context("a director's output")?;
         let mut lines = BufReader::new(out).lines();
-        let Some(line) = lines.next_line().await? else {
+        let first = tokio::time::timeout(START, lines.next_line()).await;
+        let Some(line) = first.with_context(|| format!("director {d} does not start"))?? else {
             bail!("director {d} ended at once; see {}", self.dir.join(format!("director-{d}.log")).display());
         };
         let address = line.rsplit(' ').next().unwrap_or("").parse().with_context(|| line.clone())?;
--- a/crates/kelpdoor-lab/src/lib.rs
+++ b/crates/kelpdoor-lab/src/lib.rs
@@ -1,6 +1,9 @@
 //! The lab: stand-ins for nodes, roster and players, trouble scripts, the record of what crossed the sockets, and
 //! the checker of the six rules. The daemon does not need it.
 
+pub mod agreed;
+pub mod between;
+pub mod chaos;
 pub mod check;
 pub mod day;
 pub mod fleet;
@@ -15,3 +18,4 @@
 pub mod roster;
 pub mod tickets;
 pub mod trouble;
+pub mod voting;
--- a/crates/kelpdoor-lab/src/main.rs
+++ b/crates/kelpdoor-lab/src/main.rs
@@ -10,6 +10,8 @@
 use comfy_table::Table;
 use hdrhistogram::Histogram;
 use indicatif::{ProgressBar, ProgressStyle};
+use kelpdoor_lab::agreed::{Judged, judge};
+use kelpdoor_lab::chaos::{self, Scale};
 use kelpdoor_lab::check::{Verdict, check};
 use kelpdoor_lab::day::{self, Stage};
 use kelpdoor_lab::fleet::{Fold, ODD, World, settings};
@@ -17,7 +19,8 @@
 use kelpdoor_lab::trouble::Script;
 use kelpdoor_tokens::{Audience, Claims};
 use tokio::io::AsyncBufReadExt;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, Semaphore};
+use tokio::task::JoinSet;
 
 #[derive(Parser)]
 #[command(name = "kelpdoor-lab", version, about = "Stand-ins, bad days and their checker for kelpdoor")]
@@ -49,6 +52,11 @@
         #[arg(long)]
         keep: Option<PathBuf>,
     },
+    /// Play random schedules of faults against real processes. Exit 1 with seed and a shortened schedule if a property broke.
+    Chaos {
+        #[command(subcommand)]
+        what: ChaosAct,
+    },
     /// Load a director, and beside it in the same run a plain relay, and measure both.
     Load {
         /// New sessions a second.
@@ -103,6 +111,34 @@
     Check { record: PathBuf },
 }
 
+#[derive(Subcommand)]
+enum ChaosAct {
+    /// Directors that agree on their rules: cuts, slow lines, kills, stalls and lost disks, with rules changing meanwhile.
+    Agreement {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Schedules, of seeds from there on.
+        #[arg(long, default_value_t = 1)]
+        runs: u64,
+        /// Half the time, nothing shortened.
+        #[arg(long)]
+        short: bool,
+        #[arg(long, default_value_t = 5)]
+        directors: u32,
+        #[arg(long, default_value_t = 3)]
+        voters: u32,
+        /// Schedules played at a time.
+        #[arg(long, default_value_t = 1)]
+        at_once: usize,
+        /// Keep records, logs and settings there.
+        #[arg(long)]
+        keep: Option<PathBuf>,
+        /// Print the schedule and play nothing.
+        #[arg(long)]
+        print: bool,
+    },
+}
+
 #[derive(Subcommand)]
 enum TroubleAct {
     /// Print a script made of a day drawn by the bench, at a size that fits one machine.
@@ -184,12 +220,91 @@
     })
     .await?;
     bar.finish_and_clear();
-    let verdict = check(&record::read(&over.record)?);
+    let lines = record::read(&over.record)?;
+    let verdict = check(&lines);
     show(&verdict);
+    let mut agreed = true;
+    if script.size.voters > 0 {
+        let judged = judge(&lines, script.size.contradiction);
+        show_agreed(&judged);
+        judged
+            .broken
+            .iter()
+            .take(20)
+            .for_each(|(n, what)| println!("agreement broken, line {n} of the record: {what}"));
+        agreed = judged.broken.is_empty();
+    }
     if !over.ended_well {
         println!("a director did not end well; its log is in {}", dir.display());
     }
-    Ok(verdict.broken.is_empty() && over.ended_well)
+    Ok(verdict.broken.is_empty() && agreed && over.ended_well)
+}
+
+fn show_agreed(j: &Judged) {
+    println!(
+        "{} versions, {} acknowledged; {} SETUPs, {} of them with an older version beside, {} after the last trouble; \
+         older alone for {:.2} s, mixed for {:.2} s at most",
+        j.versions, j.acknowledged, j.setups, j.beside, j.calm_setups, j.alone, j.mixed
+    );
+}
+
+/// Plays schedules, some at once; whether all were good.
+async fn chaos(
+    seeds: std::ops::Range<u64>, scale: Scale, at_once: usize, keep: Option<PathBuf>,
+) -> Result<bool> {
+    let temporary = tempfile::tempdir()?;
+    let dir = keep.unwrap_or_else(|| temporary.path().to_owned());
+    let program = std::env::current_exe()?;
+    let room = Arc::new(Semaphore::new(at_once.max(1)));
+    let mut plays = JoinSet::new();
+    for seed in seeds {
+        let (room, program, dir) = (room.clone(), program.clone(), dir.join(seed.to_string()));
+        plays.spawn(async move {
+            let _permit = room.acquire_owned().await;
+            let script = chaos::read(&chaos::schedule(seed, scale))?;
+            anyhow::Ok((seed, dir.clone(), chaos::play(&script, &program, &dir).await?))
+        });
+    }
+    let mut good = 0;
+    let mut bad = Vec::new();
+    let (mut alone, mut mixed, mut taken) = (0.0f64, 0.0f64, Vec::new());
+    while let Some(played) = plays.join_next().await {
+        let (seed, dir, played) = played??;
+        print!(
+            "seed {seed}: {} playing, {} busy, {} failed; ",
+            played.rules.playing, played.rules.busy, played.rules.failed
+        );
+        show_agreed(&played.agreed);
+        alone = alone.max(played.agreed.alone);
+        mixed = mixed.max(played.agreed.mixed);
+        taken.extend(played.agreed.taken_after.iter().copied());
+        if played.good() {
+            good += 1;
+        } else {
+            played.broken().iter().take(10).for_each(|b| println!("  {b}"));
+            bad.push((seed, dir));
+        }
+    }
+    taken.sort_by(f64::total_cmp);
+    let at = |part: f64| {
+        taken.get((part * (taken.len().saturating_sub(1)) as f64) as usize).copied().unwrap_or(0.0)
+    };
+    println!(
+        "{good} good, {} broken; older alone for {alone:.2} s, mixed for {mixed:.2} s at most; from proposal to the last SETUP \
+         without it {:.2} s at the median, {:.2} s at most",
+        bad.len(),
+        at(0.5),
+        at(1.0)
+    );
+    bad.sort();
+    if let Some((seed, dir)) = bad.first()
+        && scale.shorten > 0
+    {
+        println!("seed {seed}, shortened:");
+        let lines = chaos::shorten(chaos::schedule(*seed, scale), &program, dir, scale.shorten).await?;
+        lines.iter().for_each(|l| println!("{l}"));
+    }
+    Ok(bad.is_empty())
 }
 
 /// Does the troubles of a line, now.
@@ -222,6 +337,7 @@
         false,
     );
     fold.start_keeper().await?;
+    fold.start_voters().await?;
     for d in 0..2 {
         println!("director {d}: ws://{}/", fold.start(d).await?);
     }
@@ -237,7 +353,9 @@
     println!(
         "a line of a trouble script does that trouble now, as in: crash(at = 0, nodes = [2], lasts = 5)"
     );
-    let stage = Stage { world: world.into(), fold: Arc::new(Mutex::new(fold)), script: Arc::new(script) };
+    let agreeing = fold.agreeing.clone();
+    let stage =
+        Stage { world: world.into(), fold: Arc::new(Mutex::new(fold)), script: Arc::new(script), agreeing };
     let mut lines = tokio::io::BufReader::new(tokio::io::stdin()).lines();
     let mut open = true;
     loop {
@@ -276,6 +394,19 @@
             }
             Ok(good)
         }
+        Act::Chaos {
+            what: ChaosAct::Agreement { seed, runs, short, directors, voters, at_once, keep, print },
+        } => {
+            let (seconds, shorten) = if short { (26.0, 0) } else { (50.0, 12) };
+            anyhow::ensure!((1..=20).contains(&directors), "1 to 20 directors");
+            anyhow::ensure!(matches!(voters, 3 | 5), "three or five voters");
+            let scale = Scale { directors, voters, seconds, shorten };
+            if print {
+                chaos::schedule(seed, scale).iter().for_each(|l| println!("{l}"));
+                return Ok(true);
+            }
+            chaos(seed..seed + runs, scale, at_once, keep).await
+        }
         Act::Load { rate, hold, seconds, sockets, nodes, turns } => {
             let load = kelpdoor_lab::load::Load { rate, hold, seconds, sockets, nodes, turns };
             println!("{}", load.run(&std::env::current_exe()?).await?);
--- a/crates/kelpdoor-lab/src/record.rs
+++ b/crates/kelpdoor-lab/src/record.rs
@@ -94,6 +94,26 @@
     Keeper {
         event: String,
     },
+    /// A voter: `started`, `killed`, `stalled`, `resumed`, and what becomes of its disk.
+    Voter {
+        voter: u32,
+        event: String,
+    },
+    /// A document is proposed; `digest`: the first 16 hexadecimal digits of its SHA-256.
+    Proposed {
+        change: u32,
+        digest: String,
+        after: u64,
+        story_floor: u8,
+    },
+    /// What the proposer was told.
+    Outcome {
+        change: u32,
+        digest: String,
+        said: String,
+    },
+    /// The last trouble is over, all that was cut is whole.
+    Calm,
     /// What it still counts as held at the very end.
     SeatsLeft {
         held: u32,
--- a/crates/kelpdoor-lab/src/trouble.rs
+++ b/crates/kelpdoor-lab/src/trouble.rs
@@ -29,6 +29,12 @@
     pub seats: u32,
     pub tickets: u32,
     pub token_lasts: f64,
+    /// Voters; with any, the directors' rules are agreed.
+    pub voters: u32,
+    /// s; what the documents state.
+    pub contradiction: f64,
+    /// Steady clocks run up to 1 in 100 apart.
+    pub clocks_apart: bool,
 }
 
 impl Default for Size {
@@ -49,6 +55,9 @@
             seats: 0,
             tickets: 0,
             token_lasts: 6.0,
+            voters: 0,
+            contradiction: 2.0,
+            clocks_apart: false,
         }
     }
 }
@@ -76,9 +85,21 @@
     KeeperStall,
     /// Tokens are signed by a new key, and the old ones are taken out after a while.
     NewKey,
+    /// Nothing passes between some processes; all of it comes late; it trickles; connections are reset.
+    Cut,
+    Late,
+    Trickle,
+    LineReset,
+    /// Voters are killed and started again; stand still; lose their disk; cannot write to it.
+    VoterRoll,
+    VoterStall,
+    VoterDisk,
+    VoterFull,
+    /// A changed document is proposed.
+    Propose,
 }
 
-const KINDS: [(&str, Kind); 18] = [
+const KINDS: [(&str, Kind); 27] = [
     ("crash", Kind::Crash),
     ("vanish", Kind::Vanish),
     ("slow", Kind::Slow),
@@ -97,6 +118,15 @@
     ("keeper_roll", Kind::KeeperRoll),
     ("keeper_stall", Kind::KeeperStall),
     ("new_key", Kind::NewKey),
+    ("cut", Kind::Cut),
+    ("late", Kind::Late),
+    ("trickle", Kind::Trickle),
+    ("line_reset", Kind::LineReset),
+    ("voter_roll", Kind::VoterRoll),
+    ("voter_stall", Kind::VoterStall),
+    ("voter_disk", Kind::VoterDisk),
+    ("voter_full", Kind::VoterFull),
+    ("propose", Kind::Propose),
 ];
 
 /// One trouble. Which fields count depends on its kind; `docs/bad-day.md` has the table.
@@ -113,6 +143,14 @@
     #[serde(default)]
     pub directors: Vec<u32>,
     #[serde(default)]
+    pub voters: Vec<u32>,
+    /// Of a cut: `both`, `there` (from directors, or from the voters named) or `back`.
+    #[serde(default = "both")]
+    pub way: String,
+    /// Numbers the document that is proposed.
+    #[serde(default)]
+    pub change: u32,
+    #[serde(default)]
     pub racks: Vec<u16>,
     #[serde(default)]
     pub zone: String,
@@ -128,6 +166,10 @@
     pub notice: f64,
 }
 
+fn both() -> String {
+    "both".into()
+}
+
 fn lasts() -> f64 {
     8.0
 }
@@ -160,7 +202,16 @@
                     let few = size.players <= 20_000 && size.class_of <= 2_000 && !size.zones.is_empty();
                     let few =
                         few && size.tickets <= 20_000 && size.schools <= 1000 && size.token_lasts >= 1.0;
-                    if !(sane && fleet && racks && few && size.watch >= 3.0 && size.roster_lag >= 0.0) {
+                    let voting =
+                        matches!(size.voters, 0 | 3 | 5) && (0.5..=10.0).contains(&size.contradiction);
+                    if !(voting
+                        && sane
+                        && fleet
+                        && racks
+                        && few
+                        && size.watch >= 3.0
+                        && size.roster_lag >= 0.0)
+                    {
                         faults.push(call.fault(file, "day: a figure is out of range"));
                     }
                     script.size = size;
@@ -205,6 +256,12 @@
     if let Some(d) = t.directors.iter().find(|d| **d >= size.directors) {
         return Some(format!("no director {d}, the day has {}", size.directors));
     }
+    if let Some(v) = t.voters.iter().find(|v| **v >= size.voters) {
+        return Some(format!("no voter {v}, the day has {}", size.voters));
+    }
+    if !["both", "there", "back"].contains(&t.way.as_str()) {
+        return Some(format!("way is both, there or back, not {:?}", t.way));
+    }
     if let Some(r) = t.racks.iter().find(|r| **r >= size.racks) {
         return Some(format!("no rack {r}, the day has {}", size.racks));
     }
@@ -222,6 +279,15 @@
         Kind::BalancerRoll | Kind::BalancerStall => needs(t.directors.is_empty(), "directors"),
         Kind::ZoneLoss if !size.zones.contains(&t.zone) => Some(format!("no zone {:?}", t.zone)),
         Kind::HotKey => needs(t.players == 0 || t.players > 5000, "players, 1 to 5000,"),
+        Kind::Cut
+        | Kind::Late
+        | Kind::Trickle
+        | Kind::LineReset
+        | Kind::VoterRoll
+        | Kind::VoterStall
+        | Kind::VoterDisk
+        | Kind::VoterFull => needs(t.voters.is_empty(), "voters"),
+        Kind::Propose => needs(size.voters == 0, "voters in the day"),
         Kind::KeeperRoll | Kind::KeeperStall | Kind::NewKey => needs(size.schools == 0, "schools in the day"),
         Kind::ZoneLoss | Kind::DiscoveryStale | Kind::ReportLate => None,
     }
--- /dev/null
+++ b/crates/kelpdoor-lab/src/voting.rs
@@ -0,0 +1,286 @@
+//! Voters as processes of their own, relays before each of them, and proposals by the daemon's own command.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use fastrand::Rng;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use ring::digest::{SHA256, digest};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, ChildStdin, Command};
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use crate::between::{Between, Site};
+use crate::record::{Recorder, What};
+use crate::trouble::Size;
+
+pub const FLEET: &str = "lab";
+/// Words of the shared settings that a director keeps to itself.
+const OWN: [&str; 2] = ["players(", "node_links("];
+
+/// Who lies where: what the scripts of all processes are made of.
+struct Plan {
+    program: PathBuf,
+    dir: PathBuf,
+    /// Of each voter, then of each director: how its clock runs, and where it reaches each voter.
+    rates: Vec<f64>,
+    lines: Vec<Vec<SocketAddr>>,
+    size: Size,
+    /// The document's text, and what each director has besides.
+    shared: (String, String),
+}
+
+/// The voters of a day.
+pub struct Voting {
+    plan: Arc<Plan>,
+    between: Between,
+    children: Vec<Option<(Child, Option<ChildStdin>)>>,
+    /// Fixed from the first start on.
+    at: Vec<String>,
+    founded: Vec<bool>,
+    recorder: Recorder,
+}
+
+/// Who proposes.
+pub struct Proposer {
+    plan: Arc<Plan>,
+    recorder: Recorder,
+    /// The newest version that it was told of.
+    newest: u64,
+}
+
+/// All that a day has of voters.
+#[derive(Clone)]
+pub struct Agreeing {
+    plan: Arc<Plan>,
+    pub between: Between,
+    pub voting: Arc<Mutex<Voting>>,
+    pub proposer: Arc<Mutex<Proposer>>,
+}
+
+/// The documents of a day: what is agreed, and what stays with each director.
+fn split(shared: &str) -> (String, String) {
+    let own = |line: &&str| OWN.iter().any(|w| line.starts_with(w));
+    let (own, doc): (Vec<&str>, Vec<&str>) = shared.lines().partition(own);
+    (doc.join("\n"), own.join("\n"))
+}
+
+impl Agreeing {
+    pub async fn start(
+        program: &Path, dir: &Path, size: &Size, shared: &str, recorder: Recorder,
+    ) -> Result<Self> {
+        let between = Between::default();
+        let mut rng = Rng::with_seed(size.seed ^ 0xc10c);
+        let (n, d) = (size.voters, size.directors);
+        let sites = (0..n).map(Site::Voter).chain((0..d).map(Site::Director));
+        let (mut lines, mut rates) = (Vec::new(), Vec::new());
+        for from in sites {
+            let mut line = Vec::new();
+            for to in 0..n {
+                line.push(between.relay(from, Site::Voter(to)).await?);
+            }
+            lines.push(line);
+            rates.push(if size.clocks_apart { 0.995 + 0.01 * rng.f64() } else { 1.0 });
+        }
+        let (program, dir, size, shared) = (program.to_owned(), dir.to_owned(), size.clone(), split(shared));
+        let plan = Arc::new(Plan { program, dir, rates, lines, size, shared });
+        let mut voting = Voting {
+            plan: plan.clone(),
+            between: between.clone(),
+            children: (0..n).map(|_| None).collect(),
+            at: vec!["127.0.0.1:0".to_owned(); n as usize],
+            founded: vec![false; n as usize],
+            recorder: recorder.clone(),
+        };
+        for v in 0..n {
+            voting.again(v).await?;
+        }
+        let proposer = Proposer { plan: plan.clone(), recorder, newest: 0 };
+        Ok(Agreeing {
+            plan,
+            between,
+            voting: Arc::new(Mutex::new(voting)),
+            proposer: Arc::new(Mutex::new(proposer)),
+        })
+    }
+
+    /// The whole script of a director; `cache` is its kept list.
+    pub fn director_script(&self, d: u32, name: &str, roster: SocketAddr, cache: &Path) -> String {
+        self.plan.director_script(d, name, roster, cache)
+    }
+}
+
+impl Voting {
+    fn note(&self, v: u32, event: &str) {
+        self.recorder.put(What::Voter { voter: v, event: event.to_owned() });
+    }
+
+    fn folder(&self, v: u32) -> PathBuf {
+        self.plan.dir.join(format!("voter-{v}"))
+    }
+
+    /// Starts a voter where it listened before.
+    pub async fn again(&mut self, v: u32) -> Result<()> {
+        let k = v as usize;
+        fs::create_dir_all(self.folder(v))?;
+        let store = self.folder(v).join("store").display().to_string();
+        let script = format!(
+            "voter(me = {v}, voters = [{}], listen = \"{}\", fleet = \"{FLEET}\", store = {store:?}, clock_rate = {})\n",
+            self.plan.list(k),
+            self.at[k],
+            self.plan.rates[k],
+        );
+        let path = self.plan.dir.join(format!("voter-{v}.star"));
+        fs::write(&path, script)?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.plan.dir.join(format!("voter-{v}.log")))?;
+        let mut command = Command::new(&self.plan.program);
+        command.args(["director", "keeper", "--stay-with-stdin", "--config"]).arg(&path);
+        if !std::mem::replace(&mut self.founded[k], true) {
+            command.arg("--found");
+        }
+        let mut child = command
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::from(log))
+            .kill_on_drop(true)
+            .spawn()
+            .context("starting a voter")?;
+        let out = child.stdout.take().context("a voter's output")?;
+        let line = BufReader::new(out)
+            .lines()
+            .next_line()
+            .await?
+            .with_context(|| format!("voter {v} ended at once"))?;
+        self.at[k] = line.rsplit(' ').next().unwrap_or("").to_owned();
+        self.between.target(Site::Voter(v), self.at[k].parse().with_context(|| line.clone())?);
+        let stdin = child.stdin.take();
+        self.children[k] = Some((child, stdin));
+        self.note(v, "started");
+        Ok(())
+    }
+
+    pub async fn kill(&mut self, v: u32) {
+        self.note(v, "killed");
+        if let Some((mut child, _)) = self.children[v as usize].take() {
+            let _ = child.kill().await;
+        }
+    }
+
+    pub fn stall(&self, v: u32, on: bool) {
+        self.note(v, if on { "stalled" } else { "resumed" });
+        let signal = if on { Signal::SIGSTOP } else { Signal::SIGCONT };
+        if let Some(pid) = self.children[v as usize].as_ref().and_then(|c| c.0.id()) {
+            let _ = kill(Pid::from_raw(pid as i32), signal);
+        }
+    }
+
+    /// Its disk is gone, with all that was on it.
+    pub fn lose_disk(&self, v: u32) -> Result<()> {
+        self.note(v, "lost its disk");
+        Ok(fs::remove_dir_all(self.folder(v))?)
+    }
+
+    /// Its disk takes nothing any more, or does again.
+    pub fn full_disk(&self, v: u32, on: bool) -> Result<()> {
+        self.note(v, if on { "cannot write" } else { "can write" });
+        let (here, away) = (self.folder(v), self.plan.dir.join(format!("voter-{v}-away")));
+        let moved = if on { fs::rename(here, away) } else { fs::rename(away, here) };
+        Ok(moved?)
+    }
+}
+
+impl Plan {
+    fn list(&self, site: usize) -> String {
+        self.lines[site].iter().map(|a| format!("\"{a}\"")).collect::<Vec<_>>().join(", ")
+    }
+
+    fn director_script(&self, d: u32, name: &str, roster: SocketAddr, cache: &Path) -> String {
+        let zone = &self.size.zones[d as usize % self.size.zones.len()];
+        let site = (self.size.voters + d) as usize;
+        let copy = self.dir.join(format!("director-{d}.rules")).display().to_string();
+        format!(
+            "{own}\ndirector(zone = {zone:?}, listen = \"127.0.0.1:0\")\nroster(address = \"{roster}\", cache = {cache:?})\n\
+             agreement(voters = [{list}], fleet = \"{FLEET}\", name = \"{name}\", copy = {copy:?}, clock_rate = {rate})\n",
+            own = self.shared.1,
+            cache = cache.display().to_string(),
+            list = self.list(site),
+            rate = self.rates[site],
+        )
+    }
+
+    /// Documents of a day differ in floors, seats, the cold pace, SETUPs a session and the list of directors, none laxer
+    /// than the settings that the other rules are judged by.
+    fn document(&self, change: u32) -> (String, u8) {
+        let floor = (change % 2) as u8;
+        let mut text = self.shared.0.clone();
+        text = text.replace(
+            "start_target = 1.0, top = 3)",
+            &format!("start_target = 1.0, top = 3, floor = {floor})"),
+        );
+        text = text.replace("seats = 20)", &format!("seats = {})", 20 - change % 4));
+        text = text
+            .replace("tip_multiple = 4", &format!("tip_multiple = {}", 4.0 - f64::from(change % 3) * 0.5));
+        let mut names: Vec<String> = (0..self.size.directors).map(|d| format!("\"d{d}\"")).collect();
+        if change % 5 == 4 {
+            names.push("\"spare\"".to_owned());
+        }
+        let setups = 3 - u32::from(change % 7 == 6);
+        text += &format!(
+            "\ndirectors(names = [{}], max_setups = {setups}, come_back = 1.5, contradiction = {})\n# change {change}\n",
+            names.join(", "),
+            self.size.contradiction,
+        );
+        (text, floor)
+    }
+}
+
+impl Proposer {
+    /// Proposes the document of that number by the daemon's own command, through a director's lines; what came of it.
+    pub async fn propose(&mut self, change: u32, through: u32) -> Result<String> {
+        let (text, floor) = self.plan.document(change);
+        let sum = digest(&SHA256, text.as_bytes());
+        let digest: String = sum.as_ref()[..8].iter().map(|b| format!("{b:02x}")).collect();
+        let file = self.plan.dir.join(format!("document-{change}.star"));
+        fs::write(&file, text)?;
+        // The settings of an operator who sits where that director does.
+        let any = "127.0.0.1:1".parse()?;
+        let config = self.plan.dir.join(format!("operator-{through}.star"));
+        fs::write(&config, self.plan.director_script(through, "operator", any, Path::new("unused")))?;
+        let mut command = Command::new(&self.plan.program);
+        command.args(["director", "propose"]).arg(&file).args([
+            "--after",
+            &self.newest.to_string(),
+            "--config",
+        ]);
+        command.arg(&config).kill_on_drop(true);
+        let after = self.newest;
+        self.recorder.put(What::Proposed { change, digest: digest.clone(), after, story_floor: floor });
+        let out = match timeout(Duration::from_secs(30), command.output()).await {
+            Err(_) => return Ok("no answer".to_owned()),
+            Ok(out) => out?,
+        };
+        let said = String::from_utf8_lossy(if out.status.success() { &out.stdout } else { &out.stderr });
+        let said = said.trim().to_owned();
+        let number = |of: &str| of.split('/').next().and_then(|n| n.parse::<u64>().ok());
+        if let Some(n) = said.strip_prefix("agreed ").and_then(number) {
+            self.newest = self.newest.max(n);
+        }
+        // Told by what it lost: the next one is made from that.
+        if let Some(n) = said.rsplit("version is ").next().filter(|_| !out.status.success()).and_then(number)
+        {
+            self.newest = self.newest.max(n);
+        }
+        self.recorder.put(What::Outcome { change, digest, said: said.clone() });
+        Ok(said)
+    }
+}
--- /dev/null
+++ b/crates/kelpdoor-lab/tests/agreement.rs
@@ -0,0 +1,132 @@
+//! Real directors and voters, with cuts, stalls, kills and a lost disk between them while their rules change; and the checker
+//! on records made up to break each property.
+
+use kelpdoor_lab::agreed::judge;
+use kelpdoor_lab::chaos;
+use kelpdoor_lab::record::{Line, What};
+use kelpdoor_lab::trouble::Script;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_day_of_cuts_while_rules_change_keeps_every_property() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let script =
+        Script::run("agreement-day.star", include_str!("../scripts/agreement-day.star")).expect("good");
+    let program = env!("CARGO_BIN_EXE_kelpdoor-lab").as_ref();
+    let played = chaos::play(&script, program, dir.path()).await.expect("a day");
+    let logs: String = std::fs::read_dir(dir.path())
+        .expect("there")
+        .filter_map(|f| f.ok().map(|f| f.path()).filter(|p| p.extension().is_some_and(|e| e == "log")))
+        .map(|p| format!("{}\n{}\n", p.display(), std::fs::read_to_string(&p).unwrap_or_default()))
+        .collect();
+    assert!(played.good(), "{:#?}\n{logs}", played.broken());
+    // The day was what it should be: versions went round under load, and the cut-off refused.
+    let j = &played.agreed;
+    assert!(j.versions >= 5 && j.acknowledged >= 5 && j.setups > 250 && j.beside > 10, "{j:?}");
+    assert!(played.rules.busy > 5 && played.rules.playing > 250, "{:?}", played.rules);
+}
+
+fn setup(t: f64, label: &str, rung: u8) -> Line {
+    let text = format!(
+        "SETUP rtsp://n/title RTSP/2.0\r\nCSeq: 1\r\nRung: {rung}\r\nService-Group: story\r\nRules-Version: {label}\r\n\r\n"
+    );
+    Line { t, what: What::Node { node: 1, conn: 1, got: true, text } }
+}
+
+fn proposed(t: f64, digest: &str, story_floor: u8) -> Line {
+    Line { t, what: What::Proposed { change: 0, digest: digest.into(), after: 0, story_floor } }
+}
+
+fn outcome(t: f64, said: &str) -> Line {
+    Line { t, what: What::Outcome { change: 0, digest: String::new(), said: said.into() } }
+}
+
+fn calm(t: f64) -> Line {
+    Line { t, what: What::Calm }
+}
+
+/// What breaks, without the lines' numbers.
+fn broken(lines: &[Line]) -> Vec<String> {
+    judge(lines, 2.0).broken.into_iter().map(|b| b.1).collect()
+}
+
+#[test]
+fn what_may_be_is_not_judged() {
+    let good = [
+        proposed(0.0, "aa", 0),
+        outcome(0.1, "agreed 1/aa"),
+        setup(0.2, "1/aa", 0),
+        proposed(1.0, "bb", 1),
+        setup(1.1, "2/bb beside 1/aa", 1),
+        outcome(1.1, "agreed 2/bb"),
+        setup(1.9, "1/aa", 0),
+        setup(2.2, "2/bb", 1),
+        setup(2.4, "2/bb beside 1/aa", 1),
+        calm(10.0),
+        setup(16.0, "2/bb", 3),
+    ];
+    let j = judge(&good, 2.0);
+    assert!(j.broken.is_empty(), "{:?}", j.broken);
+    assert_eq!((j.versions, j.acknowledged, j.setups, j.beside, j.calm_setups), (2, 2, 6, 2, 1));
+    assert!((j.mixed - 0.2).abs() < 1e-9 && j.alone == 0.0, "{j:?}");
+}
+
+#[test]
+fn each_property_goes_red() {
+    let two = [setup(0.0, "1/aa", 0), setup(0.1, "1/ab", 0), calm(1.0)];
+    assert_eq!(broken(&two), ["version 1 has two contents, aa and ab"]);
+    let lost = [outcome(0.0, "agreed 1/aa"), setup(0.1, "1/cc", 0), calm(1.0)];
+    assert_eq!(broken(&lost), ["version 1 has two contents, aa and cc"]);
+    let late = [setup(0.0, "2/bb", 0), setup(2.5, "1/aa", 0), calm(9.0)];
+    let found = broken(&late);
+    assert!(
+        found[0].starts_with("a director acted on version 1 alone 2.50 s after another acted on 2"),
+        "{found:?}"
+    );
+    let mixed = [setup(0.0, "2/bb", 0), setup(2.5, "2/bb beside 1/aa", 0), calm(9.0)];
+    let found = broken(&mixed);
+    assert!(found.len() == 1 && found[0].contains("1 for what is not merged 2.50 s after"), "{found:?}");
+    let forgotten = [outcome(0.0, "agreed 2/bb"), setup(2.5, "1/aa", 0), calm(9.0)];
+    assert_eq!(broken(&forgotten), ["version 2 was acknowledged 2.50 s ago, and 1 is acted on"]);
+    let laxer =
+        [proposed(0.0, "aa", 0), proposed(0.0, "bb", 1), setup(0.1, "2/bb beside 1/aa", 0), calm(1.0)];
+    assert_eq!(broken(&laxer), ["rung 0 under the floor 1 of the versions it names"]);
+    let apart = [
+        setup(0.0, "1/aa", 0),
+        setup(0.1, "2/bb beside 1/aa", 0),
+        calm(1.0),
+        setup(6.5, "2/bb beside 1/aa", 0),
+    ];
+    assert_eq!(broken(&apart), ["5.5 s after the last trouble 2 is acted on, the newest is 2"]);
+    let unnamed = [
+        Line {
+            t: 0.0,
+            what: What::Node { node: 1, conn: 1, got: true, text: "SETUP x RTSP/2.0\r\n\r\n".into() },
+        },
+        calm(1.0),
+    ];
+    assert_eq!(broken(&unnamed), ["a SETUP that names no version"]);
+    assert_eq!(
+        broken(&[setup(0.0, "1/aa", 0)]),
+        ["the troubles never ended: nothing is known of what comes after"]
+    );
+    let mut idle = vec![calm(1.0)];
+    for k in 0..12 {
+        let text = r#"{"type":"busy","key":"k"}"#.to_owned();
+        let what = What::Player { player: k, director: 3, boot: 1, got: true, text };
+        idle.push(Line { t: 7.0, what });
+    }
+    assert_eq!(broken(&idle), ["director 3 sets nothing up after the last trouble, of 12 requests"]);
+}
+
+#[test]
+fn a_schedule_is_the_same_for_its_seed_and_reads() {
+    let scale = chaos::Scale { directors: 5, voters: 3, seconds: 50.0, shorten: 0 };
+    let mut words = std::collections::BTreeSet::new();
+    for seed in 0..100 {
+        let lines = chaos::schedule(seed, scale);
+        assert_eq!(lines, chaos::schedule(seed, scale));
+        let script = chaos::read(&lines).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        words.extend(script.troubles.iter().map(|(kind, _)| format!("{kind:?}")));
+    }
+    assert_eq!(words.len(), 11, "{words:?}");
+}
--- a/crates/kelpdoor-lab/tests/seats.rs
+++ b/crates/kelpdoor-lab/tests/seats.rs
@@ -64,7 +64,8 @@
         let script =
             director_script(&shared, &self.size, me, self.world.roster_at, Path::new("/nonexistent/list"));
         let deployment = Deployment::run("test", &script).expect("good settings");
-        let running = serve(ServeOptions { deployment, journal: None }).await.expect("a director");
+        let running =
+            serve(ServeOptions { deployment, agreed: None, journal: None }).await.expect("a director");
         within(10, async {
             while running.counts().links_up < 4 {
                 tokio::time::sleep(Duration::from_millis(2)).await;
@@ -248,7 +249,8 @@
         director_script(&shared, &hall.size, 0, hall.world.roster_at, Path::new("/nonexistent/list"));
     let begin = async || {
         let deployment = Deployment::run("test", &script).expect("good settings");
-        let running = serve(ServeOptions { deployment, journal: None }).await.expect("a director");
+        let running =
+            serve(ServeOptions { deployment, agreed: None, journal: None }).await.expect("a director");
         within(10, async {
             while running.counts().links_up < 4 {
                 tokio::time::sleep(Duration::from_millis(2)).await;
--- a/crates/kelpdoor-rtsp/src/lib.rs
+++ b/crates/kelpdoor-rtsp/src/lib.rs
@@ -26,6 +26,8 @@
     pub const RUNG: &str = "Rung";
     pub const GROUP: &str = "Service-Group";
     pub const KEY: &str = "Request-Key";
+    /// The versions of the rules that a SETUP was decided on, where directors agree on them.
+    pub const RULES: &str = "Rules-Version";
     pub const LOAD: &str = "Load-Report";
     pub const ASKED: &str = "Asked";
     pub const DELIVERED: &str = "Delivered";
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -282,6 +282,9 @@
     /// Where the newest version known is kept.
     #[serde(default)]
     pub copy: Option<PathBuf>,
+    /// For trials: how fast this process takes its steady clock to run.
+    #[serde(default = "one")]
+    pub clock_rate: f64,
 }
 
 /// A voter's own settings.
@@ -297,6 +300,9 @@
     pub listen: Option<SocketAddr>,
     pub fleet: String,
     pub store: PathBuf,
+    /// For trials: how fast this process takes its steady clock to run.
+    #[serde(default = "one")]
+    pub clock_rate: f64,
 }
 
 /// The directors of a fleet that agrees on its rules, and what each of them keeps to.
@@ -507,15 +513,13 @@
 }
 
 impl Voter {
-    /// Reads the settings of a voter's own process.
+    /// A voter's settings from a script's calls, if it has any.
     ///
     /// # Errors
     /// Every fault found, each with its place.
-    pub fn read(path: &std::path::Path) -> Result<Self, Vec<Fault>> {
-        let file = path.display().to_string();
-        let calls = crate::run::read(path, crate::VOTER)?;
-        let mut r = Reader { file: &file, calls: &calls, faults: Vec::new() };
-        let voter = r.one::<Voter>("voter", true);
+    pub fn from_calls(file: &str, calls: &[Call]) -> Result<Option<Self>, Vec<Fault>> {
+        let mut r = Reader { file, calls, faults: Vec::new() };
+        let voter = r.one::<Voter>("voter", false);
         if let Some((v, call)) = &voter {
             r.check(call, matches!(v.voters.len(), 3 | 5), "three or five voters");
             r.check(call, usize::from(v.me) < v.voters.len(), "me is a place in the list of voters");
@@ -523,7 +527,7 @@
             let distinct: std::collections::BTreeSet<_> = v.voters.iter().collect();
             r.check(call, distinct.len() == v.voters.len(), "an address stands twice");
         }
-        voter.map(|v| v.0).filter(|_| r.faults.is_empty()).ok_or(r.faults)
+        if r.faults.is_empty() { Ok(voter.map(|v| v.0)) } else { Err(r.faults) }
     }
 }
 
--- a/crates/kelpdoor-script/src/lib.rs
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -49,11 +49,8 @@
     "agreement",
 ];
 
-/// Words of a voter's settings.
-pub const VOTER: &[&str] = &["voter"];
-
 /// Words of a keeper's settings.
-pub const KEEPER: &[&str] = &["keeper", "school"];
+pub const KEEPER: &[&str] = &["keeper", "school", "voter"];
 
 /// Words of a trouble script.
 pub const TROUBLE: &[&str] = &[
@@ -76,4 +73,13 @@
     "keeper_roll",
     "keeper_stall",
     "new_key",
+    "cut",
+    "late",
+    "trickle",
+    "line_reset",
+    "voter_roll",
+    "voter_stall",
+    "voter_disk",
+    "voter_full",
+    "propose",
 ];
--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Goes by other terms from now on. Groups, rungs, racks and spans are those of before: what stands is counted by them.
+    pub fn go_by(&mut self, terms: &Terms) {
+        self.figures = Figures::new(terms);
+    }
+
     pub fn round(&mut self, now: f64, round: &Round, orders: &mut impl Orders) {
         // We ask for a round each beat: a longer gap is a pause of our own, and all that came in older by it.
         self.pause = (now - self.last_round - BEAT).max(0.0);
--- /dev/null
+++ b/crates/kelpdoord/src/agreed.rs
@@ -0,0 +1,219 @@
+//! What operators ask voters for: the next version, and who acts on what.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use kelpdoor_agreement::keys::{Change, may_follow};
+use kelpdoor_agreement::{Ask, Chosen, DirectorStanding, MAX_LINE, Tell, Value};
+use kelpdoor_keeper::fleet_id;
+use kelpdoor_script::{Own, Shared};
+use serde_json::json;
+
+use crate::told;
+
+/// A voter is connected within this.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Somewhat longer than a voter takes to give a proposal up.
+const ANSWER: Duration = Duration::from_secs(7);
+/// s; a director that has not asked for so long is shown as cut off, whatever its lease was.
+const CUT_OFF: f64 = 5.0;
+
+/// A document's text, and what it says.
+pub fn document(file: &Path) -> Result<(String, Shared)> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).with_context(|| name.clone())?;
+    let shared = Shared::run(&name, &text).map_err(told)?;
+    Ok((text, shared))
+}
+
+pub struct Voters {
+    fleet: String,
+    at: Vec<SocketAddr>,
+}
+
+impl Voters {
+    /// As a director's own settings name them.
+    pub fn of(config: &Path) -> Result<Self> {
+        let own = Own::read(config).map_err(told)?;
+        let own = own.with_context(|| format!("{}: no agreement(..) in it", config.display()))?;
+        let fleet = fleet_id(&own.agreement.fleet, own.agreement.voters.len());
+        Ok(Voters { fleet, at: own.agreement.voters })
+    }
+
+    /// A voter's answer.
+    fn ask(&self, k: usize, ask: &Ask) -> Result<Tell> {
+        let at = self.at[k];
+        let mut stream =
+            TcpStream::connect_timeout(&at, CONNECT).with_context(|| format!("voter {k} at {at}"))?;
+        stream.set_read_timeout(Some(ANSWER))?;
+        stream.set_write_timeout(Some(CONNECT))?;
+        let mut text = serde_json::to_vec(&Ask::Hello { fleet: self.fleet.clone() })?;
+        text.push(b'\n');
+        serde_json::to_writer(&mut text, ask)?;
+        text.push(b'\n');
+        stream.write_all(&text)?;
+        let mut lines = BufReader::new(stream).take(4 * MAX_LINE as u64);
+        let mut next = || -> Result<Tell> {
+            let mut line = String::new();
+            let n = lines.read_line(&mut line).with_context(|| format!("voter {k} at {at}: no answer"))?;
+            if n == 0 {
+                bail!("voter {k} at {at}: no answer");
+            }
+            match serde_json::from_str(&line).with_context(|| format!("voter {k} at {at}"))? {
+                Tell::Fault(why) => bail!("voter {k} at {at}: {why}"),
+                tell => Ok(tell),
+            }
+        };
+        match next()? {
+            Tell::Welcome { me } if usize::from(me.0) == k => next(),
+            Tell::Welcome { me } => bail!("the voter at {at} has place {}, not {k}", me.0),
+            other => bail!("voter {k} at {at} answers with something else: {other:?}"),
+        }
+    }
+
+    /// An agreed version, from whichever voter still has it.
+    pub fn content(&self, number: u64) -> Result<Chosen> {
+        let mut why = anyhow::anyhow!("no voter has version {number} any more");
+        for k in 0..self.at.len() {
+            match self.ask(k, &Ask::Content { number }) {
+                Ok(Tell::Content { found: Some(c) }) => return Ok(c),
+                Ok(_) => {}
+                Err(e) => why = why.context(e),
+            }
+        }
+        Err(why)
+    }
+
+    fn newest(&self) -> Result<Option<Chosen>> {
+        let mut newest = 0;
+        let mut heard = 0;
+        for k in 0..self.at.len() {
+            if let Ok(Tell::Standing { newest: n, .. }) = self.ask(k, &Ask::Standing) {
+                heard += 1;
+                newest = newest.max(n);
+            }
+        }
+        if heard * 2 <= self.at.len() {
+            bail!("{heard} of {} voters answer, which is no majority", self.at.len());
+        }
+        if newest == 0 { Ok(None) } else { self.content(newest).map(Some) }
+    }
+
+    pub fn print_document(&self) -> Result<()> {
+        let c = self.newest()?.context("nothing is agreed yet")?;
+        eprintln!("version {}", c.label());
+        print!("{}", c.value.text);
+        Ok(())
+    }
+
+    pub fn propose(&self, text: &str, after: u64, dry_run: bool, sure: bool) -> Result<()> {
+        let new = Shared::run("the document", text).map_err(told)?;
+        if dry_run {
+            let newest = self.newest()?;
+            let number = newest.as_ref().map_or(0, |c| c.number);
+            if number != after {
+                bail!("the newest version is {number}, not {after}");
+            }
+            let Some(newest) = newest else {
+                println!("it would be the first version");
+                return Ok(());
+            };
+            let old = Shared::run("the version before", &newest.value.text).map_err(told)?;
+            show_changes(&may_follow(&old, &new, sure).map_err(|e| anyhow::anyhow!(e))?);
+            return Ok(());
+        }
+        // The same under the same name at each voter: one that was heard only half is not proposed twice.
+        let value = Value { id: fastrand::u64(..), text: text.to_owned() };
+        let mut why = Vec::new();
+        for k in 0..self.at.len() {
+            match self.ask(k, &Ask::Propose { after, value: value.clone(), sure }) {
+                Ok(Tell::Agreed { number }) => {
+                    println!("agreed {}", Chosen { number, value }.label());
+                    return Ok(());
+                }
+                Ok(Tell::Lost { newest, digest }) => {
+                    bail!("another proposal came first: the newest version is {newest}/{digest}")
+                }
+                Ok(Tell::NotTaken { why: w } | Tell::Unknown { why: w }) => {
+                    why.push(format!("voter {k}: {w}"))
+                }
+                Ok(other) => why.push(format!("voter {k} answers with something else: {other:?}")),
+                Err(e) => why.push(format!("{e:#}")),
+            }
+        }
+        bail!("not agreed, as far as is known:\n{}", why.join("\n"))
+    }
+
+    pub fn show(&self, json: bool) -> Result<()> {
+        let mut voters = Vec::new();
+        let mut directors: BTreeMap<String, DirectorStanding> = BTreeMap::new();
+        let mut newest = 0;
+        for k in 0..self.at.len() {
+            let answer = self.ask(k, &Ask::Standing);
+            voters.push(match answer {
+                Ok(Tell::Standing { newest: n, digest, pending, votes, directors: of }) => {
+                    newest = newest.max(n);
+                    for d in of {
+                        let known = directors.get(&d.name).is_none_or(|o| o.heard > d.heard);
+                        if known {
+                            directors.insert(d.name.clone(), d);
+                        }
+                    }
+                    json!({ "voter": k, "version": n, "digest": digest, "pending": pending, "votes": votes })
+                }
+                Ok(other) => json!({ "voter": k, "fault": format!("{other:?}") }),
+                Err(e) => json!({ "voter": k, "fault": format!("{e:#}") }),
+            });
+        }
+        if json {
+            let of = |d: &DirectorStanding| {
+                json!({ "name": d.name, "version": d.have, "behind": newest.saturating_sub(d.have), "acts": d.acts,
+                    "heard": d.heard, "lease_left": (d.left - d.heard).max(0.0), "cut_off": d.heard > CUT_OFF })
+            };
+            let directors: Vec<_> = directors.values().map(of).collect();
+            println!(
+                "{}",
+                json!({ "fleet": self.fleet, "newest": newest, "voters": voters, "directors": directors })
+            );
+            return Ok(());
+        }
+        println!("fleet {}, newest version {newest}", self.fleet);
+        for v in &voters {
+            let k = &v["voter"];
+            match v["fault"].as_str() {
+                Some(fault) => println!("voter {k}: {fault}"),
+                None => {
+                    let votes = if v["votes"] == true { "" } else { ", does not vote" };
+                    let pending = if v["pending"] == true { ", a newer one is being decided" } else { "" };
+                    println!(
+                        "voter {k}: version {}/{}{pending}{votes}",
+                        v["version"],
+                        v["digest"].as_str().unwrap_or("")
+                    );
+                }
+            }
+        }
+        for d in directors.values() {
+            let cut = if d.heard > CUT_OFF { ", cut off" } else { "" };
+            let acts = if d.acts.is_empty() { "nothing" } else { &d.acts };
+            println!("director {}: acts on {acts}, heard {:.1} s ago{cut}", d.name, d.heard);
+        }
+        Ok(())
+    }
+}
+
+fn show_changes(changes: &[Change]) {
+    if changes.is_empty() {
+        println!("nothing would change");
+    }
+    for c in changes {
+        println!("{}: {} -> {}, {}", c.key, c.old, c.new, c.class.name());
+        if let Some(cuts) = &c.cuts {
+            println!("    cut short: {cuts}");
+        }
+    }
+}
--- a/crates/kelpdoord/src/lib.rs
+++ b/crates/kelpdoord/src/lib.rs
@@ -1,5 +1,7 @@
 //! `kelpdoord` as a function, so that the lab can start the very same program from its own binary.
 
+mod agreed;
+
 use std::ffi::OsString;
 use std::fs::File;
 use std::io::{BufRead, BufReader, IsTerminal, Read, Write};
@@ -10,10 +12,11 @@
 
 use anyhow::{Context, Result, bail};
 use clap::{Parser, Subcommand, ValueEnum};
-use kelpdoor_director::{ServeOptions, journal, keeper_options, serve};
-use kelpdoor_keeper::{Ask, Tell};
+use kelpdoor_agreement::VoterId;
+use kelpdoor_director::{Following, ServeOptions, journal, keeper_options, serve};
+use kelpdoor_keeper::{Ask, Tell, VoterOptions, start_voter};
 use kelpdoor_platform::{Start, StartFault};
-use kelpdoor_script::{Deployment, Fault, KeeperBook};
+use kelpdoor_script::{Deployment, Fault, KEEPER, KeeperBook, Own, Voter};
 use kelpdoor_tokens::KeySet;
 use tokio::signal::unix::{SignalKind, signal};
 use tracing_subscriber::EnvFilter;
@@ -55,17 +58,24 @@
     },
     /// Check settings: each fault with file, line and column.
     Check {
-        #[arg(long)]
-        config: PathBuf,
+        #[arg(long, required_unless_present = "document")]
+        config: Option<PathBuf>,
+        /// Rules that directors agree on, as for `propose`.
+        #[arg(long, conflicts_with = "config")]
+        document: Option<PathBuf>,
         /// Print the settings as they were understood.
         #[arg(long)]
         json: bool,
     },
-    /// Run the keeper of seats for many directors. A hangup signal has it read the schools' seats again.
+    /// Run a voter of what directors agree on, the keeper of seats for many directors, or both. A hangup signal has it read
+    /// the schools' seats again.
     Keeper {
-        /// Its settings: `keeper(..)` and `school(..)`.
+        /// Its settings: `voter(..)`, or `keeper(..)` and `school(..)`.
         #[arg(long)]
         config: PathBuf,
+        /// The fleet is founded now: once for each voter, which has no store yet.
+        #[arg(long)]
+        found: bool,
         #[arg(long, value_enum, default_value = "text")]
         log: LogForm,
         #[arg(long, default_value = "info")]
@@ -73,6 +83,44 @@
         #[arg(long)]
         stay_with_stdin: bool,
     },
+    /// Propose a document as the next version of the rules. Exit 0 if it was agreed.
+    Propose {
+        document: PathBuf,
+        /// The version that it was made from; 0 for the first.
+        #[arg(long)]
+        after: u64,
+        /// A director's own settings, which name fleet and voters.
+        #[arg(long)]
+        config: PathBuf,
+        /// Say what would change and whom it would cut short, and propose nothing.
+        #[arg(long)]
+        dry_run: bool,
+        /// Half of the directors may go at once.
+        #[arg(long)]
+        sure: bool,
+    },
+    /// Propose an earlier version's content as the next version.
+    Back {
+        version: u64,
+        #[arg(long)]
+        after: u64,
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        dry_run: bool,
+        #[arg(long)]
+        sure: bool,
+    },
+    /// Show voters, versions, and each director with what it acts on.
+    Agreed {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: bool,
+        /// Print the newest version's document.
+        #[arg(long, conflicts_with = "json")]
+        document: bool,
+    },
     /// List schools with their seats: bought, held, lent ahead, free, and those whose tokens run out soon.
     Seats {
         /// The keeper's address.
@@ -113,8 +161,49 @@
     });
 }
 
-async fn keep(config: PathBuf) -> Result<()> {
-    let book = KeeperBook::read(&config).map_err(told)?;
+/// A voter, the keeper of seats, or both.
+async fn keep(config: PathBuf, found: bool) -> Result<()> {
+    let file = config.display().to_string();
+    let calls = kelpdoor_script::read(&config, KEEPER).map_err(told)?;
+    let voter = Voter::from_calls(&file, &calls).map_err(told)?;
+    let seats = voter.is_none() || calls.iter().any(|c| c.word != "voter");
+    let book = if seats { Some(KeeperBook::from_calls(&file, &calls).map_err(told)?) } else { None };
+    match (voter, book) {
+        (Some(voter), Some(book)) => {
+            tokio::try_join!(vote(voter, found), count_seats(config, book)).map(|_| ())
+        }
+        (Some(voter), None) => vote(voter, found).await,
+        (None, Some(book)) => count_seats(config, book).await,
+        (None, None) => Ok(()),
+    }
+}
+
+async fn vote(voter: Voter, found: bool) -> Result<()> {
+    let mut ends = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
+    let listen = voter.listen.unwrap_or(voter.voters[usize::from(voter.me)]);
+    let options = VoterOptions {
+        me: VoterId(voter.me),
+        voters: voter.voters,
+        listen,
+        fleet: voter.fleet,
+        store: voter.store,
+        found,
+        clock_rate: voter.clock_rate,
+    };
+    let mut running = start_voter(options).await.with_context(|| format!("the voter on {listen}"))?;
+    println!("kelpdoord voter listening on {}", running.address);
+    std::io::stdout().flush()?;
+    let [term, int] = &mut ends;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+        ended = running.ended() => bail!("the voter ended by itself: {ended:?}"),
+    }
+    running.shut_down().await;
+    running.ended().await.map_err(|e| anyhow::anyhow!("the voter did not end well: {e}"))
+}
+
+async fn count_seats(config: PathBuf, book: KeeperBook) -> Result<()> {
     let mut ends = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
     let mut again = signal(SignalKind::hangup())?;
     let options = keeper_options(&book.keeper, &book.schools);
@@ -184,15 +273,41 @@
     Ok(())
 }
 
-async fn run(deployment: Deployment, journal: Option<PathBuf>) -> Result<()> {
+/// A director's settings: all of its own, or its own part where the rest is agreed.
+enum Mine {
+    Whole(Box<Deployment>),
+    Agreed(Own),
+}
+
+fn mine(path: &Path) -> Result<Mine> {
+    match Own::read(path).map_err(told)? {
+        Some(own) => Ok(Mine::Agreed(own)),
+        None => Ok(Mine::Whole(Box::new(settings(path)?))),
+    }
+}
+
+async fn run(mine: Mine, journal: Option<PathBuf>) -> Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let (deployment, agreed) = match mine {
+        Mine::Whole(deployment) => (*deployment, None),
+        Mine::Agreed(own) => {
+            let name = own.agreement.name.clone();
+            tracing::info!(name, "asking the voters for the rules");
+            let started = tokio::select! {
+                started = Following::start(own) => started?,
+                _ = term.recv() => return Ok(()),
+                _ = int.recv() => return Ok(()),
+            };
+            (started.1, Some(started.0))
+        }
+    };
     let listen = deployment.director.listen;
-    let mut ends = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
-    let mut running = serve(ServeOptions { deployment, journal })
+    let mut running = serve(ServeOptions { deployment, agreed, journal })
         .await
         .with_context(|| format!("listening on {listen}"))?;
     println!("kelpdoord listening on {}", running.address);
     std::io::stdout().flush()?;
-    let [term, int] = &mut ends;
     let mut signal = async || {
         tokio::select! {
             _ = term.recv() => {}
@@ -223,16 +338,36 @@
 fn act(arguments: Arguments) -> Result<()> {
     match arguments.what {
         What::Serve { config, log, log_filter, journal, stay_with_stdin: stay, threads } => {
-            let deployment = settings(&config)?;
+            let mine = mine(&config)?;
             logs(log, &log_filter)?;
             if stay {
                 stay_with_stdin();
             }
             let mut runtime = tokio::runtime::Builder::new_multi_thread();
-            runtime.worker_threads(threads.into()).enable_all().build()?.block_on(run(deployment, journal))
+            runtime.worker_threads(threads.into()).enable_all().build()?.block_on(run(mine, journal))
         }
-        What::Check { config, json } => {
-            let deployment = settings(&config)?;
+        What::Check { document: Some(file), json, .. } => {
+            let shared = agreed::document(&file)?.1;
+            if json {
+                println!("{}", serde_json::to_string_pretty(&shared)?);
+            } else {
+                println!("{}: good", file.display());
+            }
+            Ok(())
+        }
+        What::Check { config, json, .. } => {
+            let config = config.context("--config is needed")?;
+            let deployment = match mine(&config)? {
+                Mine::Whole(deployment) => deployment,
+                Mine::Agreed(own) => {
+                    println!(
+                        "{}: good, the rest is agreed by fleet {}",
+                        config.display(),
+                        own.agreement.fleet
+                    );
+                    return Ok(());
+                }
+            };
             if let Some(tokens) = &deployment.tokens {
                 let keys = || tokens.keys.display().to_string();
                 let text = std::fs::read_to_string(&tokens.keys).with_context(keys)?;
@@ -245,13 +380,25 @@
             }
             Ok(())
         }
-        What::Keeper { config, log, log_filter, stay_with_stdin: stay } => {
+        What::Propose { document, after, config, dry_run, sure } => {
+            let voters = agreed::Voters::of(&config)?;
+            voters.propose(&agreed::document(&document)?.0, after, dry_run, sure)
+        }
+        What::Back { version, after, config, dry_run, sure } => {
+            let voters = agreed::Voters::of(&config)?;
+            voters.propose(&voters.content(version)?.value.text, after, dry_run, sure)
+        }
+        What::Agreed { config, json, document } => {
+            let voters = agreed::Voters::of(&config)?;
+            if document { voters.print_document() } else { voters.show(json) }
+        }
+        What::Keeper { config, found, log, log_filter, stay_with_stdin: stay } => {
             logs(log, &log_filter)?;
             if stay {
                 stay_with_stdin();
             }
             let mut runtime = tokio::runtime::Builder::new_multi_thread();
-            runtime.worker_threads(1).enable_all().build()?.block_on(keep(config))
+            runtime.worker_threads(1).enable_all().build()?.block_on(keep(config, found))
         }
         What::Seats { keeper, json } => seats(keeper, json),
         What::Platform { log_filter } => {
