Refuse garbled, endless and foreign words at voters, and stores that are not as written

Need: each bad input a plain refusal naming what and where, the last agreed version standing. Tested on sockets and disks: another fleet, no fleet named, garbled and endless lines, words in a place that there is not, documents too long, of a fault, with fixed keys or half of the directors changed, stores flipped, cut, another's, founded twice, and a disk that takes nothing: the voter ends before it answers, the others go on. Names and versions that directors tell are bounded.

--- a/crates/kelpdoor-agreement/src/voter.rs
+++ b/crates/kelpdoor-agreement/src/voter.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::RATE_ERROR;
-use crate::words::{Ask, Ballot, Chosen, DirectorStanding, Tell, Value, VoterId, Word};
+use crate::words::{Ask, Ballot, Chosen, DirectorStanding, MAX_DOCUMENT, Tell, Value, VoterId, Word};
 
 /// Earlier versions kept for `back`.
 const KEPT: usize = 8;
@@ -22,6 +22,8 @@
 const LONGEST_LEASE: f64 = 5.0;
 /// Directors known by name at most; more are refused by name until others have been silent for their lease.
 const NAMES: usize = 2048;
+/// Bytes of a director's name, and of the versions that it says it acts on, at most.
+const LONG: (usize, usize) = (64, 512);
 /// s; a director is listed for so long after its last word.
 const LISTED: f64 = 3600.0;
 
@@ -286,6 +288,14 @@
     /// A word of another voter's.
     pub fn hear(&mut self, now: f64, from: VoterId, word: Word) {
         let newest = self.durable.newest();
+        if let Word::Accept { text, .. }
+        | Word::Learn { text, .. }
+        | Word::Promise { accepted: Some((.., text)), .. } = &word
+            && text.len() > MAX_DOCUMENT
+        {
+            // No voter of ours proposes it.
+            return;
+        }
         let mut answer = |word| {
             if from != self.me {
                 self.out.push(Out::To(from, word));
@@ -452,6 +462,12 @@
         if !self.durable.votes() {
             return Err("this voter lost its store and does not vote before the others went on".to_owned());
         }
+        if name.is_empty() || name.len() > LONG.0 || known.acts.len() > LONG.1 {
+            return Err(format!(
+                "a name of 1 to {} bytes, and {} for what is acted on, are taken",
+                LONG.0, LONG.1
+            ));
+        }
         let lease = known.until;
         if !(lease > 0.0 && lease <= LONGEST_LEASE) {
             return Err(format!("a lease of {lease} s, it has to be above 0 and {LONGEST_LEASE} s at most"));
--- /dev/null
+++ b/crates/kelpdoor-keeper/tests/voter.rs
@@ -0,0 +1,211 @@
+//! Voters on sockets and disks: what is garbled, endless, of another fleet, flipped or full is refused by name, and what is
+//! agreed stands.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use kelpdoor_agreement::{Ask, MAX_LINE, Tell, Value, VoterId, Word};
+use kelpdoor_keeper::{RunningVoter, VoterOptions, fleet_id, start_voter};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+
+const DOCUMENT: &str = r#"
+ladder(rates = [120, 221], utility = [0.2, 0.42])
+group("story", utility = 1, start_target = 1)
+fleet(zones = ["east"], kinds = {"box": 26}, cells = 4, racks = 2, link_unit = 2600, seen_after = 0.6, told_every = 2,
+      cold_from = 0.4, warm_within = 8, tip_multiple = 4, fall_window = 2, drain_grace = 1)
+directors(names = ["a", "b", "c"], max_setups = 3)
+"#;
+
+/// Addresses that are free now. What listens there later may find one taken: then the test says so.
+async fn free(n: usize) -> Vec<SocketAddr> {
+    let mut held = Vec::new();
+    for _ in 0..n {
+        held.push(tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap());
+    }
+    held.iter().map(|l| l.local_addr().unwrap()).collect()
+}
+
+fn options(me: u8, voters: &[SocketAddr], dir: &Path, found: bool) -> VoterOptions {
+    VoterOptions {
+        me: VoterId(me),
+        voters: voters.to_vec(),
+        listen: voters[usize::from(me)],
+        fleet: "test".into(),
+        store: store(me, dir),
+        found,
+        clock_rate: 1.0,
+    }
+}
+
+fn store(me: u8, dir: &Path) -> PathBuf {
+    dir.join(format!("voter-{me}"))
+}
+
+struct Client(BufReader<TcpStream>);
+
+impl Client {
+    async fn raw(at: SocketAddr) -> Client {
+        Client(BufReader::new(TcpStream::connect(at).await.unwrap()))
+    }
+
+    async fn new(at: SocketAddr) -> Client {
+        let mut client = Client::raw(at).await;
+        client.say(&Ask::Hello { fleet: fleet_id("test", 3) }).await;
+        assert!(matches!(client.hear().await, Some(Tell::Welcome { .. })));
+        client
+    }
+
+    async fn bytes(&mut self, bytes: &[u8]) {
+        // The other side may close before it has read all.
+        let _ = self.0.get_mut().write_all(bytes).await;
+    }
+
+    async fn say(&mut self, ask: &Ask) {
+        let mut text = serde_json::to_vec(ask).unwrap();
+        text.push(b'\n');
+        self.bytes(&text).await;
+    }
+
+    async fn hear(&mut self) -> Option<Tell> {
+        let mut line = String::new();
+        match self.0.read_line(&mut line).await {
+            Ok(0) | Err(_) => None,
+            Ok(_) => Some(serde_json::from_str(&line).unwrap()),
+        }
+    }
+
+    async fn ask(&mut self, ask: &Ask) -> Tell {
+        self.say(ask).await;
+        self.hear().await.expect("an answer")
+    }
+
+    async fn propose(&mut self, after: u64, text: &str) -> Tell {
+        let value = Value { id: fastrand::u64(..), text: text.into() };
+        self.ask(&Ask::Propose { after, value, sure: false }).await
+    }
+}
+
+async fn three(dir: &Path) -> (Vec<SocketAddr>, Vec<RunningVoter>) {
+    let at = free(3).await;
+    let mut voters = Vec::new();
+    for me in 0..3 {
+        voters.push(start_voter(options(me, &at, dir, true)).await.unwrap());
+    }
+    (at, voters)
+}
+
+/// Proposes until the voters have found each other.
+async fn agree(at: SocketAddr, after: u64, text: &str) -> u64 {
+    let mut client = Client::new(at).await;
+    for _ in 0..20 {
+        match client.propose(after, text).await {
+            Tell::Agreed { number } => return number,
+            Tell::Unknown { .. } | Tell::NotTaken { .. } => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    panic!("never agreed");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_is_no_question_is_refused_by_name_and_what_is_agreed_stands() {
+    let dir = tempfile::tempdir().unwrap();
+    let (at, _voters) = three(dir.path()).await;
+    assert_eq!(agree(at[0], 0, DOCUMENT).await, 1);
+
+    let mut other = Client::raw(at[0]).await;
+    other.say(&Ask::Hello { fleet: fleet_id("other", 3) }).await;
+    let why = "this is a voter of fleet \"test/3\", not of \"other/3\"";
+    assert_eq!(other.hear().await, Some(Tell::Fault(why.into())));
+    assert_eq!(other.hear().await, None, "closed");
+
+    let mut rude = Client::raw(at[0]).await;
+    rude.say(&Ask::Standing).await;
+    assert_eq!(rude.hear().await, Some(Tell::Fault("the first line names the fleet".into())));
+
+    let mut garbled = Client::new(at[0]).await;
+    garbled.bytes(b"{\"renew\":{\"name\":7}}\n").await;
+    assert!(matches!(garbled.hear().await, Some(Tell::Fault(why)) if why.starts_with("not a message: ")));
+
+    let mut endless = Client::new(at[0]).await;
+    let part = vec![b'x'; 1 << 16];
+    for _ in 0..=MAX_LINE / part.len() {
+        endless.bytes(&part).await;
+    }
+    let mut end = Vec::new();
+    let _ = endless.0.read_to_end(&mut end).await;
+    assert!(end.is_empty() || String::from_utf8_lossy(&end).contains("a line of more than"));
+
+    let mut client = Client::new(at[0]).await;
+    // Words in the name of a place that there is not, and a version from nowhere.
+    client
+        .say(&Ask::Voter { from: VoterId(9), word: Word::Learn { number: 7, id: 1, text: "no".into() } })
+        .await;
+    let mut refused = async |after: u64, text: &str| match client.propose(after, text).await {
+        Tell::NotTaken { why } => why,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(refused(1, &" ".repeat(300_000)).await, "the document has 300000 bytes, 262144 at most");
+    assert!(refused(1, "ladder(").await.starts_with("the document:1:8: Parse error"));
+    let fewer = DOCUMENT.replace("[\"a\", \"b\", \"c\"]", "[\"a\"]");
+    assert!(refused(1, &fewer).await.starts_with("directors.names: 2 of 3 directors would go at once"));
+    let rungs = DOCUMENT.replace("221", "300");
+    assert!(refused(1, &rungs).await.starts_with("ladder.rates: it cannot change while the fleet runs"));
+    assert_eq!(refused(7, DOCUMENT).await, "version 7 is not known here, the newest is 1");
+    assert!(matches!(client.propose(0, DOCUMENT).await, Tell::Lost { newest: 1, .. }));
+    assert!(matches!(client.ask(&Ask::Standing).await, Tell::Standing { newest: 1, votes: true, .. }));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_that_is_flipped_cut_or_another_s_is_not_voted_with() {
+    let dir = tempfile::tempdir().unwrap();
+    let (at, mut voters) = three(dir.path()).await;
+    assert_eq!(agree(at[0], 0, DOCUMENT).await, 1);
+    for v in &mut voters {
+        v.shut_down().await;
+        v.ended().await.unwrap();
+    }
+    drop(voters);
+    let why = async |me: u8, found: bool| match start_voter(options(me, &at, dir.path(), found)).await {
+        Ok(_) => "it starts".to_owned(),
+        Err(e) => e.to_string(),
+    };
+    assert!(why(0, true).await.ends_with("a store is there, the fleet was founded before"));
+    let path = store(0, dir.path());
+    let good = std::fs::read(&path).unwrap();
+    let mut bad = good.clone();
+    bad[40] ^= 1;
+    std::fs::write(&path, &bad).unwrap();
+    assert!(why(0, false).await.contains("the checksum says"));
+    std::fs::write(&path, &good[..good.len() / 2]).unwrap();
+    assert!(why(0, false).await.contains("the checksum says"));
+    std::fs::copy(store(1, dir.path()), &path).unwrap();
+    assert!(
+        why(0, false).await.ends_with("it is the store of \"test/3 voter 1\", not of \"test/3 voter 0\"")
+    );
+    std::fs::write(&path, &good).unwrap();
+    assert_eq!(why(0, false).await, "it starts");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_voter_whose_disk_takes_nothing_ends_before_it_answers_and_the_others_go_on() {
+    let dir = tempfile::tempdir().unwrap();
+    let at = free(3).await;
+    let mut voters = Vec::new();
+    for me in 0..3u8 {
+        let own = dir.path().join(me.to_string());
+        std::fs::create_dir(&own).unwrap();
+        voters.push(start_voter(options(me, &at, &own, true)).await.unwrap());
+    }
+    assert_eq!(agree(at[0], 0, DOCUMENT).await, 1);
+    std::fs::remove_dir_all(dir.path().join("0")).unwrap();
+    let next = format!("{DOCUMENT}# second\n");
+    // Asked of the one that cannot write: no answer, for none would rest on anything.
+    let mut client = Client::new(at[0]).await;
+    client.say(&Ask::Propose { after: 1, value: Value { id: 5, text: next.clone() }, sure: false }).await;
+    assert_eq!(client.hear().await, None);
+    let why = voters[0].ended().await.unwrap_err();
+    assert!(why.contains("No such file"), "{why}");
+    assert_eq!(agree(at[1], 1, &next).await, 2);
+}
