Decide a SETUP anew whose rules changed while its connection was made

Cause: read in desk.rs, send(): a session decided at rung 1 waited for its node's connection, the floor rose to 2 meanwhile, and the SETUP went out at rung 1 under the new versions' label. Each attempt remembers how often rules had changed when it was decided; one that is older is given back to the decisions as never gone out. Also: a version that does not read is tried and logged once, and the desk is woken by what changed alone.

--- a/crates/kelpdoor-agreement/src/voter.rs
+++ b/crates/kelpdoor-agreement/src/voter.rs
@@ -478,7 +478,10 @@
                 return Err(format!("the name {name:?} is in use by another director"));
             }
             // Another start may hold the name under a lease that we forgot; who still has one goes on.
-            None if known.left <= 0.0 && now < self.started + self.forgotten() => {
+            None if known.left <= 0.0
+                && now < self.started + 2.0 * LONGEST_LEASE
+                && now < self.started + self.forgotten() =>
+            {
                 return Err("this voter has just started and gives no name to who holds none yet".to_owned());
             }
             None if self.names.len() >= NAMES => {
--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -82,6 +82,8 @@
     /// Until when something new may be begun, where rules are agreed, and the versions that are acted on.
     lease: Option<f64>,
     label: String,
+    /// Changes of rules so far.
+    rules: u64,
     saving: bool,
     closing: bool,
     done: bool,
@@ -130,6 +132,7 @@
             rng,
             lease: None,
             label: String::new(),
+            rules: 0,
             saving: false,
             closing: false,
             done: false,
@@ -160,6 +163,7 @@
             Input::Rules { book, label } => {
                 h.book = *book;
                 h.label = label;
+                h.rules += 1;
                 self.director.go_by(&h.book.terms());
             }
             Input::Lease { until } => h.lease = Some(until),
@@ -611,7 +615,7 @@
 
     /// Puts a session's SETUP on the wire, its PLAY right behind it.
     fn send(&mut self, id: u64) {
-        let (may, label) = (self.may_begin(), self.label.clone());
+        let (may, label, rules) = (self.may_begin(), self.label.clone(), self.rules);
         let Some(s) = self.sess.get_mut(&id) else { return };
         let Some(a) = s.attempt.as_mut().filter(|a| !a.sent) else { return };
         let (node, pipe, number) = (a.node, a.pipe, a.number);
@@ -619,6 +623,10 @@
         if !may {
             return self.barred(id);
         }
+        if a.rules != rules {
+            // Decided on rules that changed while it waited for its connection: decided anew.
+            return self.give_up(id, Ending::Moot, false);
+        }
         (a.sent, a.link) = (true, link.number);
         let of_link = link.number;
         let mut setup = vec![
@@ -1129,6 +1137,7 @@
             node: node.0,
             link: 0,
             pipe,
+            rules: self.rules,
             sent: false,
             sent_at: now,
             rtsp: None,
--- a/crates/kelpdoor-director/src/following.rs
+++ b/crates/kelpdoor-director/src/following.rs
@@ -98,6 +98,7 @@
     lines.spawn(keep(own.agreement.copy.clone(), fleet.clone(), saved));
     let mut told: Option<watch::Sender<Ruling>> = None;
     let mut said = Said::default();
+    let mut unread = String::new();
     loop {
         let now = steady.now();
         for (k, to) in asks.iter().enumerate() {
@@ -105,8 +106,8 @@
                 let _ = to.try_send(ask);
             }
         }
-        if let Some(acting) = follower.acting(now) {
-            let label = acting.label();
+        let acting = follower.acting(now).map(|a| (a.label(), a));
+        if let Some((label, acting)) = acting.filter(|(label, _)| *label != unread) {
             let before = told.as_ref().map(|t| t.borrow().clone()).filter(|r| r.label == label);
             let ruling = match before {
                 Some(r) => Some(Ruling { from: acting.from, until: acting.until, ..r }),
@@ -122,6 +123,7 @@
                     }
                     Err(faults) => {
                         tracing::error!(%label, fault = %faults[0], "a version does not read here; going on with what was");
+                        unread = label;
                         None
                     }
                 },
@@ -135,8 +137,14 @@
                 }
                 said.lease(now, &ruling);
                 match &told {
+                    // The desk is woken for what changed alone.
                     Some(to) => {
-                        to.send_replace(ruling);
+                        to.send_if_modified(|old| {
+                            let changed = (&old.label, old.from, old.until)
+                                != (&ruling.label, ruling.from, ruling.until);
+                            *old = ruling;
+                            changed
+                        });
                     }
                     None => {
                         let (to, from) = watch::channel(ruling);
--- a/crates/kelpdoor-director/src/session.rs
+++ b/crates/kelpdoor-director/src/session.rs
@@ -13,6 +13,8 @@
     pub link: u64,
     /// Its name on the wire until the node gives it a session id.
     pub pipe: u64,
+    /// Counts the changes of rules before it was decided.
+    pub rules: u64,
     /// Not yet while the link is being connected.
     pub sent: bool,
     pub sent_at: f64,
--- a/crates/kelpdoor-director/tests/desk.rs
+++ b/crates/kelpdoor-director/tests/desk.rs
@@ -144,6 +144,7 @@
     /// Where rules are agreed: until when something may be begun, and whether SETUPs leave too late for it.
     lease: Option<f64>,
     slow: bool,
+    floor: u8,
 }
 
 impl Peers {
@@ -164,6 +165,7 @@
             keeping: false,
             lease: None,
             slow: false,
+            floor: 0,
         }
     }
 
@@ -222,6 +224,8 @@
         let pipe = r.headers.get(names::PIPELINED).unwrap_or("").to_owned();
         if r.method == Method::Setup {
             assert_eq!(r.headers.get(names::RULES).is_some(), self.lease.is_some(), "versions are named");
+            let rung: u8 = r.headers.read(names::RUNG).expect("a rung");
+            assert!(rung >= self.floor, "rung {rung} under the floor {} in force", self.floor);
             let key = r.headers.get(names::KEY).expect("a key").to_owned();
             let other = self.live.values().find(|(k, _, _)| *k == key);
             assert!(other.is_none(), "two SETUPs of {key} are out or play: {other:?}");
@@ -343,6 +347,7 @@
             Step::Lease { tenths, strict } => {
                 let until = self.bench.now + f64::from(tenths) / 10.0;
                 self.lease = Some(until);
+                self.floor = if strict { 2 } else { 0 };
                 let mut book = book();
                 book.groups.iter_mut().filter(|_| strict).for_each(|g| (g.floor, g.seats) = (2, 1));
                 self.input(Input::Rules { book: Box::new(book), label: "1/ab".into() });
