Start the lab's processes in one place; play answers that are nearly a lease late

Seen: eight short random schedules did not tell a lease counted from the answer, as late lines held each part up behind the one before, so that answers came far later than a lease and were dropped.

--- a/crates/kelpdoor-lab/src/between.rs
+++ b/crates/kelpdoor-lab/src/between.rs
@@ -9,8 +9,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// Parts of a stream held up at most; more wait at their sender.
+const PARTS: usize = 1024;
 
 /// A process, as its place among its kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -123,26 +126,35 @@
 
     async fn pump(&self, pair: (Site, Site), way: usize, mut read: OwnedReadHalf, mut write: OwnedWriteHalf) {
         let mut changed = self.changed.subscribe();
-        let mut buf = vec![0; 4096];
-        while let Ok(n) = read.read(&mut buf).await {
-            if n == 0 {
-                return;
-            }
-            let now = self.way(pair, way);
-            if now.late > 0.0 {
-                sleep(Duration::from_secs_f64(now.late)).await;
-            }
-            if now.rate > 0.0 {
-                sleep(Duration::from_secs_f64(n as f64 / now.rate)).await;
-            }
-            while self.way(pair, way).cut {
-                if changed.changed().await.is_err() {
+        // What is late does not hold up what comes behind it: each part has its own time.
+        let (to, mut parts) = mpsc::channel::<(Instant, Vec<u8>)>(PARTS);
+        let reader = async move {
+            let mut buf = vec![0; 4096];
+            while let Ok(n) = read.read(&mut buf).await {
+                let late = self.way(pair, way).late;
+                let due = Instant::now() + Duration::from_secs_f64(late);
+                if n == 0 || to.send((due, buf[..n].to_vec())).await.is_err() {
                     return;
                 }
             }
-            if write.write_all(&buf[..n]).await.is_err() {
-                return;
+        };
+        let writer = async {
+            while let Some((due, part)) = parts.recv().await {
+                sleep_until(due).await;
+                let rate = self.way(pair, way).rate;
+                if rate > 0.0 {
+                    sleep(Duration::from_secs_f64(part.len() as f64 / rate)).await;
+                }
+                while self.way(pair, way).cut {
+                    if changed.changed().await.is_err() {
+                        return;
+                    }
+                }
+                if write.write_all(&part).await.is_err() {
+                    return;
+                }
             }
-        }
+        };
+        tokio::join!(reader, writer);
     }
 }
--- a/crates/kelpdoor-lab/src/fleet.rs
+++ b/crates/kelpdoor-lab/src/fleet.rs
@@ -3,7 +3,6 @@
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 
 use anyhow::{Context, Result, bail};
 use fastrand::Rng;
@@ -11,9 +10,8 @@
 use kelpdoor_script::Deployment;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::process::{Child, ChildStdin, Command};
 
+use crate::daemon::Daemon;
 use crate::fluid::{Fleet, FleetTerms};
 use crate::node::{Build, Nodes, Telling};
 use crate::player::Directors;
@@ -23,8 +21,6 @@
 use crate::trouble::Size;
 use crate::voting::Agreeing;
 
-/// A director listens within this, if it ever does.
-const START: std::time::Duration = std::time::Duration::from_secs(20);
 /// kB a second for each unit of a node's size.
 const LINK_UNIT: f64 = 2600.0;
 
@@ -157,20 +153,12 @@
     }
 }
 
-/// A director in a process of its own: this very binary, run as the daemon.
-pub struct DirectorProcess {
-    pub child: Child,
-    /// Held open: the daemon ends when it closes.
-    _stdin: Option<ChildStdin>,
-    pub address: SocketAddr,
-}
-
 /// Directors of a day: started, killed, stalled and started again.
 pub struct Fold {
     /// What is run as the daemon, by `director` and the daemon's own arguments.
     pub program: PathBuf,
     pub directors: Directors,
-    children: Vec<Option<DirectorProcess>>,
+    children: Vec<Option<Daemon>>,
     boots: Vec<u32>,
     stalled: Vec<bool>,
     size: Size,
@@ -271,33 +259,19 @@
         let path = self.script_path(d);
         std::fs::File::create(&path)?.write_all(script.as_bytes())?;
         self.boots[d] += 1;
-        let log = std::fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(self.dir.join(format!("director-{d}.log")))?;
-        let mut command = Command::new(&self.program);
-        command.arg("director").arg("serve").arg("--stay-with-stdin").arg("--config").arg(&path);
+        let shown = |path: PathBuf| path.display().to_string();
+        let mut arguments = vec!["serve".to_owned(), "--config".to_owned(), shown(path)];
         if self.journal {
-            command.arg("--journal").arg(self.journal_path(d));
+            arguments.extend(["--journal".to_owned(), shown(self.journal_path(d))]);
         }
-        let mut child = command
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::from(log))
-            .kill_on_drop(true)
-            .spawn()
-            .context("starting a director")?;
-        let out = child.stdout.take().context("a director's output")?;
-        let mut lines = BufReader::new(out).lines();
-        let first = tokio::time::timeout(START, lines.next_line()).await;
-        let Some(line) = first.with_context(|| format!("director {d} does not start"))?? else {
-            bail!("director {d} ended at once; see {}", self.dir.join(format!("director-{d}.log")).display());
-        };
-        let address = line.rsplit(' ').next().unwrap_or("").parse().with_context(|| line.clone())?;
+        let log = self.dir.join(format!("director-{d}.log"));
+        let daemon =
+            Daemon::start(&self.program, &arguments, &log).await.with_context(|| format!("director {d}"))?;
+        let address = daemon.address.parse().with_context(|| daemon.address.clone())?;
         self.note(d, "started");
         let zone = self.size.zones[d % self.size.zones.len()].clone();
         self.directors.set(d, Some((address, self.boots[d], zone)));
-        self.children[d] = Some(DirectorProcess { _stdin: child.stdin.take(), child, address });
+        self.children[d] = Some(daemon);
         Ok(address)
     }
 
--- a/crates/kelpdoor-lab/src/lib.rs
+++ b/crates/kelpdoor-lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod between;
 pub mod chaos;
 pub mod check;
+pub mod daemon;
 pub mod day;
 pub mod fleet;
 pub mod fluid;
--- a/crates/kelpdoor-lab/src/tickets.rs
+++ b/crates/kelpdoor-lab/src/tickets.rs
@@ -4,7 +4,6 @@
 use std::io::Write as _;
 use std::os::unix::fs::OpenOptionsExt as _;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::sync::{Arc, Mutex};
 use std::{fs, io};
 
@@ -15,8 +14,8 @@
 use nix::unistd::Pid;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
-use tokio::process::{Child, ChildStdin, Command};
 
+use crate::daemon::Daemon;
 use crate::record::now;
 use crate::trouble::Size;
 
@@ -126,7 +125,7 @@
     seats: u32,
     /// Fixed from the first start on.
     pub address: String,
-    child: Option<(Child, Option<ChildStdin>)>,
+    child: Option<Daemon>,
 }
 
 impl KeeperProcess {
@@ -156,33 +155,22 @@
     pub async fn again(&mut self) -> Result<()> {
         let path = self.dir.join("keeper.star");
         fs::write(&path, self.script())?;
-        let log = fs::OpenOptions::new().create(true).append(true).open(self.dir.join("keeper.log"))?;
-        let mut command = Command::new(&self.program);
-        command.args(["director", "keeper", "--stay-with-stdin", "--config"]).arg(&path);
-        let mut child = command
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::from(log))
-            .kill_on_drop(true)
-            .spawn()
-            .context("starting the keeper")?;
-        let out = child.stdout.take().context("the keeper's output")?;
-        let line = BufReader::new(out).lines().next_line().await?.context("the keeper ended at once")?;
-        self.address = line.rsplit(' ').next().unwrap_or("").to_owned();
-        let stdin = child.stdin.take();
-        self.child = Some((child, stdin));
+        let arguments = ["keeper", "--config", &path.display().to_string()];
+        let daemon = Daemon::start(&self.program, &arguments, &self.dir.join("keeper.log")).await?;
+        self.address.clone_from(&daemon.address);
+        self.child = Some(daemon);
         Ok(())
     }
 
     pub async fn kill(&mut self) {
-        if let Some((mut child, _)) = self.child.take() {
-            let _ = child.kill().await;
+        if let Some(mut daemon) = self.child.take() {
+            let _ = daemon.child.kill().await;
         }
     }
 
     pub fn stall(&self, on: bool) {
         let signal = if on { Signal::SIGSTOP } else { Signal::SIGCONT };
-        if let Some(pid) = self.child.as_ref().and_then(|c| c.0.id()) {
+        if let Some(pid) = self.child.as_ref().and_then(|c| c.child.id()) {
             let _ = kill(Pid::from_raw(pid as i32), signal);
         }
     }
--- a/crates/kelpdoor-lab/src/voting.rs
+++ b/crates/kelpdoor-lab/src/voting.rs
@@ -3,7 +3,6 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,12 +11,12 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use ring::digest::{SHA256, digest};
-use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::process::{Child, ChildStdin, Command};
+use tokio::process::Command;
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
 use crate::between::{Between, Site};
+use crate::daemon::Daemon;
 use crate::record::{Recorder, What};
 use crate::trouble::Size;
 
@@ -41,7 +40,7 @@
 pub struct Voting {
     plan: Arc<Plan>,
     between: Between,
-    children: Vec<Option<(Child, Option<ChildStdin>)>>,
+    children: Vec<Option<Daemon>>,
     /// Fixed from the first start on.
     at: Vec<String>,
     founded: Vec<bool>,
@@ -139,47 +138,32 @@
         );
         let path = self.plan.dir.join(format!("voter-{v}.star"));
         fs::write(&path, script)?;
-        let log = fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(self.plan.dir.join(format!("voter-{v}.log")))?;
-        let mut command = Command::new(&self.plan.program);
-        command.args(["director", "keeper", "--stay-with-stdin", "--config"]).arg(&path);
+        let mut arguments = vec!["keeper".to_owned(), "--config".to_owned(), path.display().to_string()];
         if !std::mem::replace(&mut self.founded[k], true) {
-            command.arg("--found");
+            arguments.push("--found".to_owned());
         }
-        let mut child = command
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::from(log))
-            .kill_on_drop(true)
-            .spawn()
-            .context("starting a voter")?;
-        let out = child.stdout.take().context("a voter's output")?;
-        let line = BufReader::new(out)
-            .lines()
-            .next_line()
-            .await?
-            .with_context(|| format!("voter {v} ended at once"))?;
-        self.at[k] = line.rsplit(' ').next().unwrap_or("").to_owned();
-        self.between.target(Site::Voter(v), self.at[k].parse().with_context(|| line.clone())?);
-        let stdin = child.stdin.take();
-        self.children[k] = Some((child, stdin));
+        let log = self.plan.dir.join(format!("voter-{v}.log"));
+        let daemon = Daemon::start(&self.plan.program, &arguments, &log)
+            .await
+            .with_context(|| format!("voter {v}"))?;
+        self.at[k].clone_from(&daemon.address);
+        self.between.target(Site::Voter(v), daemon.address.parse()?);
+        self.children[k] = Some(daemon);
         self.note(v, "started");
         Ok(())
     }
 
     pub async fn kill(&mut self, v: u32) {
         self.note(v, "killed");
-        if let Some((mut child, _)) = self.children[v as usize].take() {
-            let _ = child.kill().await;
+        if let Some(mut daemon) = self.children[v as usize].take() {
+            let _ = daemon.child.kill().await;
         }
     }
 
     pub fn stall(&self, v: u32, on: bool) {
         self.note(v, if on { "stalled" } else { "resumed" });
         let signal = if on { Signal::SIGSTOP } else { Signal::SIGCONT };
-        if let Some(pid) = self.children[v as usize].as_ref().and_then(|c| c.0.id()) {
+        if let Some(pid) = self.children[v as usize].as_ref().and_then(|c| c.child.id()) {
             let _ = kill(Pid::from_raw(pid as i32), signal);
         }
     }
--- a/crates/kelpdoor-lab/tests/agreement.rs
+++ b/crates/kelpdoor-lab/tests/agreement.rs
@@ -6,11 +6,10 @@
 use kelpdoor_lab::record::{Line, What};
 use kelpdoor_lab::trouble::Script;
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_day_of_cuts_while_rules_change_keeps_every_property() {
+/// Plays a script; nothing may be broken.
+async fn play(name: &str, text: &str) -> chaos::Played {
     let dir = tempfile::tempdir().expect("a folder");
-    let script =
-        Script::run("agreement-day.star", include_str!("../scripts/agreement-day.star")).expect("good");
+    let script = Script::run(name, text).expect("good");
     let program = env!("CARGO_BIN_EXE_kelpdoor-lab").as_ref();
     let played = chaos::play(&script, program, dir.path()).await.expect("a day");
     let logs: String = std::fs::read_dir(dir.path())
@@ -19,12 +18,25 @@
         .map(|p| format!("{}\n{}\n", p.display(), std::fs::read_to_string(&p).unwrap_or_default()))
         .collect();
     assert!(played.good(), "{:#?}\n{logs}", played.broken());
+    played
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_day_of_cuts_while_rules_change_keeps_every_property() {
+    let played = play("agreement-day.star", include_str!("../scripts/agreement-day.star")).await;
     // The day was what it should be: versions went round under load, and the cut-off refused.
     let j = &played.agreed;
     assert!(j.versions >= 5 && j.acknowledged >= 5 && j.setups > 250 && j.beside > 10, "{j:?}");
     assert!(played.rules.busy > 5 && played.rules.playing > 250, "{:?}", played.rules);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_a_lease_late_and_none_at_all_let_nobody_act_on_the_old_alone() {
+    let played = play("late-answers.star", include_str!("../scripts/late-answers.star")).await;
+    let j = &played.agreed;
+    assert!(j.versions >= 6 && j.setups > 200 && j.beside > 10, "{j:?}");
+}
+
 fn setup(t: f64, label: &str, rung: u8) -> Line {
     let text = format!(
         "SETUP rtsp://n/title RTSP/2.0\r\nCSeq: 1\r\nRung: {rung}\r\nService-Group: story\r\nRules-Version: {label}\r\n\r\n"
