--- a/crates/kelpdoor-keeper/tests/voter.rs
+++ b/crates/kelpdoor-keeper/tests/voter.rs
@@ -17,7 +17,7 @@
 directors(names = ["a", "b", "c"], max_setups = 3)
 "#;
 
-/// Addresses that are free now. What listens there later may find one taken: then the test says so.
+/// Addresses that are free now.
 async fn free(n: usize) -> Vec<SocketAddr> {
     let mut held = Vec::new();
     for _ in 0..n {
@@ -39,7 +39,7 @@
 }
 
 fn store(me: u8, dir: &Path) -> PathBuf {
-    dir.join(format!("voter-{me}"))
+    dir.join(me.to_string()).join("store")
 }
 
 struct Client(BufReader<TcpStream>);
@@ -87,12 +87,21 @@
 }
 
 async fn three(dir: &Path) -> (Vec<SocketAddr>, Vec<RunningVoter>) {
-    let at = free(3).await;
-    let mut voters = Vec::new();
-    for me in 0..3 {
-        voters.push(start_voter(options(me, &at, dir, true)).await.unwrap());
+    // An address that was free may be taken a moment later; then with others.
+    for _ in 0..10 {
+        let at = free(3).await;
+        let mut voters = Vec::new();
+        for me in 0..3u8 {
+            let own = dir.join(me.to_string());
+            let _ = std::fs::remove_dir_all(&own);
+            std::fs::create_dir(&own).unwrap();
+            voters.extend(start_voter(options(me, &at, dir, true)).await.ok());
+        }
+        if voters.len() == 3 {
+            return (at, voters);
+        }
     }
-    (at, voters)
+    panic!("no three voters start");
 }
 
 /// Proposes until the voters have found each other.
@@ -167,9 +176,13 @@
         v.ended().await.unwrap();
     }
     drop(voters);
-    let why = async |me: u8, found: bool| match start_voter(options(me, &at, dir.path(), found)).await {
-        Ok(_) => "it starts".to_owned(),
-        Err(e) => e.to_string(),
+    let why = async |me: u8, found: bool| {
+        // Wherever it listens: its old address may be another's by now.
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        match start_voter(VoterOptions { listen, ..options(me, &at, dir.path(), found) }).await {
+            Ok(_) => "it starts".to_owned(),
+            Err(e) => e.to_string(),
+        }
     };
     assert!(why(0, true).await.ends_with("a store is there, the fleet was founded before"));
     let path = store(0, dir.path());
@@ -191,13 +204,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_voter_whose_disk_takes_nothing_ends_before_it_answers_and_the_others_go_on() {
     let dir = tempfile::tempdir().unwrap();
-    let at = free(3).await;
-    let mut voters = Vec::new();
-    for me in 0..3u8 {
-        let own = dir.path().join(me.to_string());
-        std::fs::create_dir(&own).unwrap();
-        voters.push(start_voter(options(me, &at, &own, true)).await.unwrap());
-    }
+    let (at, mut voters) = three(dir.path()).await;
     assert_eq!(agree(at[0], 0, DOCUMENT).await, 1);
     std::fs::remove_dir_all(dir.path().join("0")).unwrap();
     let next = format!("{DOCUMENT}# second\n");
--- a/crates/kelpdoor-lab/src/voting.rs
+++ b/crates/kelpdoor-lab/src/voting.rs
@@ -41,8 +41,6 @@
     plan: Arc<Plan>,
     between: Between,
     children: Vec<Option<Daemon>>,
-    /// Fixed from the first start on.
-    at: Vec<String>,
     founded: Vec<bool>,
     recorder: Recorder,
 }
@@ -94,7 +92,6 @@
             plan: plan.clone(),
             between: between.clone(),
             children: (0..n).map(|_| None).collect(),
-            at: vec!["127.0.0.1:0".to_owned(); n as usize],
             founded: vec![false; n as usize],
             recorder: recorder.clone(),
         };
@@ -125,15 +122,14 @@
         self.plan.dir.join(format!("voter-{v}"))
     }
 
-    /// Starts a voter where it listened before.
+    /// Starts a voter, wherever it may listen: the relays before it know.
     pub async fn again(&mut self, v: u32) -> Result<()> {
         let k = v as usize;
         fs::create_dir_all(self.folder(v))?;
         let store = self.folder(v).join("store").display().to_string();
         let script = format!(
-            "voter(me = {v}, voters = [{}], listen = \"{}\", fleet = \"{FLEET}\", store = {store:?}, clock_rate = {})\n",
+            "voter(me = {v}, voters = [{}], listen = \"127.0.0.1:0\", fleet = \"{FLEET}\", store = {store:?}, clock_rate = {})\n",
             self.plan.list(k),
-            self.at[k],
             self.plan.rates[k],
         );
         let path = self.plan.dir.join(format!("voter-{v}.star"));
@@ -146,7 +142,6 @@
         let daemon = Daemon::start(&self.plan.program, &arguments, &log)
             .await
             .with_context(|| format!("voter {v}"))?;
-        self.at[k].clone_from(&daemon.address);
         self.between.target(Site::Voter(v), daemon.address.parse()?);
         self.children[k] = Some(daemon);
         self.note(v, "started");
