Let a director that starts again on the newest version act, though no newer one comes

Cause, in following.rs: a start's wait was told as a beginning in infinity, which also stood for not being on the list and was kept for as long as the label stayed the same; in chaos a last proposal always brought another label. Ruled out: voters (granted), the follower (its lease ran). Being listed is a field of its own now. Test with voters on sockets: red on the old condition, green now. Chaos proposes at its end only where a disk was lost.

--- a/crates/kelpdoor-director/src/following.rs
+++ b/crates/kelpdoor-director/src/following.rs
@@ -34,6 +34,8 @@
     pub book: Arc<Deployment>,
     /// Versions, the newest first.
     pub label: String,
+    /// The newest version's list names this director; else it begins nothing.
+    pub listed: bool,
     /// Steady time, between which something new may be begun.
     pub from: f64,
     pub until: f64,
@@ -42,7 +44,7 @@
 impl Ruling {
     /// Until when something new may be begun, as of now; past, if it may not.
     pub fn lease(&self, now: f64) -> f64 {
-        if now < self.from { f64::NEG_INFINITY } else { self.until }
+        if self.listed && now >= self.from { self.until } else { f64::NEG_INFINITY }
     }
 }
 
@@ -54,6 +56,18 @@
 }
 
 impl Following {
+    /// What may be acted on, as of now.
+    pub fn ruling(&self) -> Ruling {
+        self.ruling.borrow().clone()
+    }
+
+    /// Comes when that has changed.
+    pub async fn changed(&mut self) {
+        if self.ruling.changed().await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Starts to follow, and waits until a version is known: from an earlier start, or from a voter.
     ///
     /// # Errors
@@ -116,10 +130,9 @@
                         if !listed {
                             tracing::error!(name = own.agreement.name, %label, "the agreed list does not name this director");
                         }
-                        // Who is not listed begins nothing.
-                        let from = if listed { acting.from } else { f64::INFINITY };
                         tracing::info!(%label, "rules");
-                        Some(Ruling { book: Arc::new(book), label, from, until: acting.until })
+                        let (book, from, until) = (Arc::new(book), acting.from, acting.until);
+                        Some(Ruling { book, label, listed, from, until })
                     }
                     Err(faults) => {
                         tracing::error!(%label, fault = %faults[0], "a version does not read here; going on with what was");
@@ -128,13 +141,7 @@
                     }
                 },
             };
-            if let Some(mut ruling) = ruling {
-                if told
-                    .as_ref()
-                    .is_some_and(|t| t.borrow().from == f64::INFINITY && t.borrow().label == ruling.label)
-                {
-                    ruling.from = f64::INFINITY;
-                }
+            if let Some(ruling) = ruling {
                 said.lease(now, &ruling);
                 match &told {
                     // The desk is woken for what changed alone.
--- /dev/null
+++ b/crates/kelpdoor-director/tests/following.rs
@@ -0,0 +1,121 @@
+//! A director's side on sockets: three voters in this process, and a director that starts, ends and starts again.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use kelpdoor_agreement::{Ask, Tell, Value, VoterId};
+use kelpdoor_clock::Steady;
+use kelpdoor_director::{Following, Ruling};
+use kelpdoor_keeper::{RunningVoter, VoterOptions, fleet_id, start_voter};
+use kelpdoor_script::Own;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+const DOCUMENT: &str = r#"
+ladder(rates = [120, 221], utility = [0.2, 0.42])
+group("story", utility = 1, start_target = 1)
+fleet(zones = ["east"], kinds = {"box": 26}, cells = 4, racks = 2, link_unit = 2600, seen_after = 0.6, told_every = 2,
+      cold_from = 0.4, warm_within = 8, tip_multiple = 4, fall_window = 2, drain_grace = 1)
+directors(names = ["a", "b"], max_setups = 3, contradiction = 0.5)
+"#;
+/// Far longer than anything here takes.
+const LONG: Duration = Duration::from_secs(60);
+
+async fn three(dir: &Path) -> (Vec<SocketAddr>, Vec<RunningVoter>) {
+    for attempt in 0..10 {
+        let mut held = Vec::new();
+        for _ in 0..3 {
+            held.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+        }
+        let voters: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().unwrap()).collect();
+        drop(held);
+        let mut running = Vec::new();
+        for me in 0..3u8 {
+            let options = VoterOptions {
+                me: VoterId(me),
+                voters: voters.clone(),
+                listen: voters[usize::from(me)],
+                fleet: "test".into(),
+                store: dir.join(format!("{attempt}-{me}")),
+                found: true,
+                clock_rate: 1.0,
+            };
+            running.extend(start_voter(options).await.ok());
+        }
+        if running.len() == 3 {
+            return (voters, running);
+        }
+    }
+    panic!("no three voters start");
+}
+
+async fn agree(at: SocketAddr, after: u64, text: &str) {
+    for _ in 0..20 {
+        let mut stream = BufReader::new(TcpStream::connect(at).await.unwrap());
+        let value = Value { id: after + 7, text: text.into() };
+        for ask in [Ask::Hello { fleet: fleet_id("test", 3) }, Ask::Propose { after, value, sure: true }] {
+            let line = format!("{}\n", serde_json::to_string(&ask).unwrap());
+            stream.get_mut().write_all(line.as_bytes()).await.unwrap();
+        }
+        let mut lines = stream.lines();
+        let _welcome = lines.next_line().await.unwrap();
+        let line = lines.next_line().await.unwrap().expect("an answer");
+        if matches!(serde_json::from_str(&line).unwrap(), Tell::Agreed { .. }) {
+            return;
+        }
+    }
+    panic!("never agreed");
+}
+
+fn own(dir: &Path, name: &str, voters: &[SocketAddr]) -> Own {
+    let path = dir.join(format!("{name}.star"));
+    let list: Vec<String> = voters.iter().map(|v| format!("{:?}", v.to_string())).collect();
+    let text = format!(
+        "director(zone = \"east\", listen = \"127.0.0.1:0\")\nroster(address = \"127.0.0.1:1\")\n\
+         agreement(voters = [{}], fleet = \"test\", name = {name:?}, copy = {:?})\n",
+        list.join(", "),
+        dir.join(format!("{name}.rules")).display().to_string(),
+    );
+    std::fs::write(&path, text).unwrap();
+    Own::read(&path).unwrap().expect("with an agreement")
+}
+
+/// Waits until what may be acted on is as wanted.
+async fn until(following: &mut Following, wanted: impl Fn(&Ruling, f64) -> bool) -> Ruling {
+    let steady = Steady::new(1.0);
+    timeout(LONG, async {
+        loop {
+            let ruling = following.ruling();
+            if wanted(&ruling, steady.now()) {
+                return ruling;
+            }
+            following.changed().await;
+        }
+    })
+    .await
+    .expect("in the end")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_director_that_starts_again_on_a_kept_copy_acts_once_a_lease_has_passed() {
+    let dir = tempfile::tempdir().unwrap();
+    let (voters, _running) = three(dir.path()).await;
+    agree(voters[0], 0, DOCUMENT).await;
+    let (mut first, book) = Following::start(own(dir.path(), "a", &voters)).await.unwrap();
+    assert_eq!((book.director.me, book.director.of), (0, 2));
+    until(&mut first, |r, now| now < r.lease(now)).await;
+    drop(first);
+    // No newer version comes: what it kept is the newest, and the first voter's word of it no permission yet.
+    let (mut again, _) = Following::start(own(dir.path(), "a", &voters)).await.unwrap();
+    let kept = again.ruling();
+    assert!(kept.label.starts_with("1/") && kept.lease(f64::MAX) == f64::NEG_INFINITY, "{kept:?}");
+    let r = until(&mut again, |r, now| now < r.lease(now)).await;
+    assert!(r.label.starts_with("1/") && r.listed, "{r:?}");
+    // Off the list: it begins nothing, whatever lease it has.
+    agree(voters[1], 1, &DOCUMENT.replace("[\"a\", \"b\"]", "[\"b\"]")).await;
+    let r = until(&mut again, |r, _| r.label.starts_with("2/")).await;
+    assert!(!r.listed && r.lease(r.from.min(r.until)) == f64::NEG_INFINITY, "{r:?}");
+    until(&mut again, |r, now| r.until > now + 0.1 && r.lease(now) == f64::NEG_INFINITY).await;
+}
--- a/crates/kelpdoor-lab/src/chaos.rs
+++ b/crates/kelpdoor-lab/src/chaos.rs
@@ -115,9 +115,11 @@
         }
         at += 0.2 + 1.8 * rng.f64();
     }
-    // A last change, with which whatever lost its disk votes again.
-    change += 1;
-    lines.push(format!("propose(at = {:.2}, change = {change}, directors = [0])", last + 0.5));
+    if disk_lost {
+        // With a last change it votes again; else directors have to come back without any.
+        change += 1;
+        lines.push(format!("propose(at = {:.2}, change = {change}, directors = [0])", last + 0.5));
+    }
     lines
 }
 
