--- a/crates/kelpdoor-keeper/tests/voter.rs
+++ b/crates/kelpdoor-keeper/tests/voter.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use kelpdoor_agreement::{Ask, MAX_LINE, Tell, Value, VoterId, Word};
+use kelpdoor_agreement::{Ask, Ballot, MAX_LINE, Tell, Value, VoterId, Word};
 use kelpdoor_keeper::{RunningVoter, VoterOptions, fleet_id, start_voter};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -216,3 +216,41 @@
     assert!(why.contains("No such file"), "{why}");
     assert_eq!(agree(at[1], 1, &next).await, 2);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_word_leaves_before_what_it_rests_on_is_written() {
+    let dir = tempfile::tempdir().unwrap();
+    std::fs::create_dir(dir.path().join("0")).unwrap();
+    // The test is voter 1; voter 2 is nowhere.
+    let other = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let at = [nowhere, other.local_addr().unwrap(), nowhere];
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut voter = start_voter(VoterOptions { listen, ..options(0, &at, dir.path(), true) }).await.unwrap();
+    let (stream, _) = other.accept().await.unwrap();
+    let mut from = Client(BufReader::new(stream));
+    let mut welcome = serde_json::to_vec(&Tell::Welcome { me: VoterId(1) }).unwrap();
+    welcome.push(b'\n');
+    from.bytes(&welcome).await;
+    let mut words = async || loop {
+        let mut line = String::new();
+        match from.0.read_line(&mut line).await {
+            Ok(0) | Err(_) => return None,
+            Ok(_) => {
+                if let Ok(Ask::Voter { word, .. }) = serde_json::from_str(&line) {
+                    return Some(word);
+                }
+            }
+        }
+    };
+    let mut client = Client::new(voter.address).await;
+    let ballot = |round| Ballot { round, voter: VoterId(1) };
+    let prepare =
+        |round| Ask::Voter { from: VoterId(1), word: Word::Prepare { number: 1, ballot: ballot(round) } };
+    client.say(&prepare(1)).await;
+    assert_eq!(words().await, Some(Word::Promise { number: 1, ballot: ballot(1), accepted: None }));
+    std::fs::remove_dir_all(dir.path().join("0")).unwrap();
+    client.say(&prepare(2)).await;
+    assert!(voter.ended().await.is_err(), "it cannot write its promise");
+    assert_eq!(words().await, None, "and says nothing of it");
+}
