--- a/crates/kelpdoor-keeper/tests/voter.rs
+++ b/crates/kelpdoor-keeper/tests/voter.rs
@@ -249,6 +249,8 @@
         |round| Ask::Voter { from: VoterId(1), word: Word::Prepare { number: 1, ballot: ballot(round) } };
     client.say(&prepare(1)).await;
     assert_eq!(words().await, Some(Word::Promise { number: 1, ballot: ballot(1), accepted: None }));
+    let kept = std::fs::read_to_string(store(0, dir.path())).unwrap();
+    assert!(kept.contains(r#""promised":{"round":1,"voter":1}"#), "promised, and not on disk: {kept}");
     std::fs::remove_dir_all(dir.path().join("0")).unwrap();
     client.say(&prepare(2)).await;
     assert!(voter.ended().await.is_err(), "it cannot write its promise");
