--- a/crates/kelpdoor-agreement/src/voter.rs
+++ b/crates/kelpdoor-agreement/src/voter.rs
@@ -113,6 +113,8 @@
     finish_at: f64,
     started: f64,
     wanted_at: f64,
+    /// Drawn at our start.
+    start: u64,
     /// A director knows a later version than we do.
     lacks: bool,
     heard: BTreeMap<VoterId, u64>,
@@ -128,9 +130,11 @@
     pub fn new(
         me: VoterId, voters: u8, durable: Durable, lease_of: fn(&str) -> f64, seed: u64, now: f64,
     ) -> Self {
+        let mut rng = Rng::with_seed(seed ^ u64::from(me.0));
         Voter {
             me,
             voters,
+            start: rng.u64(..),
             round: durable.promised.round,
             durable,
             dirty: false,
@@ -143,7 +147,7 @@
             heard: BTreeMap::new(),
             names: BTreeMap::new(),
             lease_of,
-            rng: Rng::with_seed(seed ^ u64::from(me.0)),
+            rng,
             out: Vec::new(),
         }
     }
@@ -363,16 +367,17 @@
                     }
                 }
             }
-            Word::Want => {
+            Word::Want { start } => {
                 if let Some(Chosen { number, value }) = self.durable.chosen.last().cloned() {
                     answer(Word::Learn { number, id: value.id, text: value.text });
                 }
                 // One that lost its own store knows nothing that others could rest on.
                 if self.durable.votes_from.is_some() {
-                    answer(Word::Have { number: newest, accepted: self.durable.accepted.is_some() });
+                    answer(Word::Have { start, number: newest, accepted: self.durable.accepted.is_some() });
                 }
             }
-            Word::Have { number, accepted } => {
+            Word::Have { start, .. } if start != self.start => {}
+            Word::Have { number, accepted, .. } => {
                 self.heard.insert(from, number + u64::from(accepted));
                 if self.durable.votes_from.is_none() && self.heard.len() >= self.majority() {
                     // One of a majority of the others knows of any version that we may have voted for.
@@ -523,7 +528,7 @@
         }
         if (self.lacks || self.durable.votes_from.is_none()) && now >= self.wanted_at + WANT_EVERY {
             self.wanted_at = now;
-            self.say_to_others(&Word::Want);
+            self.say_to_others(&Word::Want { start: self.start });
         }
         self.names.retain(|_, k| now - k.heard < LISTED);
     }
--- a/crates/kelpdoor-agreement/src/words.rs
+++ b/crates/kelpdoor-agreement/src/words.rs
@@ -84,9 +84,13 @@
     Behind {
         have: u64,
     },
-    /// How far are you? Answered with `Have`, and with `Learn` where something is chosen.
-    Want,
+    /// How far are you? Answered with `Have`, and with `Learn` where something is chosen. `start` is drawn at the asker's
+    /// start: an answer to an earlier one says nothing of what it has lost since.
+    Want {
+        start: u64,
+    },
     Have {
+        start: u64,
         number: u64,
         /// Something was accepted for the version after.
         accepted: bool,
--- a/crates/kelpdoor-agreement/tests/table.rs
+++ b/crates/kelpdoor-agreement/tests/table.rs
@@ -148,6 +148,33 @@
     assert!(matches!(&pump(&mut v, 99.0, |_, _, _| false)[..], [Tell::Granted { newest: 2, .. }]));
 }
 
+#[test]
+fn an_answer_to_an_earlier_start_says_nothing_of_what_was_lost_since() {
+    let mut v = voters();
+    // Before it votes for anything, 2 asks how far the others are, and their answers are on the way for long.
+    v[2] = Voter::new(VoterId(2), 3, Durable::lost("f"), lease, 5, 0.0);
+    v[2].tick(0.0);
+    let mut late = Vec::new();
+    for (_, out) in [v[2].take_out()] {
+        for o in out {
+            let Out::To(to, word) = o else { continue };
+            v[usize::from(to.0)].hear(0.0, VoterId(2), word);
+            late.extend(v[usize::from(to.0)].take_out().1.into_iter().map(|o| (to, o)));
+        }
+    }
+    // Then it was founded, voted for version 1, and lost its disk.
+    v[2] = Voter::new(VoterId(2), 3, Durable::lost("f"), lease, 6, 0.0);
+    for (from, o) in late {
+        if let Out::To(_, word) = o {
+            v[2].hear(0.0, from, word);
+        }
+    }
+    assert_eq!(v[2].durable().votes_from, None);
+    v[2].tick(1.0);
+    pump(&mut v, 1.0, |_, _, _| false);
+    assert_eq!(v[2].durable().votes_from, Some(2));
+}
+
 #[test]
 fn a_name_has_one_director_at_a_time() {
     let mut v = voters();
--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -167,7 +167,7 @@
                 self.director.go_by(&h.book.terms());
             }
             Input::Lease { until } => h.lease = Some(until),
-            Input::Unsent { sess, number } => h.unsent(sess, number),
+            Input::Unsent { node, link, pipe } => h.unsent(node, link, pipe),
             Input::ShutDown => h.closing = true,
         }
     }
@@ -387,15 +387,20 @@
         self.over(id);
     }
 
-    /// The lease was over when the turn of a SETUP came.
-    fn unsent(&mut self, id: u64, number: u8) {
-        let Some(s) = self.sess.get_mut(&id).filter(|s| s.stage == Stage::Asked) else { return };
-        let Some(a) = s.attempt.as_mut().filter(|a| a.number == number && a.sent) else { return };
-        a.sent = false;
-        let (node, link, of) = (a.node, a.link, a.pipe);
-        if let Some(link) = self.links.get_mut(&node).filter(|l| l.number == link) {
-            // Neither its SETUP nor its PLAY is answered.
-            link.out.retain(|_, asked| !matches!(asked, Asked::Setup { pipe, .. } | Asked::Play { pipe, .. } if *pipe == of));
+    /// The lease was over when the turn of a SETUP came: neither it nor its PLAY is answered, whatever became of the session.
+    fn unsent(&mut self, node: u32, number: u64, of: u64) {
+        let Some(link) = self.links.get_mut(&node).filter(|l| l.number == number) else { return };
+        let mut id = None;
+        link.out.retain(|_, asked| match asked {
+            Asked::Setup { pipe, sess } | Asked::Play { pipe, sess } if *pipe == of => {
+                id = Some(*sess);
+                false
+            }
+            _ => true,
+        });
+        let Some(id) = id.filter(|id| self.current(*id, of).is_some()) else { return };
+        if let Some(a) = self.sess.get_mut(&id).and_then(|s| s.attempt.as_mut()) {
+            a.sent = false;
         }
         self.barred(id);
     }
@@ -618,7 +623,7 @@
         let (may, label, rules) = (self.may_begin(), self.label.clone(), self.rules);
         let Some(s) = self.sess.get_mut(&id) else { return };
         let Some(a) = s.attempt.as_mut().filter(|a| !a.sent) else { return };
-        let (node, pipe, number) = (a.node, a.pipe, a.number);
+        let (node, pipe) = (a.node, a.pipe);
         let Some(link) = self.links.get(&node).filter(|l| l.line == Line::Up) else { return };
         if !may {
             return self.barred(id);
@@ -640,7 +645,7 @@
         if self.lease.is_some() {
             setup.push((names::RULES, label));
             // A mark that nothing joins: what follows stands apart from what went before.
-            self.effects.push(Effect::Setup { node, link: of_link, sess: id, number, bytes: Vec::new() });
+            self.effects.push(Effect::Setup { node, link: of_link, pipe, bytes: Vec::new() });
         }
         self.request(node, Asked::Setup { sess: id, pipe }, Method::Setup, &uri, &setup);
         self.request(node, Asked::Play { sess: id, pipe }, Method::Play, &uri, &setup[..1]);
--- a/crates/kelpdoor-director/src/effect.rs
+++ b/crates/kelpdoor-director/src/effect.rs
@@ -73,8 +73,9 @@
     },
     /// A SETUP did not leave: the lease was over when its turn came.
     Unsent {
-        sess: u64,
-        number: u8,
+        node: u32,
+        link: u64,
+        pipe: u64,
     },
     /// No new sessions from now on; what is owed is answered.
     ShutDown,
@@ -104,8 +105,8 @@
     Setup {
         node: u32,
         link: u64,
-        sess: u64,
-        number: u8,
+        /// Its name on the wire.
+        pipe: u64,
         #[serde(with = "bytes_text")]
         bytes: Vec<u8>,
     },
--- a/crates/kelpdoor-director/src/following.rs
+++ b/crates/kelpdoor-director/src/following.rs
@@ -71,13 +71,17 @@
     /// Starts to follow, and waits until a version is known: from an earlier start, or from a voter.
     ///
     /// # Errors
-    /// Where a kept copy is not as it was written or is another fleet's, or no version reads.
+    /// Where a kept copy is another fleet's, or no version reads.
     pub async fn start(own: Own) -> anyhow::Result<(Following, Deployment)> {
         let steady = Steady::new(own.agreement.clock_rate);
         let fleet = fleet_id(&own.agreement.fleet, own.agreement.voters.len());
         let kept = match &own.agreement.copy {
             None => None,
-            Some(path) => kelpdoor_kept::load::<Copy>(path, FORMAT)?,
+            // Knowledge alone, which any voter has: a damaged one is done without.
+            Some(path) => kelpdoor_kept::load::<Copy>(path, FORMAT).unwrap_or_else(|e| {
+                tracing::warn!(%e, "the kept rules are not used");
+                None
+            }),
         };
         if let Some(copy) = kept.as_ref().filter(|c| c.fleet != fleet) {
             let path = own.agreement.copy.as_ref().map(|p| p.display().to_string()).unwrap_or_default();
--- a/crates/kelpdoor-director/src/journal.rs
+++ b/crates/kelpdoor-director/src/journal.rs
@@ -45,11 +45,12 @@
     pub differs: Option<(usize, String)>,
 }
 
-/// Feeds a journal's inputs to a desk of the library's and compares what it does.
+/// Feeds a journal's inputs to a desk of the library's and compares what it does. `book`: the settings, unless the journal has
+/// them.
 ///
 /// # Errors
 /// Where a line is no journal line, with its number.
-pub fn replay(from: impl BufRead, book: &Deployment) -> anyhow::Result<Replayed> {
+pub fn replay(from: impl BufRead, book: Option<&Deployment>) -> anyhow::Result<Replayed> {
     let mut desk: Option<Desk> = None;
     let mut done = Replayed::default();
     for (k, line) in from.lines().enumerate() {
@@ -57,7 +58,8 @@
         let line: Line = serde_json::from_str(&line.map_err(|e| at(&e))?).map_err(|e| at(&e))?;
         match (line, &mut desk) {
             (Line::Start { seed, now, book: own }, desk) => {
-                *desk = Some(Desk::new(own.as_deref().unwrap_or(book), seed, now));
+                let book = own.as_deref().or(book).ok_or_else(|| at(&"no settings in it: name them"))?;
+                *desk = Some(Desk::new(book, seed, now));
             }
             (_, None) => return Err(at(&"comes before any start")),
             (Line::Took { now, waited, input }, Some(desk)) => {
--- a/crates/kelpdoor-director/tests/desk.rs
+++ b/crates/kelpdoor-director/tests/desk.rs
@@ -174,7 +174,7 @@
         let mut unsent = Vec::new();
         for effect in effects {
             match effect {
-                Effect::Setup { sess, number, .. } if self.slow => unsent.push((sess, number)),
+                Effect::Setup { node, link, pipe, .. } if self.slow => unsent.push((node, link, pipe)),
                 Effect::Setup { node, link, bytes, .. } => {
                     assert!(self.lease.is_some_and(|until| now < until), "a SETUP without a lease");
                     let mut rest = &bytes[..];
@@ -214,8 +214,8 @@
                 Effect::AskRoster(_) | Effect::SaveList(_) | Effect::Note { .. } => {}
             }
         }
-        for (sess, number) in unsent {
-            self.input(Input::Unsent { sess, number });
+        for (node, link, pipe) in unsent {
+            self.input(Input::Unsent { node, link, pipe });
         }
     }
 
--- a/crates/kelpdoor-director/tests/following.rs
+++ b/crates/kelpdoor-director/tests/following.rs
@@ -118,4 +118,8 @@
     let r = until(&mut again, |r, _| r.label.starts_with("2/")).await;
     assert!(!r.listed && r.lease(r.from.min(r.until)) == f64::NEG_INFINITY, "{r:?}");
     until(&mut again, |r, now| r.until > now + 0.1 && r.lease(now) == f64::NEG_INFINITY).await;
+    // A damaged copy is done without: the voters have what it had.
+    std::fs::write(dir.path().join("b.rules"), "kelpdoor-agreed 1 00000000\n{}").unwrap();
+    let (mut other, _) = Following::start(own(dir.path(), "b", &voters)).await.unwrap();
+    until(&mut other, |r, now| r.label.starts_with("2/") && now < r.lease(now)).await;
 }
--- a/crates/kelpdoor-director/tests/story.rs
+++ b/crates/kelpdoor-director/tests/story.rs
@@ -326,10 +326,10 @@
         lines.iter().for_each(|l| journal::write(&mut out, l).expect("written"));
         out
     };
-    let done = journal::replay(&text(&lines)[..], &book()).expect("readable");
+    let done = journal::replay(&text(&lines)[..], Some(&book())).expect("readable");
     assert_eq!((done.inputs, done.rounds, done.differs), (3, 3, None));
     lines.remove(3);
-    let done = journal::replay(&text(&lines)[..], &book()).expect("readable");
+    let done = journal::replay(&text(&lines)[..], Some(&book())).expect("readable");
     assert!(done.differs.is_some());
 }
 
@@ -460,16 +460,21 @@
     // One that an outbox gave back is answered as well, and its link does not wait for what never left.
     lease(&mut bench, 1.0);
     let effects = bench.start(1, "key-00004", "any", "t0");
-    let sent = effects.iter().find_map(|e| match e {
-        Effect::Setup { sess, number, .. } => Some((*sess, *number)),
-        _ => None,
-    });
-    if let Some((sess, number)) = sent {
-        let out = bench.desk.counts().requests_out;
-        let effects = bench.input(Input::Unsent { sess, number });
-        assert_eq!(answers(&effects), [busy("key-00004")]);
-        assert_eq!(bench.desk.counts().requests_out, out - 2);
-    } else {
-        panic!("a SETUP goes out: {effects:?}");
-    }
+    let sent = |effects: &[Effect]| match effects.iter().find(|e| matches!(e, Effect::Setup { .. })) {
+        Some(Effect::Setup { node, link, pipe, .. }) => (*node, *link, *pipe),
+        _ => panic!("a SETUP goes out: {effects:?}"),
+    };
+    let (node, link, pipe) = sent(&effects);
+    let out = bench.desk.counts().requests_out;
+    let effects = bench.input(Input::Unsent { node, link, pipe });
+    assert_eq!(answers(&effects), [busy("key-00004")]);
+    assert_eq!(bench.desk.counts().requests_out, out - 2);
+    // Nor if its viewer has stopped it meanwhile, when its end alone is still waited for.
+    let out = bench.desk.counts().requests_out;
+    let effects = bench.start(1, "key-00005", "any", "t0");
+    let (node, link, pipe) = sent(&effects);
+    bench.input(Input::Player { sock: 1, message: FromPlayer::Stop { key: RequestKey("key-00005".into()) } });
+    let effects = bench.input(Input::Unsent { node, link, pipe });
+    assert_eq!(answers(&effects), [""; 0]);
+    assert_eq!(bench.desk.counts().requests_out, out + 1, "its TEARDOWN");
 }
--- a/crates/kelpdoor-keeper/src/line.rs
+++ b/crates/kelpdoor-keeper/src/line.rs
@@ -48,8 +48,9 @@
         };
         if began.elapsed().as_secs_f64() > WAIT.1 {
             wait = WAIT.0;
+            last.clear();
         }
-        // Said once, however often it is tried again.
+        // Said once for each time that it breaks, however often it is tried again.
         if why != last {
             tracing::warn!(voter = place.0, %address, %why, "no line to a voter");
             last = why;
--- a/crates/kelpdoor-keeper/src/voter.rs
+++ b/crates/kelpdoor-keeper/src/voter.rs
@@ -1,7 +1,7 @@
 //! A voter's sockets, its store, and its one loop. What it promised, accepted or learned is on disk before any word that
 //! rests on it leaves.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -143,7 +143,7 @@
         store: options.store,
         peers,
         conns: HashMap::new(),
-        welcome: HashMap::new(),
+        welcome: HashSet::new(),
         told: 0,
         _tasks: tasks,
     };
@@ -167,7 +167,7 @@
     peers: HashMap<VoterId, mpsc::Sender<Ask>>,
     conns: HashMap<u64, mpsc::Sender<Tell>>,
     /// Connections that named our fleet.
-    welcome: HashMap<u64, ()>,
+    welcome: HashSet<u64>,
     /// The newest version that was logged.
     told: u64,
     /// Ended with the shell.
@@ -255,7 +255,7 @@
     fn asked(&mut self, now: f64, conn: u64, ask: Ask) {
         match ask {
             Ask::Hello { fleet } if fleet == self.fleet => {
-                self.welcome.insert(conn, ());
+                self.welcome.insert(conn);
                 self.tell(conn, Tell::Welcome { me: self.me });
             }
             Ask::Hello { fleet } => {
@@ -264,7 +264,7 @@
                 self.tell(conn, Tell::Fault(why));
                 self.conns.remove(&conn);
             }
-            _ if !self.welcome.contains_key(&conn) => {
+            _ if !self.welcome.contains(&conn) => {
                 self.tell(conn, Tell::Fault("the first line names the fleet".to_owned()));
                 self.conns.remove(&conn);
             }
--- a/crates/kelpdoor-lab/tests/sockets.rs
+++ b/crates/kelpdoor-lab/tests/sockets.rs
@@ -353,7 +353,7 @@
     assert!(over.ended_well);
     for (settings, kept) in over.journals {
         let book = Deployment::read(&settings).expect("good settings");
-        let done = journal::replay(BufReader::new(std::fs::File::open(kept).unwrap()), &book).unwrap();
+        let done = journal::replay(BufReader::new(std::fs::File::open(kept).unwrap()), Some(&book)).unwrap();
         assert!(done.inputs > 100 && done.effects > 100, "{done:?}");
         assert_eq!(done.differs, None);
     }
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -526,11 +526,17 @@
             r.check(call, plain_name(&v.fleet), "fleet is a name of 1 to 64 letters, digits and . _ -");
             let distinct: std::collections::BTreeSet<_> = v.voters.iter().collect();
             r.check(call, distinct.len() == v.voters.len(), "an address stands twice");
+            r.check(call, trial_rate(v.clock_rate), "clock_rate from 0.95 to 1.05");
         }
         if r.faults.is_empty() { Ok(voter.map(|v| v.0)) } else { Err(r.faults) }
     }
 }
 
+/// A clock that stood still would make a lease endless.
+fn trial_rate(rate: f64) -> bool {
+    (0.95..=1.05).contains(&rate)
+}
+
 fn plain_name(name: &str) -> bool {
     let plain = |b: u8| b.is_ascii_alphanumeric() || b"._-".contains(&b);
     (1..=64).contains(&name.len()) && name.bytes().all(plain)
@@ -571,6 +577,9 @@
                 plain_name(&a.name) && plain_name(&a.fleet),
                 "name and fleet of 1 to 64 letters, digits and . _ -",
             );
+            let distinct: std::collections::BTreeSet<_> = a.voters.iter().collect();
+            r.check(call, distinct.len() == a.voters.len(), "an address stands twice");
+            r.check(call, trial_rate(a.clock_rate), "clock_rate from 0.95 to 1.05");
         }
         for call in &calls {
             if !crate::OWN.contains(&call.word.as_str()) {
@@ -645,6 +654,14 @@
             r.check(call, distinct.len() == d.names.len(), "a name stands twice");
             r.check(call, (0.5..=10.0).contains(&d.contradiction), "contradiction from 0.5 to 10 s");
         }
+        if let Some(call) = calls.iter().find(|c| c.word == "keeper") {
+            // One in each director's process would count each school's seats several times.
+            r.check(
+                call,
+                call.args.contains_key("address"),
+                "address: directors that share rules share one keeper",
+            );
+        }
         // A director's own words, so that all that is checked for one is checked here.
         let zone =
             calls.iter().find(|c| c.word == "fleet").and_then(|c| c.args.get("zones")?.get(0).cloned());
--- a/crates/kelpdoord/src/lib.rs
+++ b/crates/kelpdoord/src/lib.rs
@@ -34,6 +34,23 @@
     Json,
 }
 
+/// How a document is proposed.
+#[derive(clap::Args)]
+struct Proposal {
+    /// The version that it was made from; 0 for the first.
+    #[arg(long)]
+    after: u64,
+    /// A director's own settings, which name fleet and voters.
+    #[arg(long)]
+    config: PathBuf,
+    /// Say what would change and whom it would cut short, and propose nothing.
+    #[arg(long)]
+    dry_run: bool,
+    /// Half of the directors may go at once.
+    #[arg(long)]
+    sure: bool,
+}
+
 #[derive(Subcommand)]
 enum What {
     /// Run a director. Its address is printed on standard output, logs go to standard error.
@@ -86,30 +103,14 @@
     /// Propose a document as the next version of the rules. Exit 0 if it was agreed.
     Propose {
         document: PathBuf,
-        /// The version that it was made from; 0 for the first.
-        #[arg(long)]
-        after: u64,
-        /// A director's own settings, which name fleet and voters.
-        #[arg(long)]
-        config: PathBuf,
-        /// Say what would change and whom it would cut short, and propose nothing.
-        #[arg(long)]
-        dry_run: bool,
-        /// Half of the directors may go at once.
-        #[arg(long)]
-        sure: bool,
+        #[command(flatten)]
+        how: Proposal,
     },
     /// Propose an earlier version's content as the next version.
     Back {
         version: u64,
-        #[arg(long)]
-        after: u64,
-        #[arg(long)]
-        config: PathBuf,
-        #[arg(long)]
-        dry_run: bool,
-        #[arg(long)]
-        sure: bool,
+        #[command(flatten)]
+        how: Proposal,
     },
     /// Show voters, versions, and each director with what it acts on.
     Agreed {
@@ -139,8 +140,9 @@
     /// Feed a journal to the library again and compare every decision.
     Replay {
         journal: PathBuf,
+        /// The settings; a journal of a director whose rules are agreed has them.
         #[arg(long)]
-        config: PathBuf,
+        config: Option<PathBuf>,
     },
 }
 
@@ -380,13 +382,13 @@
             }
             Ok(())
         }
-        What::Propose { document, after, config, dry_run, sure } => {
-            let voters = agreed::Voters::of(&config)?;
-            voters.propose(&agreed::document(&document)?.0, after, dry_run, sure)
+        What::Propose { document, how } => {
+            let voters = agreed::Voters::of(&how.config)?;
+            voters.propose(&agreed::document(&document)?.0, how.after, how.dry_run, how.sure)
         }
-        What::Back { version, after, config, dry_run, sure } => {
-            let voters = agreed::Voters::of(&config)?;
-            voters.propose(&voters.content(version)?.value.text, after, dry_run, sure)
+        What::Back { version, how } => {
+            let voters = agreed::Voters::of(&how.config)?;
+            voters.propose(&voters.content(version)?.value.text, how.after, how.dry_run, how.sure)
         }
         What::Agreed { config, json, document } => {
             let voters = agreed::Voters::of(&config)?;
@@ -408,9 +410,9 @@
             kelpdoor_platform::run(start).with_context(|| format!("listening on {listen}"))
         }
         What::Replay { journal, config } => {
-            let deployment = settings(&config)?;
+            let deployment = config.map(|config| settings(&config)).transpose()?;
             let file = File::open(&journal).with_context(|| journal.display().to_string())?;
-            let done = journal::replay(BufReader::new(file), &deployment)?;
+            let done = journal::replay(BufReader::new(file), deployment.as_ref())?;
             println!("{} inputs, {} rounds, {} effects", done.inputs, done.rounds, done.effects);
             match done.differs {
                 None => Ok(()),
--- a/crates/kelpdoord/tests/agreed.rs
+++ b/crates/kelpdoord/tests/agreed.rs
@@ -52,6 +52,16 @@
     let mixed = write(&dir, "mixed.star", &format!("{OWN}further(free = 9, per_taken = 1, span = 1)\n"));
     let (_, said) = run(&["check", "--config"], &mixed);
     assert_eq!(said, "kelpdoord: FILE:5:1: further is agreed, it is no setting of one director\n");
+    let still = write(&dir, "still.star", &OWN.replace("name = \"a\"", "name = \"a\", clock_rate = 0"));
+    let (_, said) = run(&["check", "--config"], &still);
+    assert_eq!(said, "kelpdoord: FILE:4:1: agreement: clock_rate from 0.95 to 1.05\n");
+    let seats = write(
+        &dir,
+        "seats.star",
+        &DOCUMENT.replace("\"b\", \"a\"", "\"b\"").replacen('\n', "\nkeeper()\n", 1),
+    );
+    let (_, said) = run(&["check", "--document"], &seats);
+    assert_eq!(said, "kelpdoord: FILE:2:1: keeper: address: directors that share rules share one keeper\n");
     let document = write(&dir, "document.star", DOCUMENT);
     assert_eq!(
         run(&["check", "--document"], &document),
