--- a/crates/kelpdoor-agreement/src/follower.rs
+++ b/crates/kelpdoor-agreement/src/follower.rs
@@ -1,7 +1,9 @@
 //! A director's side: which version it acts on, until when, and what it goes by meanwhile.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use crate::RATE_ERROR;
-use crate::words::{Ask, Chosen, Tell};
+use crate::words::{Ask, Chosen, Reading, Tell, VoterId};
 
 /// Renewals within a lease: three may be lost.
 const RENEWALS: f64 = 4.0;
@@ -58,7 +60,10 @@
 pub struct Follower {
     name: String,
     boot: u64,
-    lines: Vec<Line>,
+    /// Of each voter asked lately, whether it is on the list or not.
+    lines: BTreeMap<VoterId, Line>,
+    /// Who decides the version after the known one: a majority of them alone gives a lease.
+    deciding: BTreeSet<VoterId>,
     known: Option<Chosen>,
     lease: f64,
     beside: Vec<(Chosen, f64)>,
@@ -67,28 +72,35 @@
     /// A voter has answered since our start.
     begun: bool,
     seq: u64,
-    /// The lease, s, that a version's text grants.
-    lease_of: fn(&str) -> f64,
+    reading: Reading,
 }
 
 impl Follower {
     /// `kept` is what an earlier start knew: knowledge, no permission.
-    pub fn new(
-        name: &str, boot: u64, voters: usize, kept: Option<Chosen>, lease_of: fn(&str) -> f64,
-    ) -> Self {
-        let lease = kept.as_ref().map_or(FIRST_LEASE, |c| lease_of(&c.value.text));
-        Follower {
+    pub fn new(name: &str, boot: u64, kept: Option<Chosen>, reading: Reading) -> Self {
+        let mut f = Follower {
             name: name.to_owned(),
             boot,
-            lines: vec![Line::default(); voters],
+            lines: BTreeMap::new(),
+            deciding: BTreeSet::new(),
             known: kept,
-            lease,
+            lease: FIRST_LEASE,
             beside: Vec::new(),
             from: f64::INFINITY,
             until: f64::NEG_INFINITY,
             begun: false,
             seq: 0,
-            lease_of,
+            reading,
+        };
+        f.read();
+        f
+    }
+
+    /// Reads what the known version says of voters and leases.
+    fn read(&mut self) {
+        if let Some(c) = &self.known {
+            self.lease = (self.reading.lease)(&c.value.text);
+            self.deciding = (self.reading.voters)(&c.value.text).into_iter().collect();
         }
     }
 
@@ -110,10 +122,10 @@
     }
 
     /// The question to that voter, if one is due.
-    pub fn ask(&mut self, now: f64, voter: usize) -> Option<Ask> {
+    pub fn ask(&mut self, now: f64, voter: VoterId) -> Option<Ask> {
         let (lease, left) = (self.lease, (self.until - now).max(0.0));
         let acts = self.acting(now).map(|a| a.label()).unwrap_or_default();
-        let line = &mut self.lines[voter];
+        let line = self.lines.entry(voter).or_default();
         let lost = line.out.is_none_or(|(_, asked)| now >= asked + LOST * lease);
         let due = line.asked.is_none_or(|asked| now >= asked + lease / RENEWALS);
         if !(lost && due) {
@@ -134,31 +146,38 @@
             (None, Some(asked)) => asked + self.lease / RENEWALS,
             (None, None) => f64::NEG_INFINITY,
         };
-        self.lines.iter().map(of).fold(f64::INFINITY, f64::min)
+        self.lines.values().map(of).fold(f64::INFINITY, f64::min)
     }
 
     /// The connection to that voter is new: what was out on an earlier one is not answered any more.
-    pub fn connected(&mut self, voter: usize) {
-        self.lines[voter].out = None;
+    pub fn connected(&mut self, voter: VoterId) {
+        self.lines.entry(voter).or_default().out = None;
+    }
+
+    /// That voter is not asked any more.
+    pub fn forget(&mut self, voter: VoterId) {
+        self.lines.remove(&voter);
     }
 
     /// A voter's answer. Why a word of it is not taken, if so.
     ///
     /// # Errors
     /// A plain sentence; nothing of the answer counts then.
-    pub fn heard(&mut self, now: f64, voter: usize, tell: Tell) -> Result<(), String> {
+    pub fn heard(&mut self, now: f64, from: VoterId, tell: Tell) -> Result<(), String> {
+        let voter = from.0;
+        let Some(line) = self.lines.get_mut(&from) else { return Ok(()) };
         let (seq, newest, pending, document) = match tell {
             Tell::Granted { seq, newest, pending, document } => (seq, newest, pending, document),
             Tell::Refused { seq, why } => {
-                if self.lines[voter].out.is_some_and(|(out, _)| out == seq) {
-                    self.lines[voter].out = None;
+                if line.out.is_some_and(|(out, _)| out == seq) {
+                    line.out = None;
                 }
                 return Err(format!("voter {voter} refuses: {why}"));
             }
             other => return Err(format!("voter {voter} says what nobody asked: {other:?}")),
         };
-        let Some((_, asked)) = self.lines[voter].out.filter(|(out, _)| *out == seq) else { return Ok(()) };
-        self.lines[voter].out = None;
+        let Some((_, asked)) = line.out.filter(|(out, _)| *out == seq) else { return Ok(()) };
+        line.out = None;
         let have = self.known.as_ref().map_or(0, |c| c.number);
         if let Some(c) = document.filter(|c| c.number > have) {
             self.learn(now, c);
@@ -170,7 +189,9 @@
             // What was kept may have been new when we ended: others may act on the one before.
             self.from = now + self.hold();
         }
-        self.lines[voter].said = Some(Said { asked, newest, pending });
+        if let Some(line) = self.lines.get_mut(&from) {
+            line.said = Some(Said { asked, newest, pending });
+        }
         self.renew();
         Ok(())
     }
@@ -185,17 +206,21 @@
     /// until that is over.
     fn learn(&mut self, now: f64, newer: Chosen) {
         self.beside.retain(|(_, until)| *until > now);
-        let old = self.known.replace(newer.clone());
-        let next = old.filter(|old| now < self.until && now >= self.from && old.number + 1 == newer.number);
+        let old = self.known.replace(newer);
+        let next = old.filter(|old| {
+            now < self.until
+                && now >= self.from
+                && Some(old.number + 1) == self.known.as_ref().map(|c| c.number)
+        });
         match next {
             Some(old) if self.beside.len() < TOGETHER => self.beside.push((old, now + self.hold())),
             _ => {
                 self.beside.clear();
-                self.lease = (self.lease_of)(&newer.value.text);
+                self.read();
                 self.from = now + self.hold();
             }
         }
-        self.lease = (self.lease_of)(&newer.value.text);
+        self.read();
     }
 
     /// The lease runs from when the majority's earliest was asked, on our clock, which may run slow.
@@ -206,10 +231,10 @@
         }
         // What was pending at a voter of an older version is the version that we know, or one before it.
         let clean = |s: &Said| s.newest < known || (s.newest == known && !s.pending);
-        let mut asked: Vec<f64> =
-            self.lines.iter().filter_map(|l| l.said).filter(clean).map(|s| s.asked).collect();
+        let said = self.deciding.iter().filter_map(|v| self.lines.get(v)?.said);
+        let mut asked: Vec<f64> = said.filter(clean).map(|s| s.asked).collect();
         asked.sort_by(|a, b| b.total_cmp(a));
-        if let Some(from) = asked.get(self.lines.len() / 2) {
+        if let Some(from) = asked.get(self.deciding.len() / 2) {
             self.until = self.until.max(from + self.lease * (1.0 - RATE_ERROR));
         }
     }
--- a/crates/kelpdoor-agreement/src/keys.rs
+++ b/crates/kelpdoor-agreement/src/keys.rs
@@ -4,7 +4,7 @@
 use std::fmt::Debug;
 
 use kelpdoor_script::{
-    Deployment, Directors, Fault, Fleet, Further, Group, Keeper, Ladder, Own, Shared, Tokens,
+    Deployment, Directors, Fault, Fleet, Further, Group, Keeper, Ladder, Own, Shared, Tokens, Voters,
 };
 
 use crate::follower::Acting;
@@ -225,6 +225,18 @@
         }
     }
 
+    fn voters(&mut self, old: &Voters, new: &Voters) -> Voters {
+        self.within = "voters".into();
+        let Voters { at } = new;
+        let gone: Vec<String> = old.at.keys().filter(|v| !at.contains_key(v)).map(u8::to_string).collect();
+        // Directors need no side of it: each version's own list decides the one after it, and gives leases on it.
+        let at = self.free("at", &old.at, at);
+        if let Some(last) = self.changes.last_mut().filter(|c| c.key == "voters.at" && !gone.is_empty()) {
+            last.cuts = Some(format!("voters that decide no more: {}", gone.join(", ")));
+        }
+        Voters { at }
+    }
+
     fn tokens(&mut self, old: &Option<Tokens>, new: &Option<Tokens>) -> Option<Tokens> {
         self.within = "tokens".into();
         let (Some(o), Some(n)) = (old, new) else { return self.fixed("given", old, new) };
@@ -263,7 +275,7 @@
 /// What is acted on while both versions may be, and every key that differs.
 pub fn both(old: &Shared, new: &Shared) -> (Shared, Vec<Change>) {
     let mut w = Walk { changes: Vec::new(), within: String::new() };
-    let Shared { ladder, groups, fleet, further, directors, tokens, keeper } = new;
+    let Shared { ladder, groups, fleet, further, directors, voters, tokens, keeper } = new;
     let names = |groups: &[Group]| groups.iter().map(|g| g.name.clone()).collect::<Vec<_>>();
     // Groups are known by their place.
     w.fixed("groups", &names(&old.groups), &names(groups));
@@ -273,6 +285,7 @@
         fleet: w.fleet(&old.fleet, fleet),
         further: w.further(&old.further, further),
         directors: w.directors(&old.directors, directors),
+        voters: w.voters(&old.voters, voters),
         tokens: w.tokens(&old.tokens, tokens),
         keeper: w.keeper(&old.keeper, keeper),
     };
@@ -303,6 +316,11 @@
             of - left
         ));
     }
+    let stay = old.voters.at.keys().filter(|v| new.voters.at.contains_key(v)).count();
+    if stay * 2 <= old.voters.at.len() && !sure {
+        let of = old.voters.at.len();
+        return Err(format!("voters.at: {} of {of} voters would go at once; say --sure if so", of - stay));
+    }
     Ok(changes)
 }
 
@@ -324,7 +342,7 @@
         merged = Some(merged.map_or(shared.clone(), |m| both(&m, &shared).0));
     }
     places.push(place(&newest));
-    let Shared { ladder, groups, fleet, further, directors, tokens, keeper } =
+    let Shared { ladder, groups, fleet, further, directors, voters: _, tokens, keeper } =
         merged.map_or(newest.clone(), |m| both(&m, &newest).0);
     (book.ladder, book.groups, book.fleet, book.further) = (ladder, groups, fleet, further);
     (book.tokens, book.keeper) = (tokens, keeper);
--- a/crates/kelpdoor-agreement/src/lib.rs
+++ b/crates/kelpdoor-agreement/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`Voter`]: for each next version one decree of Paxos (Lamport 2001). The version before has to be chosen and known
 //!   first, so a voter holds a promise and an accepted value for one version alone, and a proposal is a compare-and-set.
+//!   Who decides a version stands in the one before it: voters come and go by a version, and no version has two majorities.
 //! - [`Follower`]: a director's side. It acts on a version as long as a majority of voters, *asked* less than a lease ago,
 //!   had accepted nothing newer (Gray and Cheriton 1989). Voters hold no lease that anybody waits for: who acts on the old
 //!   alone ends a lease after the new one was chosen, by its own clock.
@@ -15,7 +16,9 @@
 
 pub use follower::{Acting, Follower};
 pub use voter::{Durable, Out, Voter};
-pub use words::{Ask, Ballot, Chosen, DirectorStanding, MAX_DOCUMENT, MAX_LINE, Tell, Value, VoterId, Word};
+pub use words::{
+    Ask, Ballot, Chosen, DirectorStanding, MAX_DOCUMENT, MAX_LINE, Reading, Tell, Value, VoterId, Word,
+};
 
 /// Of time; how far apart two steady clocks may run, the slewing of a director's time included. Clocks of machines keep
 /// to 0.0002 of their rate when undisturbed; fifty times that.
--- a/crates/kelpdoor-agreement/src/voter.rs
+++ b/crates/kelpdoor-agreement/src/voter.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::RATE_ERROR;
-use crate::words::{Ask, Ballot, Chosen, DirectorStanding, MAX_DOCUMENT, Tell, Value, VoterId, Word};
+use crate::words::{
+    Ask, Ballot, Chosen, DirectorStanding, MAX_DOCUMENT, Reading, Tell, Value, VoterId, Word,
+};
 
 /// Earlier versions kept for `back`.
 const KEPT: usize = 8;
@@ -16,10 +18,15 @@
 const GIVE_UP: f64 = 5.0;
 /// s; what was accepted and not learned for so long is finished by whoever holds it: its proposer has died, or is cut off.
 const FINISH: f64 = 0.4;
-/// s; between questions of a voter that lacks something.
-const WANT_EVERY: f64 = 0.3;
+/// s; between questions of a voter that lacks something, and of one that knows of nothing that it lacks: whoever is not
+/// on the list, or was cut off when a version was told, hears of it by these.
+const WANT_EVERY: (f64, f64) = (0.3, 2.0);
+/// s; a voter not on the list that asked within this is there: three questions of an idle one.
+const THERE: f64 = 6.0;
 /// s; no director is granted more.
 const LONGEST_LEASE: f64 = 5.0;
+/// Voters known of at most; more are not remembered.
+const PEERS: usize = 64;
 /// Directors known by name at most; more are refused by name until others have been silent for their lease.
 const NAMES: usize = 2048;
 /// Bytes of a director's name, and of the versions that it says it acts on, at most.
@@ -30,8 +37,10 @@
 /// What has to be on disk before any word that follows it leaves.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Durable {
-    /// Names fleet and voters, so that a store moved elsewhere is found out.
+    /// Names fleet and voter, so that a store moved elsewhere is found out.
     pub fleet: String,
+    /// Who decides the first version; each later one is decided by those whom the version before it names.
+    pub founders: Vec<VoterId>,
     /// The newest versions, rising.
     pub chosen: Vec<Chosen>,
     /// For the version after the newest.
@@ -42,12 +51,13 @@
 }
 
 impl Durable {
-    /// A voter of a fleet that is founded now.
-    pub fn founded(fleet: &str) -> Self {
-        Durable { fleet: fleet.to_owned(), votes_from: Some(1), ..Durable::default() }
+    /// A voter of a fleet that is founded now by these.
+    pub fn founded(fleet: &str, founders: &[VoterId]) -> Self {
+        let founders = founders.to_vec();
+        Durable { fleet: fleet.to_owned(), founders, votes_from: Some(1), ..Durable::default() }
     }
 
-    /// A voter whose store is lost: it must not vote where it may have voted before.
+    /// A voter whose store is lost, or that is to join: it must not vote where it may have voted before.
     pub fn lost(fleet: &str) -> Self {
         Durable { fleet: fleet.to_owned(), ..Durable::default() }
     }
@@ -65,6 +75,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
     To(VoterId, Word),
+    /// To every other voter that is known of, whether it is on the list or not.
+    Others(Word),
     /// To whoever asked under that number.
     Tell(u64, Tell),
 }
@@ -100,10 +112,21 @@
     left: f64,
 }
 
+/// What a voter said of itself when it last asked.
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    asked: f64,
+    /// It knows from which version on it may vote.
+    ready: bool,
+}
+
 #[derive(Clone, Debug)]
 pub struct Voter {
     me: VoterId,
-    voters: u8,
+    /// Who decides the version after the newest.
+    deciding: BTreeSet<VoterId>,
+    /// s; the lease that the newest version grants.
+    lease: f64,
     durable: Durable,
     dirty: bool,
     round: u64,
@@ -117,23 +140,22 @@
     start: u64,
     /// A director knows a later version than we do.
     lacks: bool,
-    heard: BTreeMap<VoterId, u64>,
+    /// The newest version of each, and whether something was accepted after it, as it said since our start.
+    heard: BTreeMap<VoterId, (u64, bool)>,
+    peers: BTreeMap<VoterId, Peer>,
     names: BTreeMap<String, Known>,
-    /// The lease, s, that a version's text grants; the same for all versions of a fleet.
-    lease_of: fn(&str) -> f64,
+    reading: Reading,
     rng: Rng,
     out: Vec<Out>,
 }
 
 impl Voter {
-    /// `voters`: how many there are, this one included; an odd number.
-    pub fn new(
-        me: VoterId, voters: u8, durable: Durable, lease_of: fn(&str) -> f64, seed: u64, now: f64,
-    ) -> Self {
+    pub fn new(me: VoterId, durable: Durable, reading: Reading, seed: u64, now: f64) -> Self {
         let mut rng = Rng::with_seed(seed ^ u64::from(me.0));
-        Voter {
+        let mut voter = Voter {
             me,
-            voters,
+            deciding: BTreeSet::new(),
+            lease: 0.0,
             start: rng.u64(..),
             round: durable.promised.round,
             durable,
@@ -145,11 +167,22 @@
             wanted_at: f64::NEG_INFINITY,
             lacks: false,
             heard: BTreeMap::new(),
+            peers: BTreeMap::new(),
             names: BTreeMap::new(),
-            lease_of,
+            reading,
             rng,
             out: Vec::new(),
-        }
+        };
+        voter.read();
+        voter
+    }
+
+    /// Reads what the newest version says of voters and leases.
+    fn read(&mut self) {
+        let newest = self.durable.chosen.last().map(|c| c.value.text.as_str());
+        let founders = || self.durable.founders.clone();
+        self.deciding = newest.map_or_else(founders, self.reading.voters).into_iter().collect();
+        self.lease = newest.map_or(0.0, self.reading.lease);
     }
 
     /// All that decides what it does next but for times and chance, for the exhaustive check.
@@ -176,18 +209,29 @@
         (write, std::mem::take(&mut self.out))
     }
 
+    /// Of those who decide the version after the newest.
     fn majority(&self) -> usize {
-        usize::from(self.voters) / 2 + 1
+        self.deciding.len() / 2 + 1
     }
 
-    fn others(&self) -> impl Iterator<Item = VoterId> + use<> {
-        let me = self.me;
-        (0..self.voters).map(VoterId).filter(move |v| *v != me)
+    /// Who decides the version after the newest.
+    pub fn deciding(&self) -> &BTreeSet<VoterId> {
+        &self.deciding
     }
 
-    fn say_to_others(&mut self, word: &Word) {
-        for to in self.others() {
-            self.out.push(Out::To(to, word.clone()));
+    /// Whether this voter is one of them.
+    pub fn listed(&self) -> bool {
+        self.deciding.contains(&self.me)
+    }
+
+    /// Whether that voter, on the list or not, asked lately and could vote if the next version named it.
+    pub fn ready(&self, now: f64, voter: VoterId) -> bool {
+        voter == self.me || self.peers.get(&voter).is_some_and(|p| p.ready && now - p.asked < THERE)
+    }
+
+    fn say_to_deciding(&mut self, word: &Word) {
+        for to in self.deciding.iter().filter(|v| **v != self.me) {
+            self.out.push(Out::To(*to, word.clone()));
         }
     }
 
@@ -199,7 +243,7 @@
 
     /// Begins a try for the next version, above every try that is known of.
     fn begin(&mut self, now: f64) {
-        if !self.durable.votes() {
+        if !self.durable.votes() || !self.listed() {
             return;
         }
         self.round = self.round.max(self.durable.promised.round) + 1;
@@ -213,7 +257,7 @@
             accepted: BTreeSet::new(),
             until,
         });
-        self.say_to_others(&Word::Prepare { number, ballot });
+        self.say_to_deciding(&Word::Prepare { number, ballot });
         self.hear(now, self.me, Word::Prepare { number, ballot });
     }
 
@@ -221,7 +265,10 @@
         &mut self, now: f64, from: VoterId, number: u64, ballot: Ballot, accepted: Option<(Ballot, Value)>,
     ) {
         let majority = self.majority();
-        let Some(t) = self.tried.as_mut().filter(|t| t.number == number && t.ballot == ballot) else {
+        // Whoever is not on the list that decides this version has no say in it.
+        let counts = self.deciding.contains(&from);
+        let Some(t) = self.tried.as_mut().filter(|t| counts && t.number == number && t.ballot == ballot)
+        else {
             return;
         };
         if t.value.is_some() {
@@ -241,13 +288,15 @@
         t.value = Some(value.clone());
         let Value { id, text } = value;
         let word = Word::Accept { number, ballot, id, text };
-        self.say_to_others(&word);
+        self.say_to_deciding(&word);
         self.hear(now, self.me, word);
     }
 
     fn accepted(&mut self, now: f64, from: VoterId, number: u64, ballot: Ballot) {
         let majority = self.majority();
-        let Some(t) = self.tried.as_mut().filter(|t| t.number == number && t.ballot == ballot) else {
+        let counts = self.deciding.contains(&from);
+        let Some(t) = self.tried.as_mut().filter(|t| counts && t.number == number && t.ballot == ballot)
+        else {
             return;
         };
         t.accepted.insert(from);
@@ -256,7 +305,7 @@
         }
         let Some(Value { id, text }) = t.value.clone() else { return };
         let word = Word::Learn { number, id, text };
-        self.say_to_others(&word);
+        self.out.push(Out::Others(word.clone()));
         self.hear(now, self.me, word);
     }
 
@@ -272,6 +321,8 @@
         self.dirty = true;
         self.lacks = false;
         self.tried = None;
+        self.read();
+        self.remember();
         // A proposal was for the version after the one it named: that one is decided now, or passed.
         if let Some(own) = self.own.take() {
             let tell = self.outcome(&own.value);
@@ -279,6 +330,26 @@
         }
     }
 
+    /// Where our store was lost: whether enough is heard to know from which version on we may vote. We may have voted for
+    /// the version after the newest at most, if a majority of those who decide it had accepted nothing for it when they
+    /// answered: had it been chosen before we lost our store, one of them would know. So it is left to the others.
+    fn remember(&mut self) {
+        let newest = self.durable.newest();
+        if self.durable.votes_from.is_some() || newest == 0 {
+            return;
+        }
+        let clean = |v: &&VoterId| {
+            let said = self.heard.get(v);
+            said.is_some_and(|(number, accepted)| *number < newest || (*number == newest && !accepted))
+        };
+        if self.deciding.iter().filter(clean).count() >= self.majority() {
+            self.durable.votes_from = Some(newest + 2);
+            self.dirty = true;
+            // The others are told so.
+            self.wanted_at = f64::NEG_INFINITY;
+        }
+    }
+
     fn outcome(&self, value: &Value) -> Tell {
         if let Some(c) = self.durable.chosen.iter().find(|c| c.value == *value) {
             return Tell::Agreed { number: c.number };
@@ -291,7 +362,7 @@
 
     /// A word of another voter's.
     pub fn hear(&mut self, now: f64, from: VoterId, word: Word) {
-        let newest = self.durable.newest();
+        let (newest, may_vote) = (self.durable.newest(), self.durable.votes() && self.listed());
         if let Word::Accept { text, .. }
         | Word::Learn { text, .. }
         | Word::Promise { accepted: Some((.., text)), .. } = &word
@@ -315,7 +386,7 @@
             Word::Prepare { number, .. } | Word::Accept { number, .. } if number > newest + 1 => {
                 answer(Word::Behind { have: newest });
             }
-            Word::Prepare { .. } | Word::Accept { .. } if !self.durable.votes() => {}
+            Word::Prepare { .. } | Word::Accept { .. } if !may_vote => {}
             Word::Prepare { number, ballot } | Word::Accept { number, ballot, .. }
                 if ballot < self.durable.promised =>
             {
@@ -367,23 +438,29 @@
                     }
                 }
             }
-            Word::Want { start } => {
-                if let Some(Chosen { number, value }) = self.durable.chosen.last().cloned() {
+            Word::Want { start, have, ready } => {
+                if let Some(Chosen { number, value }) =
+                    self.durable.chosen.last().filter(|c| c.number > have).cloned()
+                {
                     answer(Word::Learn { number, id: value.id, text: value.text });
                 }
                 // One that lost its own store knows nothing that others could rest on.
                 if self.durable.votes_from.is_some() {
                     answer(Word::Have { start, number: newest, accepted: self.durable.accepted.is_some() });
                 }
+                self.lacks |= have > newest;
+                if from != self.me && (self.peers.contains_key(&from) || self.peers.len() < PEERS) {
+                    self.peers.insert(from, Peer { asked: now, ready });
+                }
             }
             Word::Have { start, .. } if start != self.start => {}
             Word::Have { number, accepted, .. } => {
-                self.heard.insert(from, number + u64::from(accepted));
-                if self.durable.votes_from.is_none() && self.heard.len() >= self.majority() {
-                    // One of a majority of the others knows of any version that we may have voted for.
-                    let last = self.heard.values().max().copied().unwrap_or(0);
-                    self.durable.votes_from = Some(last + 2);
-                    self.dirty = true;
+                self.lacks |= number > newest;
+                if self.durable.votes_from.is_none()
+                    && (self.heard.contains_key(&from) || self.heard.len() < PEERS)
+                {
+                    self.heard.insert(from, (number, accepted));
+                    self.remember();
                 }
             }
         }
@@ -421,6 +498,8 @@
                 let why = if after > newest {
                     self.lacks = true;
                     format!("version {after} is not known here, the newest is {newest}")
+                } else if !self.listed() {
+                    "this voter is not on the agreed list of voters".to_owned()
                 } else if !self.durable.votes() {
                     "this voter lost its store and does not vote before the others went on".to_owned()
                 } else if self.own.is_some() {
@@ -445,6 +524,8 @@
                     digest,
                     pending: self.durable.accepted.is_some(),
                     votes: self.durable.votes(),
+                    listed: self.listed(),
+                    deciding: self.deciding.iter().copied().collect(),
                     directors: self.names.iter().map(of).collect(),
                 };
                 self.tell(client, tell);
@@ -453,10 +534,8 @@
                 let found = self.durable.chosen.iter().find(|c| c.number == number).cloned();
                 self.tell(client, Tell::Content { found });
             }
-            // Of a place that there is, and not ours: who says otherwise is none of us.
-            Ask::Voter { from, word } if from != self.me && from.0 < self.voters => {
-                self.hear(now, from, word)
-            }
+            // In another's name than ours; what it says counts only where it is on the list.
+            Ask::Voter { from, word } if from != self.me => self.hear(now, from, word),
             // Of the connection alone.
             Ask::Voter { .. } | Ask::Hello { .. } | Ask::Ping => {}
         }
@@ -503,7 +582,7 @@
 
     /// s; how long a lease may last that was granted before our start.
     fn forgotten(&self) -> f64 {
-        self.newest().map_or(0.0, |c| (self.lease_of)(&c.value.text) * (1.0 + 2.0 * RATE_ERROR))
+        self.lease * (1.0 + 2.0 * RATE_ERROR)
     }
 
     // Time.
@@ -526,19 +605,25 @@
             self.finish_at = now + FINISH * (1.0 + 2.0 * self.rng.f64());
             self.begin(now);
         }
-        if (self.lacks || self.durable.votes_from.is_none()) && now >= self.wanted_at + WANT_EVERY {
+        if now >= self.wanted_at + self.want_every() {
             self.wanted_at = now;
-            self.say_to_others(&Word::Want { start: self.start });
+            let (have, ready) = (self.durable.newest(), self.durable.votes_from.is_some());
+            self.out.push(Out::Others(Word::Want { start: self.start, have, ready }));
         }
         self.names.retain(|_, k| now - k.heard < LISTED);
     }
 
+    fn want_every(&self) -> f64 {
+        let lacks = self.lacks || self.durable.votes_from.is_none();
+        if lacks { WANT_EVERY.0 } else { WANT_EVERY.1 }
+    }
+
     /// When something is due though nobody says anything.
     pub fn next(&self) -> f64 {
         let tried = self.tried.as_ref().map(|t| t.until);
         let own = self.own.as_ref().map(|own| own.until);
         let finish = (self.tried.is_none() && self.durable.accepted.is_some()).then_some(self.finish_at);
-        let want = (self.lacks || self.durable.votes_from.is_none()).then_some(self.wanted_at + WANT_EVERY);
+        let want = Some(self.wanted_at + self.want_every());
         [tried, own, finish, want].into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
 }
--- a/crates/kelpdoor-agreement/src/words.rs
+++ b/crates/kelpdoor-agreement/src/words.rs
@@ -8,10 +8,19 @@
 /// Bytes of a line at most: a document with every byte escaped, twice, and what stands round it.
 pub const MAX_LINE: usize = 16 * MAX_DOCUMENT;
 
-/// A voter's place in the list of voters, from 0.
+/// A voter's number. No other voter gets it, ever; its address may change.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct VoterId(pub u8);
 
+/// How a document is read, as far as voters and leases go.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading {
+    /// s; the lease that it grants.
+    pub lease: fn(&str) -> f64,
+    /// Who decides the version after it.
+    pub voters: fn(&str) -> Vec<VoterId>,
+}
+
 /// A proposer's try; the default is under every try.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
@@ -84,10 +93,13 @@
     Behind {
         have: u64,
     },
-    /// How far are you? Answered with `Have`, and with `Learn` where something is chosen. `start` is drawn at the asker's
+    /// How far are you? Answered with `Have`, and with `Learn` where something newer is chosen. `start` is drawn at the asker's
     /// start: an answer to an earlier one says nothing of what it has lost since.
     Want {
         start: u64,
+        have: u64,
+        /// The asker knows from which version on it may vote.
+        ready: bool,
     },
     Have {
         start: u64,
@@ -190,11 +202,18 @@
         digest: String,
         pending: bool,
         votes: bool,
+        /// It is one of those who decide the version after the newest, and who they are.
+        listed: bool,
+        deciding: Vec<VoterId>,
         directors: Vec<DirectorStanding>,
     },
     Content {
         found: Option<Chosen>,
     },
+    /// To a voter that asked, where there is no line to it yet.
+    Voter {
+        word: Word,
+    },
     /// That line was none; the connection ends.
     Fault(String),
 }
--- a/crates/kelpdoor-director/src/following.rs
+++ b/crates/kelpdoor-director/src/following.rs
@@ -1,18 +1,20 @@
 //! The way to the voters: a line to each, what they say, and what this director may act on by it. Beside the desk, and on no
 //! session's path: a voter that is slow or gone delays nothing here.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kelpdoor_agreement::keys::acted_on;
-use kelpdoor_agreement::{Chosen, Follower, VoterId};
+use kelpdoor_agreement::{Ask, Chosen, Follower, VoterId};
 use kelpdoor_clock::Steady;
-use kelpdoor_keeper::{Heard, MOST_OUT, document_lease, fleet_id, line};
-use kelpdoor_script::{Deployment, Own};
+use kelpdoor_keeper::{Heard, MOST_OUT, READING, addresses, line};
+use kelpdoor_script::{Agreement, Deployment, Own};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::sleep;
 
 const FORMAT: &str = "kelpdoor-agreed 1";
@@ -28,6 +30,24 @@
     chosen: Chosen,
 }
 
+/// The newest version that a director of these settings knew, if it kept one.
+///
+/// # Errors
+/// Where the copy is another fleet's.
+pub fn kept(of: &Agreement) -> anyhow::Result<Option<Chosen>> {
+    let Some(path) = &of.copy else { return Ok(None) };
+    // Knowledge alone, which any voter has: a damaged one is done without.
+    let copy = kelpdoor_kept::load::<Copy>(path, FORMAT).unwrap_or_else(|e| {
+        tracing::warn!(%e, "the kept rules are not used");
+        None
+    });
+    if let Some(copy) = copy.as_ref().filter(|c| c.fleet != of.fleet) {
+        let (path, fleet) = (path.display(), &of.fleet);
+        anyhow::bail!("{path}: it is a copy of fleet {:?}, not of {fleet:?}", copy.fleet);
+    }
+    Ok(copy.map(|c| c.chosen))
+}
+
 /// What may be acted on, as of its last change.
 #[derive(Clone, Debug)]
 pub struct Ruling {
@@ -74,20 +94,8 @@
     /// Where a kept copy is another fleet's, or no version reads.
     pub async fn start(own: Own) -> anyhow::Result<(Following, Deployment)> {
         let steady = Steady::new(own.agreement.clock_rate);
-        let fleet = fleet_id(&own.agreement.fleet, own.agreement.voters.len());
-        let kept = match &own.agreement.copy {
-            None => None,
-            // Knowledge alone, which any voter has: a damaged one is done without.
-            Some(path) => kelpdoor_kept::load::<Copy>(path, FORMAT).unwrap_or_else(|e| {
-                tracing::warn!(%e, "the kept rules are not used");
-                None
-            }),
-        };
-        if let Some(copy) = kept.as_ref().filter(|c| c.fleet != fleet) {
-            let path = own.agreement.copy.as_ref().map(|p| p.display().to_string()).unwrap_or_default();
-            anyhow::bail!("{path}: it is a copy of fleet {:?}, not of {fleet:?}", copy.fleet);
-        }
-        let kept = kept.map(|c| c.chosen);
+        let fleet = own.agreement.fleet.clone();
+        let kept = kept(&own.agreement)?;
         let (first, mut waits) = mpsc::channel(1);
         let mut tasks = JoinSet::new();
         tasks.spawn(follow(own, fleet, kept, steady, first));
@@ -101,27 +109,20 @@
     own: Own, fleet: String, kept: Option<Chosen>, steady: Steady,
     first: mpsc::Sender<watch::Receiver<Ruling>>,
 ) {
-    let voters = own.agreement.voters.clone();
-    let mut follower =
-        Follower::new(&own.agreement.name, fastrand::u64(..), voters.len(), kept, document_lease);
+    let mut follower = Follower::new(&own.agreement.name, fastrand::u64(..), kept, READING);
     let (to, mut words) = mpsc::channel(WORDS);
-    let mut lines = JoinSet::new();
-    let mut asks = Vec::new();
-    for (k, at) in voters.iter().enumerate() {
-        let (ask, asked) = mpsc::channel(MOST_OUT);
-        asks.push(ask);
-        lines.spawn(line(*at, fleet.clone(), VoterId(k as u8), asked, Some(to.clone())));
-    }
+    let mut lines = Lines { all: BTreeMap::new(), tasks: JoinSet::new(), fleet: fleet.clone(), to };
+    lines.dial(&own, &mut follower);
     let (save, saved) = watch::channel(None);
-    lines.spawn(keep(own.agreement.copy.clone(), fleet.clone(), saved));
+    lines.tasks.spawn(keep(own.agreement.copy.clone(), fleet.clone(), saved));
     let mut told: Option<watch::Sender<Ruling>> = None;
     let mut said = Said::default();
     let mut unread = String::new();
     loop {
         let now = steady.now();
-        for (k, to) in asks.iter().enumerate() {
-            if let Some(ask) = follower.ask(now, k) {
-                let _ = to.try_send(ask);
+        for (voter, line) in &lines.all {
+            if let Some(ask) = follower.ask(now, *voter) {
+                let _ = line.asks.try_send(ask);
             }
         }
         let acting = follower.acting(now).map(|a| (a.label(), a));
@@ -175,8 +176,7 @@
             word = words.recv() => word,
             () = sleep(Duration::from_secs_f64((due - now).max(0.001))) => None,
         };
-        let Some((VoterId(voter), heard)) = word else { continue };
-        let voter = usize::from(voter);
+        let Some((voter, heard)) = word.filter(|(voter, _)| lines.all.contains_key(voter)) else { continue };
         match heard {
             Heard::Connected => follower.connected(voter),
             Heard::Told(tell) => {
@@ -186,17 +186,56 @@
                 }
                 if let Some(c) = follower.known().filter(|c| c.number > before) {
                     save.send_replace(Some(c.clone()));
+                    lines.dial(&own, &mut follower);
                 }
             }
         }
     }
 }
 
+struct Line {
+    at: SocketAddr,
+    asks: mpsc::Sender<Ask>,
+    task: AbortHandle,
+}
+
+/// Lines to the voters that the known version names, and to those of the settings: they may know a newer one.
+struct Lines {
+    all: BTreeMap<VoterId, Line>,
+    tasks: JoinSet<()>,
+    fleet: String,
+    to: mpsc::Sender<(VoterId, Heard)>,
+}
+
+impl Lines {
+    fn dial(&mut self, own: &Own, follower: &mut Follower) {
+        let known = follower.known().map(|c| c.value.text.as_str());
+        let all = addresses(&own.agreement.voters, known, &own.agreement.reach);
+        self.all.retain(|voter, line| {
+            let stays = all.get(voter) == Some(&line.at);
+            if !stays {
+                line.task.abort();
+                follower.forget(*voter);
+            }
+            stays
+        });
+        while self.tasks.try_join_next().is_some() {}
+        for (voter, at) in all {
+            if !self.all.contains_key(&voter) {
+                let (asks, asked) = mpsc::channel(MOST_OUT);
+                let task =
+                    self.tasks.spawn(line(at, self.fleet.clone(), voter, asked, Some(self.to.clone())));
+                self.all.insert(voter, Line { at, asks, task });
+            }
+        }
+    }
+}
+
 /// What was logged, so that only what changes is.
 #[derive(Default)]
 struct Said {
     acts: Option<bool>,
-    refused: Vec<(usize, String)>,
+    refused: Vec<(VoterId, String)>,
 }
 
 impl Said {
@@ -214,11 +253,11 @@
         }
     }
 
-    fn refused(&mut self, voter: usize, why: String) {
+    fn refused(&mut self, voter: VoterId, why: String) {
         if self.refused.contains(&(voter, why.clone())) {
             return;
         }
-        tracing::warn!(voter, %why, "a voter's answer does not count");
+        tracing::warn!(voter = voter.0, %why, "a voter's answer does not count");
         if self.refused.len() < 64 {
             self.refused.push((voter, why));
         }
--- a/crates/kelpdoor-director/src/lib.rs
+++ b/crates/kelpdoor-director/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use desk::{Counts, Desk};
 pub use effect::{Effect, Input, NodeWord, Shown};
-pub use following::{Following, Ruling};
+pub use following::{Following, Ruling, kept};
 pub use gate::{Gate, Pass};
 pub use keeping::keeper_options;
 pub use kelpdoor_clock::{Clock, Slew};
--- a/crates/kelpdoor-keeper/src/lib.rs
+++ b/crates/kelpdoor-keeper/src/lib.rs
@@ -16,5 +16,5 @@
 pub use line::{Heard, MOST_OUT, line};
 pub use log::{Log, LogFault, Opened};
 pub use serve::{KeeperOptions, RunningKeeper, start};
-pub use voter::{RunningVoter, VoterOptions, document_lease, fleet_id, start as start_voter};
+pub use voter::{READING, RunningVoter, VoterOptions, addresses, start as start_voter};
 pub use wire::{Ask, MAX_LINE, SchoolStanding, Tell};
--- a/crates/kelpdoor-keeper/src/line.rs
+++ b/crates/kelpdoor-keeper/src/line.rs
@@ -110,7 +110,7 @@
                     Err(e) => return Some(format!("not a word of a voter's: {e}")),
                     Ok(Tell::Fault(why)) => return Some(why),
                     Ok(Tell::Welcome { me }) if me != place => {
-                        return Some(format!("the voter there has place {}, not {}", me.0, place.0));
+                        return Some(format!("the voter there has number {}, not {}", me.0, place.0));
                     }
                     Ok(Tell::Welcome { .. }) => {
                         welcome = true;
--- a/crates/kelpdoor-keeper/src/voter.rs
+++ b/crates/kelpdoor-keeper/src/voter.rs
@@ -1,27 +1,33 @@
 //! A voter's sockets, its store, and its one loop. What it promised, accepted or learned is on disk before any word that
 //! rests on it leaves.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use kelpdoor_agreement::keys::may_follow;
-use kelpdoor_agreement::{Ask, Durable, MAX_DOCUMENT, MAX_LINE, Out, Tell, Voter, VoterId, lease_of};
+use kelpdoor_agreement::{
+    Ask, Durable, MAX_DOCUMENT, MAX_LINE, Out, Reading, Tell, Voter, VoterId, Word, lease_of,
+};
 use kelpdoor_clock::Steady;
 use kelpdoor_script::Shared;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::{AbortHandle, JoinHandle, JoinSet};
 use tokio::time::sleep;
 
-use crate::line::{MOST_OUT, line};
+use crate::line::{Heard, MOST_OUT, line};
 use crate::sockets::{Came, accept};
 
-const FORMAT: &str = "kelpdoor-voter 1";
+const FORMAT: &str = "kelpdoor-voter 2";
 /// Lines waiting for the loop at most; readers wait beyond it.
 const ASKS: usize = 4096;
+/// Voters whose connections are remembered at most.
+const ASKED_ON: usize = 64;
+/// Answers of other voters waiting for the loop at most; their lines wait beyond it.
+const WORDS: usize = 256;
 /// Lines that one write may stand for at most.
 const BATCH: usize = 256;
 /// Times are looked at so often though nobody asks.
@@ -31,8 +37,10 @@
 
 pub struct VoterOptions {
     pub me: VoterId,
-    /// Of each voter, this one included.
-    pub voters: Vec<SocketAddr>,
+    /// Who founds the fleet, or where the agreed list is asked for first.
+    pub voters: BTreeMap<u8, SocketAddr>,
+    /// Where voters are reached otherwise than the agreed list says.
+    pub reach: BTreeMap<u8, SocketAddr>,
     pub listen: SocketAddr,
     pub fleet: String,
     pub store: PathBuf,
@@ -41,14 +49,29 @@
     pub clock_rate: f64,
 }
 
-/// Names a fleet and how many vote in it.
-pub fn fleet_id(fleet: &str, voters: usize) -> String {
-    format!("{fleet}/{voters}")
-}
+/// How agreed documents are read. One that does not read, which no voter lets pass, grants no lease and names nobody.
+pub const READING: Reading = Reading {
+    lease: |text| Shared::run("document", text).map_or(UNREAD, |s| lease_of(s.directors.contradiction)),
+    voters: |text| {
+        let named = Shared::run("document", text).map(|s| s.voters.at);
+        named.unwrap_or_default().into_keys().map(VoterId).collect()
+    },
+};
 
-/// The lease, s, under a document; none under one that is not read.
-pub fn document_lease(text: &str) -> f64 {
-    Shared::run("document", text).map_or(UNREAD, |s| lease_of(s.directors.contradiction))
+/// Where each voter is reached: as this process was told, else as the agreed document says, else as the settings name it
+/// to begin with.
+pub fn addresses(
+    first: &BTreeMap<u8, SocketAddr>, document: Option<&str>, reach: &BTreeMap<u8, SocketAddr>,
+) -> BTreeMap<VoterId, SocketAddr> {
+    let agreed = document.and_then(|text| Shared::run("document", text).ok()).map(|s| s.voters.at);
+    let mut all = first.clone();
+    all.extend(agreed.unwrap_or_default());
+    for (number, at) in reach {
+        if let Some(known) = all.get_mut(number) {
+            *known = *at;
+        }
+    }
+    all.into_iter().map(|(k, at)| (VoterId(k), at)).collect()
 }
 
 enum Come {
@@ -92,8 +115,12 @@
 /// # Errors
 /// Where the store is not as it was written or is another fleet's, or the address cannot be bound.
 pub async fn start(options: VoterOptions) -> io::Result<RunningVoter> {
-    let fleet = fleet_id(&options.fleet, options.voters.len());
+    let fleet = options.fleet.clone();
     let named = format!("{fleet} voter {}", options.me.0);
+    let founders: Vec<VoterId> = options.voters.keys().copied().map(VoterId).collect();
+    if options.found && !(matches!(founders.len(), 3 | 5) && founders.contains(&options.me)) {
+        return Err(io::Error::other("a fleet is founded by three or five voters, this one among them"));
+    }
     let path = options.store.clone();
     let kept = tokio::task::spawn_blocking(move || kelpdoor_kept::load::<Durable>(&path, FORMAT)).await?;
     let shown = options.store.display();
@@ -106,7 +133,7 @@
             return Err(io::Error::other(why));
         }
         (Some(d), false) => d,
-        (None, true) => Durable::founded(&named),
+        (None, true) => Durable::founded(&named, &founders),
         (None, false) => {
             tracing::warn!("{shown}: no store; not voting before the others are heard and have gone on");
             Durable::lost(&named)
@@ -116,38 +143,31 @@
     let listener = TcpListener::bind(options.listen).await?;
     let address = listener.local_addr()?;
     let steady = Steady::new(options.clock_rate);
-    let voter = Voter::new(
-        options.me,
-        options.voters.len() as u8,
-        durable,
-        document_lease,
-        fastrand::u64(..),
-        steady.now(),
-    );
+    let voter = Voter::new(options.me, durable, READING, fastrand::u64(..), steady.now());
     tracing::info!(newest = voter.durable().newest(), votes = voter.durable().votes(), "voting");
     let (to, from) = mpsc::channel(ASKS);
     let mut tasks = JoinSet::new();
-    let mut peers = HashMap::new();
-    for (k, at) in options.voters.iter().enumerate().filter(|(k, _)| *k != usize::from(options.me.0)) {
-        let (ask, asks) = mpsc::channel(MOST_OUT);
-        let place = VoterId(k as u8);
-        tasks.spawn(line(*at, fleet.clone(), place, asks, None));
-        peers.insert(place, ask);
-    }
+    let (heard, said) = mpsc::channel(WORDS);
     tasks.spawn(accept::<Ask, Tell, Come>(listener, to.clone(), MAX_LINE, Tell::Fault));
-    let shell = Shell {
+    let mut shell = Shell {
         me: options.me,
         fleet,
         voter,
         steady,
         store: options.store,
-        peers,
+        first: options.voters,
+        reach: options.reach,
+        peers: HashMap::new(),
         conns: HashMap::new(),
         welcome: HashSet::new(),
+        asked_on: HashMap::new(),
+        heard,
         told: 0,
-        _tasks: tasks,
+        listed: true,
+        tasks,
     };
-    let task = tokio::spawn(shell.run(from));
+    shell.dial();
+    let task = tokio::spawn(shell.run(from, said));
     Ok(RunningVoter { address, to, task })
 }
 
@@ -164,19 +184,36 @@
     voter: Voter,
     steady: Steady,
     store: PathBuf,
-    peers: HashMap<VoterId, mpsc::Sender<Ask>>,
+    first: BTreeMap<u8, SocketAddr>,
+    reach: BTreeMap<u8, SocketAddr>,
+    peers: HashMap<VoterId, Peer>,
     conns: HashMap<u64, mpsc::Sender<Tell>>,
     /// Connections that named our fleet.
     welcome: HashSet<u64>,
+    /// By voter, the connection on which it last spoke: the way back to one that there is no line to.
+    asked_on: HashMap<VoterId, u64>,
+    /// Where lines put what comes back on them.
+    heard: mpsc::Sender<(VoterId, Heard)>,
     /// The newest version that was logged.
     told: u64,
+    /// The newest version names this voter, as logged.
+    listed: bool,
     /// Ended with the shell.
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
+}
+
+/// A line to another voter.
+struct Peer {
+    at: SocketAddr,
+    asks: mpsc::Sender<Ask>,
+    line: AbortHandle,
 }
 
 impl Shell {
-    async fn run(mut self, mut from: mpsc::Receiver<Come>) -> Result<(), String> {
-        let done = self.work(&mut from).await;
+    async fn run(
+        mut self, mut from: mpsc::Receiver<Come>, mut said: mpsc::Receiver<(VoterId, Heard)>,
+    ) -> Result<(), String> {
+        let done = self.work(&mut from, &mut said).await;
         if let Err(why) = &done {
             // What follows would rest on what is not on disk: better gone than forgetful.
             tracing::error!(%why, "the voter ends");
@@ -184,16 +221,26 @@
         done
     }
 
-    async fn work(&mut self, from: &mut mpsc::Receiver<Come>) -> Result<(), String> {
+    async fn work(
+        &mut self, from: &mut mpsc::Receiver<Come>, said: &mut mpsc::Receiver<(VoterId, Heard)>,
+    ) -> Result<(), String> {
         loop {
+            let mut word = None;
             let wait = (self.voter.next() - self.steady.now()).clamp(0.001, IDLE.as_secs_f64());
             let first = tokio::select! {
                 first = from.recv() => first,
+                heard = said.recv() => {
+                    word = heard;
+                    None
+                }
                 () = sleep(Duration::from_secs_f64(wait)) => None,
             };
             let now = self.steady.now();
             let mut end = false;
             self.voter.tick(now);
+            if let Some((place, Heard::Told(Tell::Voter { word }))) = word {
+                self.hear(now, place, word);
+            }
             if let Some(first) = first {
                 end |= self.come(now, first);
             }
@@ -212,21 +259,59 @@
         }
     }
 
+    /// Keeps a line to each other voter that the newest version names, and to those of the settings: they may know more.
+    fn dial(&mut self) {
+        let newest = self.voter.newest().map(|c| c.value.text.as_str());
+        let mut all = addresses(&self.first, newest, &self.reach);
+        all.remove(&self.me);
+        self.peers.retain(|place, peer| {
+            let stays = all.get(place) == Some(&peer.at);
+            if !stays {
+                peer.line.abort();
+            }
+            stays
+        });
+        while self.tasks.try_join_next().is_some() {}
+        for (place, at) in all {
+            if !self.peers.contains_key(&place) {
+                let (asks, asked) = mpsc::channel(MOST_OUT);
+                let line =
+                    self.tasks.spawn(line(at, self.fleet.clone(), place, asked, Some(self.heard.clone())));
+                self.peers.insert(place, Peer { at, asks, line });
+            }
+        }
+    }
+
     fn say(&mut self, out: Vec<Out>) {
+        if let Some((number, digest)) =
+            self.voter.newest().filter(|c| c.number > self.told).map(|c| (c.number, c.digest()))
+        {
+            tracing::info!(version = number, digest, "a version is agreed");
+            self.told = number;
+            self.dial();
+            let listed = self.voter.listed();
+            if std::mem::replace(&mut self.listed, listed) != listed {
+                match listed {
+                    true => tracing::info!("the agreed list names this voter"),
+                    false => tracing::warn!("the agreed list does not name this voter: it decides nothing"),
+                }
+            }
+        }
+        let me = self.me;
+        let say = |peer: &Peer, word: Word| {
+            let _ = peer.asks.try_send(Ask::Voter { from: me, word });
+        };
         for o in out {
             match o {
-                Out::To(to, word) => {
-                    if let Some(line) = self.peers.get(&to) {
-                        let _ = line.try_send(Ask::Voter { from: self.me, word });
-                    }
-                }
+                Out::To(to, word) => match (self.peers.get(&to), self.asked_on.get(&to).copied()) {
+                    (Some(peer), _) => say(peer, word),
+                    (None, Some(conn)) => self.tell(conn, Tell::Voter { word }),
+                    (None, None) => {}
+                },
+                Out::Others(word) => self.peers.values().for_each(|peer| say(peer, word.clone())),
                 Out::Tell(conn, tell) => self.tell(conn, tell),
             }
         }
-        if let Some(c) = self.voter.newest().filter(|c| c.number > self.told) {
-            tracing::info!(version = c.number, digest = c.digest(), "a version is agreed");
-            self.told = c.number;
-        }
     }
 
     fn tell(&mut self, conn: u64, tell: Tell) {
@@ -245,6 +330,7 @@
             Come::Socket(Came::Closed(conn)) => {
                 self.conns.remove(&conn);
                 self.welcome.remove(&conn);
+                self.asked_on.retain(|_, on| *on != conn);
             }
             Come::Socket(Came::Asked(conn, ask)) => self.asked(now, conn, ask),
             Come::End => return true,
@@ -269,16 +355,36 @@
                 self.conns.remove(&conn);
             }
             Ask::Ping => self.tell(conn, Tell::Pong),
-            Ask::Propose { after, value, sure } => match self.may_follow(after, &value.text, sure) {
+            Ask::Propose { after, value, sure } => match self.may_follow(now, after, &value.text, sure) {
                 Err(why) => self.tell(conn, Tell::NotTaken { why }),
                 Ok(()) => self.voter.ask(now, conn, Ask::Propose { after, value, sure }),
             },
+            Ask::Voter { from, word } => {
+                if self.asked_on.contains_key(&from) || self.asked_on.len() < ASKED_ON {
+                    self.asked_on.insert(from, conn);
+                }
+                self.hear(now, from, word);
+            }
             ask => self.voter.ask(now, conn, ask),
         }
     }
 
+    fn hear(&mut self, now: f64, from: VoterId, word: Word) {
+        // A version that does not read would leave nobody to decide the next one. No voter of ours says such.
+        if let Word::Learn { number, text, .. } = &word
+            && *number > self.voter.durable().newest()
+            && let Err(faults) = Shared::run("a version", text)
+        {
+            tracing::error!(from = from.0, number, fault = %faults[0], "a version that does not read is not taken");
+            return;
+        }
+        if from != self.me {
+            self.voter.hear(now, from, word);
+        }
+    }
+
     /// Whether a proposed document is one, and may follow the newest.
-    fn may_follow(&self, after: u64, text: &str, sure: bool) -> Result<(), String> {
+    fn may_follow(&self, now: f64, after: u64, text: &str, sure: bool) -> Result<(), String> {
         if text.len() > MAX_DOCUMENT {
             return Err(format!("the document has {} bytes, {MAX_DOCUMENT} at most", text.len()));
         }
@@ -287,6 +393,17 @@
         let new = Shared::run("the document", text).map_err(faults)?;
         let Some(newest) = self.voter.newest().filter(|c| c.number == after) else { return Ok(()) };
         let old = Shared::run("the version before", &newest.value.text).map_err(faults)?;
-        may_follow(&old, &new, sure).map(|_| ())
+        may_follow(&old, &new, sure)?;
+        // With too many that are not there, nothing could be agreed any more, not even to take them off again.
+        let joins = new.voters.at.keys().map(|v| VoterId(*v)).filter(|v| !self.voter.deciding().contains(v));
+        let absent: Vec<String> =
+            joins.filter(|v| !self.voter.ready(now, *v)).map(|v| v.0.to_string()).collect();
+        if !absent.is_empty() && !sure {
+            return Err(format!(
+                "voters.at: not heard of yet as ready to vote: {}; start them first, or say --sure",
+                absent.join(", ")
+            ));
+        }
+        Ok(())
     }
 }
--- a/crates/kelpdoor-lab/src/day.rs
+++ b/crates/kelpdoor-lab/src/day.rs
@@ -294,6 +294,33 @@
                     tracing::error!(%e, "a proposal");
                 }
             }
+            Kind::VoterList => {
+                let through = t.directors.first().copied().unwrap_or(0);
+                let Some(agreeing) = &self.agreeing else { return };
+                self.voter(async |voting| voting.all_up(&t.voters).await).await;
+                // Who joins has to be heard of first: an operator looks and tries again.
+                let mut off = Ok(None);
+                for _ in 0..4 {
+                    pause(0.3).await;
+                    off = agreeing.proposer.lock().await.hand_over(t.change, through, &t.voters).await;
+                    if !matches!(off, Ok(None)) {
+                        break;
+                    }
+                }
+                match off {
+                    Err(e) => tracing::error!(%e, "a list of voters"),
+                    Ok(off) => {
+                        pause(t.notice).await;
+                        self.voter(async |voting| {
+                            for v in off.into_iter().flatten() {
+                                voting.kill(v).await;
+                            }
+                            Ok(())
+                        })
+                        .await;
+                    }
+                }
+            }
             Kind::Preempt => {
                 t.nodes.iter().for_each(|&id| nodes.drain(id, true));
                 pause(t.notice).await;
@@ -334,7 +361,8 @@
             t.directors.iter().map(|&d| Site::Director(d)).collect()
         };
         let far: Vec<Site> = if t.directors.is_empty() {
-            (0..self.script.size.voters).filter(|v| !t.voters.contains(v)).map(Site::Voter).collect()
+            let size = &self.script.size;
+            (0..size.voters + size.spare_voters).filter(|v| !t.voters.contains(v)).map(Site::Voter).collect()
         } else {
             t.voters.iter().map(|&v| Site::Voter(v)).collect()
         };
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -274,8 +274,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Agreement {
-    /// Of each voter, in the order that they all have.
-    pub voters: Vec<SocketAddr>,
+    /// Of voters by their numbers, as a list from 0 on or with each number said: where the agreed list is asked for first.
+    #[serde(deserialize_with = "by_number")]
+    pub voters: BTreeMap<u8, SocketAddr>,
+    /// Where this process reaches a voter otherwise than the agreed list says.
+    #[serde(default, deserialize_with = "by_number")]
+    pub reach: BTreeMap<u8, SocketAddr>,
     pub fleet: String,
     /// This director's name in the agreed list.
     pub name: String,
@@ -291,11 +295,15 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Voter {
-    /// Its place among the voters, from 0.
+    /// Its number, which no other voter of the fleet ever had.
     pub me: u8,
-    /// Of each voter as the others reach it, in the order that they all have.
-    pub voters: Vec<SocketAddr>,
-    /// Where it listens, if not at its place in the list.
+    /// Of voters by their numbers: who found the fleet, or where the agreed list is asked for first.
+    #[serde(deserialize_with = "by_number")]
+    pub voters: BTreeMap<u8, SocketAddr>,
+    /// Where this process reaches a voter otherwise than the agreed list says.
+    #[serde(default, deserialize_with = "by_number")]
+    pub reach: BTreeMap<u8, SocketAddr>,
+    /// Where it listens, if not where `voters` has it.
     #[serde(default)]
     pub listen: Option<SocketAddr>,
     pub fleet: String,
@@ -305,6 +313,43 @@
     pub clock_rate: f64,
 }
 
+/// Who decides the version after the one that this stands in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Voters {
+    /// By number, as directors and the others reach them.
+    #[serde(deserialize_with = "by_number")]
+    pub at: BTreeMap<u8, SocketAddr>,
+}
+
+/// Addresses by number, from a list or a map.
+fn by_number<'de, D: serde::Deserializer<'de>>(from: D) -> Result<BTreeMap<u8, SocketAddr>, D::Error> {
+    use serde::de::Error;
+    let address = |at: &serde_json::Value| -> Result<SocketAddr, D::Error> {
+        at.as_str()
+            .and_then(|at| at.parse().ok())
+            .ok_or_else(|| D::Error::custom(format!("{at} is no address with a port")))
+    };
+    match serde_json::Value::deserialize(from)? {
+        serde_json::Value::Array(all) => {
+            let number = |k: usize| u8::try_from(k).map_err(|_| D::Error::custom("256 voters at most"));
+            all.iter().enumerate().map(|(k, at)| Ok((number(k)?, address(at)?))).collect()
+        }
+        serde_json::Value::Object(all) => {
+            let number = |k: &String| {
+                let k = k.parse().ok().filter(|n: &u8| n.to_string() == *k);
+                k.ok_or_else(|| D::Error::custom("voters are numbered from 0 to 255"))
+            };
+            all.iter().map(|(k, at)| Ok((number(k)?, address(at)?))).collect()
+        }
+        other => Err(D::Error::custom(format!("{other} is no list of addresses"))),
+    }
+}
+
+fn distinct(addresses: &BTreeMap<u8, SocketAddr>) -> bool {
+    addresses.values().collect::<std::collections::BTreeSet<_>>().len() == addresses.len()
+}
+
 /// The directors of a fleet that agrees on its rules, and what each of them keeps to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -328,6 +373,7 @@
     pub fleet: Fleet,
     pub further: Option<Further>,
     pub directors: Directors,
+    pub voters: Voters,
     pub tokens: Option<Tokens>,
     pub keeper: Option<Keeper>,
 }
@@ -521,11 +567,14 @@
         let mut r = Reader { file, calls, faults: Vec::new() };
         let voter = r.one::<Voter>("voter", false);
         if let Some((v, call)) = &voter {
-            r.check(call, matches!(v.voters.len(), 3 | 5), "three or five voters");
-            r.check(call, usize::from(v.me) < v.voters.len(), "me is a place in the list of voters");
+            r.check(call, (1..=64).contains(&v.voters.len()), "1 to 64 voters are named");
+            r.check(
+                call,
+                v.listen.is_some() || v.voters.contains_key(&v.me),
+                "listen, or an address of me among the voters",
+            );
             r.check(call, plain_name(&v.fleet), "fleet is a name of 1 to 64 letters, digits and . _ -");
-            let distinct: std::collections::BTreeSet<_> = v.voters.iter().collect();
-            r.check(call, distinct.len() == v.voters.len(), "an address stands twice");
+            r.check(call, distinct(&v.voters), "an address stands twice");
             r.check(call, trial_rate(v.clock_rate), "clock_rate from 0.95 to 1.05");
         }
         if r.faults.is_empty() { Ok(voter.map(|v| v.0)) } else { Err(r.faults) }
@@ -571,14 +620,13 @@
         let mut r = Reader { file: &file, calls: &calls, faults: Vec::new() };
         let agreement = r.one::<Agreement>("agreement", true);
         if let Some((a, call)) = &agreement {
-            r.check(call, matches!(a.voters.len(), 3 | 5), "three or five voters");
+            r.check(call, (1..=64).contains(&a.voters.len()), "1 to 64 voters are named");
             r.check(
                 call,
                 plain_name(&a.name) && plain_name(&a.fleet),
                 "name and fleet of 1 to 64 letters, digits and . _ -",
             );
-            let distinct: std::collections::BTreeSet<_> = a.voters.iter().collect();
-            r.check(call, distinct.len() == a.voters.len(), "an address stands twice");
+            r.check(call, distinct(&a.voters), "an address stands twice");
             r.check(call, trial_rate(a.clock_rate), "clock_rate from 0.95 to 1.05");
         }
         for call in &calls {
@@ -654,6 +702,11 @@
             r.check(call, distinct.len() == d.names.len(), "a name stands twice");
             r.check(call, (0.5..=10.0).contains(&d.contradiction), "contradiction from 0.5 to 10 s");
         }
+        let voters = r.one::<Voters>("voters", true);
+        if let Some((v, call)) = &voters {
+            r.check(call, matches!(v.at.len(), 3 | 5), "three or five voters");
+            r.check(call, distinct(&v.at), "an address stands twice");
+        }
         if let Some(call) = calls.iter().find(|c| c.word == "keeper") {
             // One in each director's process would count each school's seats several times.
             r.check(
@@ -672,15 +725,16 @@
         let stand_in = "127.0.0.1:1";
         let director = own("director", serde_json::json!({ "zone": zone, "listen": stand_in }));
         let roster = own("roster", serde_json::json!({ "address": stand_in }));
-        let Some((directors, _)) = directors else { return Err(r.faults) };
+        let (Some((directors, _)), Some((voters, _))) = (directors, voters) else { return Err(r.faults) };
         let mut faults = r.faults;
-        let mut all: Vec<Call> = calls.iter().filter(|c| c.word != "directors").cloned().collect();
+        let mut all: Vec<Call> =
+            calls.iter().filter(|c| !["directors", "voters"].contains(&c.word.as_str())).cloned().collect();
         let doc = all.clone();
         all.extend([completed(&director, &directors, 0), roster]);
         match Deployment::from_calls(file, &all) {
             Ok(d) if faults.is_empty() => {
                 let Deployment { ladder, groups, fleet, further, tokens, keeper, .. } = d;
-                Ok((Shared { ladder, groups, fleet, further, directors, tokens, keeper }, doc))
+                Ok((Shared { ladder, groups, fleet, further, directors, voters, tokens, keeper }, doc))
             }
             Ok(_) => Err(faults),
             Err(more) => {
--- a/crates/kelpdoor-script/src/lib.rs
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub use deployment::{
     Agreement, Deployment, Director, Directors, Fleet, Further, Group, Keeper, KeeperBook, Ladder, NodeLinks,
-    Own, Players, RepeatWord, Roster, School, Shared, Tokens, Voter,
+    Own, Players, RepeatWord, Roster, School, Shared, Tokens, Voter, Voters,
 };
 pub use run::{Call, Fault, Place, read, run};
 
@@ -28,7 +28,8 @@
 ];
 
 /// Words of a document that directors agree on.
-pub const SHARED: &[&str] = &["ladder", "group", "fleet", "further", "directors", "tokens", "keeper"];
+pub const SHARED: &[&str] =
+    &["ladder", "group", "fleet", "further", "directors", "voters", "tokens", "keeper"];
 
 /// Words of a director's own settings, where the rest is agreed.
 pub const OWN: &[&str] = &["director", "roster", "players", "node_links", "agreement"];
@@ -82,4 +83,5 @@
     "voter_disk",
     "voter_full",
     "propose",
+    "voter_list",
 ];
--- a/crates/kelpdoord/src/agreed.rs
+++ b/crates/kelpdoord/src/agreed.rs
@@ -8,9 +8,10 @@
 
 use anyhow::{Context, Result, bail};
 use kelpdoor_agreement::keys::{Change, may_follow};
-use kelpdoor_agreement::{Ask, Chosen, DirectorStanding, MAX_LINE, Tell, Value};
-use kelpdoor_keeper::fleet_id;
-use kelpdoor_script::{Own, Shared};
+use kelpdoor_agreement::{Ask, Chosen, DirectorStanding, MAX_LINE, Tell, Value, VoterId};
+use kelpdoor_director::kept;
+use kelpdoor_keeper::addresses;
+use kelpdoor_script::{Agreement, Own, Shared};
 use serde_json::json;
 
 use crate::told;
@@ -19,6 +20,8 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// Somewhat longer than a voter takes to give a proposal up.
 const ANSWER: Duration = Duration::from_secs(7);
+/// Lists of voters followed from one to the next at most.
+const LISTS: usize = 4;
 /// s; a director that has not asked for so long is shown as cut off, whatever its lease was.
 const CUT_OFF: f64 = 5.0;
 
@@ -30,9 +33,11 @@
     Ok((text, shared))
 }
 
+/// The voters as they are known here: of the settings at first, then of the newest version that any of those has.
 pub struct Voters {
-    fleet: String,
-    at: Vec<SocketAddr>,
+    own: Agreement,
+    at: BTreeMap<VoterId, SocketAddr>,
+    newest: Option<Chosen>,
 }
 
 impl Voters {
@@ -40,18 +45,58 @@
     pub fn of(config: &Path) -> Result<Self> {
         let own = Own::read(config).map_err(told)?;
         let own = own.with_context(|| format!("{}: no agreement(..) in it", config.display()))?;
-        let fleet = fleet_id(&own.agreement.fleet, own.agreement.voters.len());
-        Ok(Voters { fleet, at: own.agreement.voters })
+        let own = own.agreement;
+        // Those of the settings may all be gone by now: a director's copy names those who came after them.
+        let kept = kept(&own)?;
+        let at = addresses(&own.voters, kept.as_ref().map(|c| c.value.text.as_str()), &own.reach);
+        let mut voters = Voters { own, at, newest: None };
+        // A newer list may name more, who know of a newer list still.
+        for _ in 0..LISTS {
+            let before = voters.at.clone();
+            voters.look();
+            if voters.at == before {
+                break;
+            }
+        }
+        Ok(voters)
+    }
+
+    /// Asks each voter known of for the newest version, and takes its list.
+    fn look(&mut self) {
+        let mut newest: Option<Chosen> = self.newest.take();
+        for k in self.at.keys() {
+            let have = newest.as_ref().map_or(0, |c| c.number);
+            let Ok(Tell::Standing { newest: n, .. }) = self.ask(*k, &Ask::Standing) else { continue };
+            if n > have
+                && let Ok(Tell::Content { found: Some(c) }) = self.ask(*k, &Ask::Content { number: n })
+            {
+                newest = Some(c);
+            }
+        }
+        if let Some(c) = &newest {
+            self.at = addresses(&self.own.voters, Some(&c.value.text), &self.own.reach);
+        }
+        self.newest = newest;
+    }
+
+    /// Those who decide the next version, if any was agreed; else those of the settings.
+    fn deciding(&self) -> Vec<VoterId> {
+        let list = self.newest.as_ref().and_then(|c| Shared::run("the newest version", &c.value.text).ok());
+        match list {
+            Some(shared) => shared.voters.at.into_keys().map(VoterId).collect(),
+            None => self.at.keys().copied().collect(),
+        }
     }
 
     /// A voter's answer.
-    fn ask(&self, k: usize, ask: &Ask) -> Result<Tell> {
-        let at = self.at[k];
+    fn ask(&self, k: VoterId, ask: &Ask) -> Result<Tell> {
+        let at = *self.at.get(&k).context("no such voter")?;
+        let k = k.0;
         let mut stream =
             TcpStream::connect_timeout(&at, CONNECT).with_context(|| format!("voter {k} at {at}"))?;
         stream.set_read_timeout(Some(ANSWER))?;
         stream.set_write_timeout(Some(CONNECT))?;
-        let mut text = serde_json::to_vec(&Ask::Hello { fleet: self.fleet.clone() })?;
+        let mut text = serde_json::to_vec(&Ask::Hello { fleet: self.own.fleet.clone() })?;
         text.push(b'\n');
         serde_json::to_writer(&mut text, ask)?;
         text.push(b'\n');
@@ -69,8 +114,8 @@
             }
         };
         match next()? {
-            Tell::Welcome { me } if usize::from(me.0) == k => next(),
-            Tell::Welcome { me } => bail!("the voter at {at} has place {}, not {k}", me.0),
+            Tell::Welcome { me } if me.0 == k => next(),
+            Tell::Welcome { me } => bail!("the voter at {at} has number {}, not {k}", me.0),
             other => bail!("voter {k} at {at} answers with something else: {other:?}"),
         }
     }
@@ -78,8 +123,8 @@
     /// An agreed version, from whichever voter still has it.
     pub fn content(&self, number: u64) -> Result<Chosen> {
         let mut why = anyhow::anyhow!("no voter has version {number} any more");
-        for k in 0..self.at.len() {
-            match self.ask(k, &Ask::Content { number }) {
+        for k in self.at.keys() {
+            match self.ask(*k, &Ask::Content { number }) {
                 Ok(Tell::Content { found: Some(c) }) => return Ok(c),
                 Ok(_) => {}
                 Err(e) => why = why.context(e),
@@ -89,18 +134,13 @@
     }
 
     fn newest(&self) -> Result<Option<Chosen>> {
-        let mut newest = 0;
-        let mut heard = 0;
-        for k in 0..self.at.len() {
-            if let Ok(Tell::Standing { newest: n, .. }) = self.ask(k, &Ask::Standing) {
-                heard += 1;
-                newest = newest.max(n);
-            }
-        }
-        if heard * 2 <= self.at.len() {
-            bail!("{heard} of {} voters answer, which is no majority", self.at.len());
+        let deciding = self.deciding();
+        let heard = |k: &&VoterId| matches!(self.ask(**k, &Ask::Standing), Ok(Tell::Standing { .. }));
+        let heard = deciding.iter().filter(heard).count();
+        if heard * 2 <= deciding.len() {
+            bail!("{heard} of {} voters answer, which is no majority", deciding.len());
         }
-        if newest == 0 { Ok(None) } else { self.content(newest).map(Some) }
+        Ok(self.newest.clone())
     }
 
     pub fn print_document(&self) -> Result<()> {
@@ -129,7 +169,7 @@
         // The same under the same name at each voter: one that was heard only half is not proposed twice.
         let value = Value { id: fastrand::u64(..), text: text.to_owned() };
         let mut why = Vec::new();
-        for k in 0..self.at.len() {
+        for k in self.deciding() {
             match self.ask(k, &Ask::Propose { after, value: value.clone(), sure }) {
                 Ok(Tell::Agreed { number }) => {
                     println!("agreed {}", Chosen { number, value }.label());
@@ -139,9 +179,9 @@
                     bail!("another proposal came first: the newest version is {newest}/{digest}")
                 }
                 Ok(Tell::NotTaken { why: w } | Tell::Unknown { why: w }) => {
-                    why.push(format!("voter {k}: {w}"))
+                    why.push(format!("voter {}: {w}", k.0))
                 }
-                Ok(other) => why.push(format!("voter {k} answers with something else: {other:?}")),
+                Ok(other) => why.push(format!("voter {} answers with something else: {other:?}", k.0)),
                 Err(e) => why.push(format!("{e:#}")),
             }
         }
@@ -152,10 +192,11 @@
         let mut voters = Vec::new();
         let mut directors: BTreeMap<String, DirectorStanding> = BTreeMap::new();
         let mut newest = 0;
-        for k in 0..self.at.len() {
-            let answer = self.ask(k, &Ask::Standing);
+        for k in self.at.keys() {
+            let answer = self.ask(*k, &Ask::Standing);
+            let k = k.0;
             voters.push(match answer {
-                Ok(Tell::Standing { newest: n, digest, pending, votes, directors: of }) => {
+                Ok(Tell::Standing { newest: n, digest, pending, votes, listed, directors: of, .. }) => {
                     newest = newest.max(n);
                     for d in of {
                         let known = directors.get(&d.name).is_none_or(|o| o.heard > d.heard);
@@ -163,7 +204,7 @@
                             directors.insert(d.name.clone(), d);
                         }
                     }
-                    json!({ "voter": k, "version": n, "digest": digest, "pending": pending, "votes": votes })
+                    json!({ "voter": k, "version": n, "digest": digest, "pending": pending, "votes": votes, "listed": listed })
                 }
                 Ok(other) => json!({ "voter": k, "fault": format!("{other:?}") }),
                 Err(e) => json!({ "voter": k, "fault": format!("{e:#}") }),
@@ -177,17 +218,21 @@
             let directors: Vec<_> = directors.values().map(of).collect();
             println!(
                 "{}",
-                json!({ "fleet": self.fleet, "newest": newest, "voters": voters, "directors": directors })
+                json!({ "fleet": self.own.fleet, "newest": newest, "voters": voters, "directors": directors })
             );
             return Ok(());
         }
-        println!("fleet {}, newest version {newest}", self.fleet);
+        println!("fleet {}, newest version {newest}", self.own.fleet);
         for v in &voters {
             let k = &v["voter"];
             match v["fault"].as_str() {
                 Some(fault) => println!("voter {k}: {fault}"),
                 None => {
-                    let votes = if v["votes"] == true { "" } else { ", does not vote" };
+                    let votes = match (v["listed"] == true, v["votes"] == true) {
+                        (false, _) => ", not on the list",
+                        (true, false) => ", does not vote",
+                        (true, true) => "",
+                    };
                     let pending = if v["pending"] == true { ", a newer one is being decided" } else { "" };
                     println!(
                         "voter {k}: version {}/{}{pending}{votes}",
--- a/crates/kelpdoord/src/lib.rs
+++ b/crates/kelpdoord/src/lib.rs
@@ -182,10 +182,11 @@
 
 async fn vote(voter: Voter, found: bool) -> Result<()> {
     let mut ends = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
-    let listen = voter.listen.unwrap_or(voter.voters[usize::from(voter.me)]);
+    let listen = voter.listen.or(voter.voters.get(&voter.me).copied()).context("voter: listen is missing")?;
     let options = VoterOptions {
         me: VoterId(voter.me),
         voters: voter.voters,
+        reach: voter.reach,
         listen,
         fleet: voter.fleet,
         store: voter.store,
--- a/crates/kelpdoord/tests/agreed.rs
+++ b/crates/kelpdoord/tests/agreed.rs
@@ -14,6 +14,7 @@
 fleet(zones = ["east"], kinds = {"box": 26}, cells = 4, racks = 2, link_unit = 2600, seen_after = 0.6, told_every = 2,
       cold_from = 0.4, warm_within = 8, tip_multiple = 4, fall_window = 2, drain_grace = 1)
 directors(names = ["a", "b", "a"], max_setups = 3)
+voters(at = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"])
 "#;
 
 fn write(dir: &Path, name: &str, text: &str) -> PathBuf {
