Agree on nodes and titles too: a node is used where every version has it

Need: the list of nodes and titles was a feed's alone, which directors hear at different times; no version of it could be named, drained from or gone back to.

A document may name nodes (zone, kind, cell, drain) and titles. Without such words the feed decides as before.

--- a/crates/kelpdoor-agreement/src/keys.rs
+++ b/crates/kelpdoor-agreement/src/keys.rs
@@ -1,10 +1,12 @@
 //! Each key of a document, and what holds for it while some directors act on the old version and some on the new: one
 //! walk over both that takes every field apart by name, so that a key without a row does not compile.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
 
 use kelpdoor_script::{
-    Deployment, Directors, Fault, Fleet, Further, Group, Keeper, Ladder, Own, Shared, Tokens, Voters,
+    AgreedNode, AgreedTitle, Deployment, Directors, Fault, Fleet, Further, Group, Keeper, Ladder, Lists, Own,
+    Shared, Tokens, Voters,
 };
 
 use crate::follower::Acting;
@@ -33,6 +35,9 @@
     }
 }
 
+/// Whom a node's end or drain cuts short.
+const NOTHING_NEW: &str = "what plays there plays on, nothing new goes to it";
+
 /// A key that differs between two versions.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -225,6 +230,67 @@
         }
     }
 
+    /// A node is used where every version that may be acted on has it, and none drains it.
+    fn nodes(
+        &mut self, old: &BTreeMap<u32, AgreedNode>, new: &BTreeMap<u32, AgreedNode>,
+    ) -> BTreeMap<u32, AgreedNode> {
+        let ids: BTreeSet<u32> = old.keys().chain(new.keys()).copied().collect();
+        let mut both = BTreeMap::new();
+        for id in ids {
+            self.within = format!("node {id}");
+            let (Some(o), Some(AgreedNode { id, zone, kind, cell, drain })) = (old.get(&id), new.get(&id))
+            else {
+                self.row(Class::Strict, "listed", &old.contains_key(&id), &new.contains_key(&id));
+                if let Some(last) = self.changes.last_mut().filter(|_| !new.contains_key(&id)) {
+                    last.cuts = Some(NOTHING_NEW.into());
+                }
+                continue;
+            };
+            let node = AgreedNode {
+                id: *id,
+                // Accounts and standing sessions are kept by these.
+                zone: self.fixed("zone", &o.zone, zone),
+                kind: self.fixed("kind", &o.kind, kind),
+                cell: self.fixed("cell", &o.cell, cell),
+                drain: self.strict("drain", o.drain, *drain, |a, b| a || b, NOTHING_NEW),
+            };
+            both.insert(*id, node);
+        }
+        both
+    }
+
+    fn lists(&mut self, old: &Lists, new: &Lists) -> Lists {
+        let Lists { nodes, titles } = new;
+        let both = match (&old.nodes, nodes) {
+            (Some(o), Some(n)) => Some(self.nodes(o, n)),
+            (one, other) => {
+                self.within = String::new();
+                self.row(Class::Strict, "nodes listed", &one.is_some(), &other.is_some());
+                if let Some(last) = self.changes.last_mut().filter(|_| one.is_none() && other.is_some()) {
+                    last.cuts = Some(format!("at nodes that it does not name: {NOTHING_NEW}"));
+                }
+                one.as_ref().or(other.as_ref()).cloned()
+            }
+        };
+        match (&old.titles, titles) {
+            (Some(o), Some(n)) => {
+                let names: BTreeSet<&String> = o.keys().chain(n.keys()).collect();
+                let lies = |t: Option<&AgreedTitle>| {
+                    t.map(|AgreedTitle { name: _, first_cell, cells }| (*first_cell, *cells))
+                };
+                for name in names {
+                    self.within = format!("title {name}");
+                    self.row(Class::Switched, "first cell and cells", &lies(o.get(name)), &lies(n.get(name)));
+                }
+            }
+            (one, other) => {
+                self.within = String::new();
+                self.row(Class::Switched, "titles listed", &one.is_some(), &other.is_some());
+            }
+        }
+        Lists { nodes: both, titles: old.titles.clone() }
+    }
+
     fn voters(&mut self, old: &Voters, new: &Voters) -> Voters {
         self.within = "voters".into();
         let Voters { at } = new;
@@ -275,7 +341,7 @@
 /// What is acted on while both versions may be, and every key that differs.
 pub fn both(old: &Shared, new: &Shared) -> (Shared, Vec<Change>) {
     let mut w = Walk { changes: Vec::new(), within: String::new() };
-    let Shared { ladder, groups, fleet, further, directors, voters, tokens, keeper } = new;
+    let Shared { ladder, groups, fleet, further, directors, voters, lists, tokens, keeper } = new;
     let names = |groups: &[Group]| groups.iter().map(|g| g.name.clone()).collect::<Vec<_>>();
     // Groups are known by their place.
     w.fixed("groups", &names(&old.groups), &names(groups));
@@ -286,6 +352,7 @@
         further: w.further(&old.further, further),
         directors: w.directors(&old.directors, directors),
         voters: w.voters(&old.voters, voters),
+        lists: w.lists(&old.lists, lists),
         tokens: w.tokens(&old.tokens, tokens),
         keeper: w.keeper(&old.keeper, keeper),
     };
@@ -316,6 +383,14 @@
             of - left
         ));
     }
+    if let (Some(o), Some(n)) = (&old.lists.nodes, &new.lists.nodes) {
+        let used = |id: &u32| n.get(id).is_some_and(|n| !n.drain);
+        let (stay, of) = (o.keys().filter(|id| used(id)).count(), o.len());
+        let were = o.values().filter(|n| !n.drain).count();
+        if stay * 2 <= of && stay < were && !sure {
+            return Err(format!("node: {stay} of {of} nodes would be left to use; say --sure if so"));
+        }
+    }
     let stay = old.voters.at.keys().filter(|v| new.voters.at.contains_key(v)).count();
     if stay * 2 <= old.voters.at.len() && !sure {
         let of = old.voters.at.len();
@@ -342,10 +417,10 @@
         merged = Some(merged.map_or(shared.clone(), |m| both(&m, &shared).0));
     }
     places.push(place(&newest));
-    let Shared { ladder, groups, fleet, further, directors, voters: _, tokens, keeper } =
+    let Shared { ladder, groups, fleet, further, directors, voters: _, lists, tokens, keeper } =
         merged.map_or(newest.clone(), |m| both(&m, &newest).0);
     (book.ladder, book.groups, book.fleet, book.further) = (ladder, groups, fleet, further);
-    (book.tokens, book.keeper) = (tokens, keeper);
+    (book.tokens, book.keeper, book.lists) = (tokens, keeper, lists);
     (book.director.max_setups, book.director.come_back) = (directors.max_setups, directors.come_back);
     (book.director.me, book.director.of) = numbering(&places);
     Ok((book, listed))
--- a/crates/kelpdoor-agreement/tests/table.rs
+++ b/crates/kelpdoor-agreement/tests/table.rs
@@ -481,6 +481,75 @@
     assert_eq!((free.len(), free[0].class), (1, Class::Free));
 }
 
+const LISTS: &str = r#"
+node(1, zone = "east", kind = "box", cell = 0)
+node(2, zone = "east", kind = "box", cell = 1)
+node(3, zone = "east", kind = "box", cell = 2)
+title("a", first_cell = 0, cells = 2)
+title("b", first_cell = 1, cells = 1)
+"#;
+
+#[test]
+fn a_node_is_used_where_every_version_has_it_and_a_title_moves_when_none_has_it_elsewhere() {
+    let with = |changes: &[(&str, &str)]| {
+        let mut text = format!("{DOCUMENT}{LISTS}");
+        for (old, new) in changes {
+            assert!(text.contains(old), "{old}");
+            text = text.replace(old, new);
+        }
+        Shared::run("document", &text).unwrap_or_else(|f| panic!("{f:?}"))
+    };
+    let old = with(&[]);
+    let new = with(&[
+        ("node(1", "node(4"),
+        ("cell = 1)", "cell = 1, drain = True)"),
+        ("\"b\", first_cell = 1", "\"b\", first_cell = 2"),
+    ]);
+    let shown = |changes: &[kelpdoor_agreement::keys::Change]| -> String {
+        let of = |c: &kelpdoor_agreement::keys::Change| {
+            format!("{} {}: {} -> {}\n", c.key, c.class.name(), c.old, c.new)
+        };
+        changes.iter().map(of).collect()
+    };
+    let (m, changes) = both(&old, &new);
+    expect![[r#"
+        node 1.listed stricter of both: true -> false
+        node 2.drain stricter of both: false -> true
+        node 4.listed stricter of both: false -> true
+        title b.first cell and cells switched: Some((1, 1)) -> Some((2, 1))
+    "#]]
+    .assert_eq(&shown(&changes));
+    let nodes = m.lists.nodes.unwrap();
+    assert_eq!(nodes.values().map(|n| (n.id, n.drain)).collect::<Vec<_>>(), [(2, true), (3, false)]);
+    assert_eq!(m.lists.titles, old.lists.titles);
+    let back = both(&new, &old).0.lists.nodes.unwrap();
+    assert_eq!(back, nodes, "the stricter side does not hang on which one was first");
+    // A list where there was none is the stricter side, in either order.
+    let none = document(&[]);
+    assert_eq!(both(&none, &old).0.lists.nodes, old.lists.nodes);
+    assert_eq!(both(&old, &none).0.lists.nodes, old.lists.nodes);
+    assert_eq!(both(&none, &old).0.lists.titles, None);
+    let refused = |changes: &[(&str, &str)]| may_follow(&old, &with(changes), false).unwrap_err();
+    expect!["node 1.cell: it cannot change while the fleet runs, from 0 to 3"].assert_eq(&refused(&[(
+        "node(1, zone = \"east\", kind = \"box\", cell = 0",
+        "node(1, zone = \"east\", kind = \"box\", cell = 3",
+    )]));
+    let gone = [("cell = 0)", "cell = 0, drain = True)"), ("cell = 1)", "cell = 1, drain = True)")];
+    expect!["node: 1 of 3 nodes would be left to use; say --sure if so"].assert_eq(&refused(&gone));
+    assert!(may_follow(&old, &with(&gone), true).is_ok());
+    let bad = Shared::run(
+        "document",
+        &format!("{DOCUMENT}{LISTS}node(3, zone = \"south\", kind = \"box\", cell = 9)\n"),
+    );
+    let faults: String = bad.unwrap_err().iter().map(|f| format!("{f}\n")).collect();
+    expect![[r#"
+        document:16:1: node: the zone is none of the fleet's
+        document:16:1: node: the fleet has fewer cells
+        document:16:1: node: the number is taken
+    "#]]
+    .assert_eq(&faults);
+}
+
 #[test]
 fn turns_under_two_numberings_are_turns_under_each() {
     for a in 1..9u32 {
--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -22,7 +22,7 @@
 
 use crate::effect::{Effect, Input, NodeWord, Shown};
 use crate::link::{Asked, Line, Link};
-use crate::roster::{FromRoster, Phase, RosterList, RosterNode, ToRoster};
+use crate::roster::{FromRoster, Phase, RosterList, RosterNode, RosterTitle, ToRoster};
 use crate::session::{Attempt, Session, Stage};
 use crate::timers::{Timer, Timers};
 
@@ -161,9 +161,7 @@
             Input::Roster(message) => h.roster(message),
             Input::Cached(list) => h.cached(list),
             Input::Rules { book, label } => {
-                h.book = *book;
-                h.label = label;
-                h.rules += 1;
+                h.rules(*book, label);
                 self.director.go_by(&h.book.terms());
             }
             Input::Lease { until } => h.lease = Some(until),
@@ -296,7 +294,7 @@
         &mut self, sock: u64, key: RequestKey, g: usize, title: String, best: u8, timeout: f64, waited: f64,
         entitled: Option<Entitlement>,
     ) {
-        let Some(lies) = self.list.titles.get(&title).cloned() else {
+        let Some(lies) = self.lies(&title) else {
             return self.error(sock, &key, ErrorCode::UnknownTitle, format!("no title {title:?}"));
         };
         let group = &self.book.groups[g];
@@ -878,6 +876,44 @@
 
     // The roster.
 
+    /// A node's phase, as far as the agreed list lets it be used: nothing new goes to one that it lacks, drains or has
+    /// otherwise than the feed.
+    fn phase(&self, n: &RosterNode) -> Phase {
+        let Some(list) = &self.book.lists.nodes else { return n.phase };
+        let as_agreed = list
+            .get(&n.id)
+            .is_some_and(|a| !a.drain && (&a.zone, &a.kind, a.cell) == (&n.zone, &n.kind, n.cell));
+        if n.phase == Phase::Ready && !as_agreed { Phase::Draining } else { n.phase }
+    }
+
+    /// Where a title lies: as agreed, where titles are, else as the feed has it.
+    fn lies(&self, title: &str) -> Option<RosterTitle> {
+        match &self.book.lists.titles {
+            None => self.list.titles.get(title).cloned(),
+            Some(all) => all.get(title).map(|t| RosterTitle {
+                name: t.name.clone(),
+                first_cell: t.first_cell,
+                cells: t.cells,
+            }),
+        }
+    }
+
+    /// Other rules: what they change of nodes is told as the feed's changes are.
+    fn rules(&mut self, book: Deployment, label: String) {
+        let nodes: Vec<RosterNode> = self.list.nodes.values().cloned().collect();
+        let before: Vec<Phase> = nodes.iter().map(|n| self.phase(n)).collect();
+        (self.book, self.label) = (book, label);
+        self.rules += 1;
+        let other = nodes.iter().zip(before).filter(|(n, was)| self.phase(n) != *was);
+        let other: Vec<Listed> = other.map(|(n, _)| self.listed(n)).collect();
+        if !other.is_empty() {
+            let named: Vec<String> = other.iter().map(|l| format!("{} {:?}", l.node.0, l.phase)).collect();
+            self.note(None, format!("the agreed list: {}", named.join(", ")));
+            self.round.list_changes.push(ListChange::Changed(other));
+            self.relink();
+        }
+    }
+
     fn listed(&self, n: &RosterNode) -> Listed {
         let f = &self.book.fleet;
         Listed {
@@ -885,7 +921,7 @@
             zone: f.zones.iter().position(|z| *z == n.zone).unwrap_or(0) as u16,
             kind: f.kinds.keys().position(|k| *k == n.kind).unwrap_or(0) as u8,
             cell: n.cell,
-            phase: match n.phase {
+            phase: match self.phase(n) {
                 Phase::Ready => ListPhase::Ready,
                 Phase::Draining => ListPhase::Draining,
                 Phase::Gone => ListPhase::Gone,
@@ -949,7 +985,7 @@
             if self.links.get(&n.id).is_some_and(|l| l.address != n.address) {
                 self.drop_link(n.id);
             }
-            if n.phase == Phase::Ready {
+            if self.phase(&n) == Phase::Ready {
                 self.links.entry(n.id).or_insert_with(|| Link::new(n.address));
                 self.dial_if_new(n.id);
             } else if let Some(link) = self.links.get_mut(&n.id) {
@@ -1037,7 +1073,7 @@
                 }
             }
             Timer::Redial { node, link } => {
-                let ready = self.list.nodes.get(&node).is_some_and(|n| n.phase == Phase::Ready);
+                let ready = self.list.nodes.get(&node).is_some_and(|n| self.phase(n) == Phase::Ready);
                 if ready && !self.closing && self.links.get(&node).is_some_and(|l| l.number == link) {
                     self.dial(node);
                 }
--- a/crates/kelpdoor-director/tests/desk.rs
+++ b/crates/kelpdoor-director/tests/desk.rs
@@ -503,3 +503,53 @@
         prop_assert_eq!(peers.bench.desk.counts().playing, 0);
     }
 }
+
+#[test]
+fn nothing_new_goes_to_a_node_that_the_agreed_list_lacks_drains_or_has_elsewhere() {
+    use kelpdoor_script::{AgreedNode, AgreedTitle};
+    let node =
+        |id: u32, cell: u16| AgreedNode { id, zone: "east".into(), kind: "box".into(), cell, drain: false };
+    // t0 lies on the nodes of cells 0, 1 and 2.
+    let (mut setups, mut titles) = (String::new(), std::collections::BTreeMap::new());
+    titles.insert("t0".to_owned(), AgreedTitle { name: "t0".into(), first_cell: 0, cells: 3 });
+    let off = [
+        ("all", vec![node(0, 0), node(1, 1), node(2, 2)]),
+        ("0 not listed", vec![node(1, 1), node(2, 2)]),
+        ("1 drained", vec![node(0, 0), AgreedNode { drain: true, ..node(1, 1) }, node(2, 2)]),
+        ("2 elsewhere", vec![node(0, 0), node(1, 1), node(2, 5)]),
+        ("none", Vec::new()),
+    ];
+    for (what, list) in off {
+        let mut other = book();
+        other.lists.nodes = Some(list.into_iter().map(|n| (n.id, n)).collect());
+        other.lists.titles = Some(titles.clone());
+        let mut bench = common::Bench::new(&book(), 1);
+        let up = bench.input(Input::Roster(common::roster()));
+        bench.connect(&up);
+        bench.input(Input::Rules { book: Box::new(other), label: "1/ab".into() });
+        let mut met = std::collections::BTreeSet::new();
+        let mut answered = 0;
+        for k in 0..24 {
+            let key = format!("{what}-{k}");
+            let mut effects = bench.start(1, &key, "any", "t0");
+            effects.extend(bench.wait(0.05));
+            let setups = common::requests(&effects).into_iter().filter(|r| r.2.method == Method::Setup);
+            met.extend(setups.map(|r| r.0));
+            answered += common::finals(&effects).len();
+            bench.input(Input::Player { sock: 1, message: FromPlayer::Stop { key: RequestKey(key) } });
+        }
+        if what == "none" {
+            let told = common::told(&bench.start(1, "k", "any", "t1"));
+            assert!(told[0].contains("unknown_title"), "listed by the feed alone: {told:?}");
+        }
+        setups += &format!("{what}: {met:?}, {} told at once\n", if answered > 0 { "some" } else { "none" });
+    }
+    expect_test::expect![[r#"
+        all: {0, 1, 2}, none told at once
+        0 not listed: {1, 2}, none told at once
+        1 drained: {0, 2}, none told at once
+        2 elsewhere: {0, 1}, none told at once
+        none: {}, some told at once
+    "#]]
+    .assert_eq(&setups);
+}
--- a/crates/kelpdoor-lab/src/agreed.rs
+++ b/crates/kelpdoor-lab/src/agreed.rs
@@ -42,6 +42,7 @@
     group: String,
     rung: u64,
     director: Option<u64>,
+    node: u32,
 }
 
 fn header<'a>(text: &'a str, name: &str) -> Option<&'a str> {
@@ -61,6 +62,7 @@
     let mut j = Judged::default();
     let mut setups: Vec<Setup> = Vec::new();
     let mut floors: BTreeMap<String, u8> = BTreeMap::new();
+    let mut without: BTreeMap<String, Vec<u32>> = BTreeMap::new();
     let mut proposed: BTreeMap<String, f64> = BTreeMap::new();
     let mut contents: BTreeMap<u64, String> = BTreeMap::new();
     let mut acknowledged: Vec<(u64, f64)> = Vec::new();
@@ -76,7 +78,8 @@
     for (k, line) in lines.iter().enumerate() {
         let (n, t) = (k + 1, line.t);
         match &line.what {
-            What::Proposed { digest, story_floor, .. } => {
+            What::Proposed { digest, story_floor, without: off, .. } => {
+                without.insert(digest.clone(), off.clone());
                 floors.insert(digest.clone(), *story_floor);
                 proposed.insert(digest.clone(), t);
             }
@@ -109,6 +112,7 @@
                     group: header(text, "Service-Group").unwrap_or("").to_owned(),
                     rung: header(text, "Rung").and_then(|r| r.parse().ok()).unwrap_or(0),
                     director: agents.get(&(*node, *conn)).copied(),
+                    node: *node,
                 });
             }
             What::Player { director, got: true, text, .. } if t > calm + ONE_WITHIN => {
@@ -172,6 +176,14 @@
         if s.group == "story" && s.rung < u64::from(floor) {
             j.broken.push((s.n, format!("rung {} under the floor {floor} of the versions it names", s.rung)));
         }
+        for (number, _) in
+            s.versions.iter().filter(|v| without.get(&v.1).is_some_and(|w| w.contains(&s.node)))
+        {
+            j.broken.push((
+                s.n,
+                format!("a SETUP at node {}, which version {number} drains or does not list", s.node),
+            ));
+        }
         if s.t > calm + ONE_WITHIN {
             j.calm_setups += 1;
             if s.versions.len() > 1 || first != newest {
--- a/crates/kelpdoor-lab/src/record.rs
+++ b/crates/kelpdoor-lab/src/record.rs
@@ -105,6 +105,9 @@
         digest: String,
         after: u64,
         story_floor: u8,
+        /// Nodes that it drains or does not list.
+        #[serde(default)]
+        without: Vec<u32>,
     },
     /// What the proposer was told.
     Outcome {
--- a/crates/kelpdoor-lab/src/voting.rs
+++ b/crates/kelpdoor-lab/src/voting.rs
@@ -17,6 +17,7 @@
 
 use crate::between::{Between, Site};
 use crate::daemon::Daemon;
+use crate::fleet::{builds, titles};
 use crate::record::{Recorder, What};
 use crate::trouble::Size;
 
@@ -217,9 +218,10 @@
         )
     }
 
-    /// Documents of a day differ in floors, seats, the cold pace, SETUPs a session and the list of directors, none laxer
+    /// Documents of a day differ in floors, seats, the cold pace, SETUPs a session, the list of directors and that of nodes, of
+    /// which one is off or drained at times; none laxer
     /// than the settings that the other rules are judged by.
-    fn document(&self, change: u32, voters: &[u32]) -> (String, u8) {
+    fn document(&self, change: u32, voters: &[u32]) -> (String, u8, Vec<u32>) {
         let floor = (change % 2) as u8;
         let mut text = self.shared.0.clone();
         text = text.replace(
@@ -233,6 +235,24 @@
         if change % 5 == 4 {
             names.push("\"spare\"".to_owned());
         }
+        let (without, listed) = match change % 4 {
+            2 => (vec![change % self.size.nodes], false),
+            3 => (vec![change % self.size.nodes], true),
+            _ => (Vec::new(), true),
+        };
+        for b in builds(&self.size, &mut Rng::with_seed(0)) {
+            let drain = match (without.contains(&b.id), listed) {
+                (true, false) => continue,
+                (true, true) => ", drain = True",
+                (false, _) => "",
+            };
+            let (id, zone, kind, cell) = (b.id, b.zone, b.kind, b.cell);
+            text += &format!("\nnode({id}, zone = {zone:?}, kind = {kind:?}, cell = {cell}{drain})");
+        }
+        for t in titles(&self.size) {
+            let (name, first, cells) = (t.name, t.first_cell, t.cells);
+            text += &format!("\ntitle({name:?}, first_cell = {first}, cells = {cells})");
+        }
         // Each process is told otherwise: it goes by its relays.
         let at: Vec<String> = voters.iter().map(|v| format!("\"{v}\": \"127.0.0.1:{}\"", 1 + v)).collect();
         text += &format!("\nvoters(at = {{{}}})", at.join(", "));
@@ -242,7 +262,7 @@
             names.join(", "),
             self.size.contradiction,
         );
-        (text, floor)
+        (text, floor, without)
     }
 }
 
@@ -265,7 +285,7 @@
     }
 
     async fn propose_list(&mut self, change: u32, through: u32, voters: &[u32]) -> Result<String> {
-        let (text, floor) = self.plan.document(change, voters);
+        let (text, floor, without) = self.plan.document(change, voters);
         let sum = digest(&SHA256, text.as_bytes());
         let digest: String = sum.as_ref()[..8].iter().map(|b| format!("{b:02x}")).collect();
         let file = self.plan.dir.join(format!("document-{change}.star"));
@@ -282,7 +302,8 @@
         ]);
         command.arg(&config).kill_on_drop(true);
         let after = self.newest;
-        self.recorder.put(What::Proposed { change, digest: digest.clone(), after, story_floor: floor });
+        let digest_of = digest.clone();
+        self.recorder.put(What::Proposed { change, digest: digest_of, after, story_floor: floor, without });
         let out = match timeout(Duration::from_secs(30), command.output()).await {
             Err(_) => return Ok("no answer".to_owned()),
             Ok(out) => out?,
--- a/crates/kelpdoor-lab/tests/agreement.rs
+++ b/crates/kelpdoor-lab/tests/agreement.rs
@@ -53,7 +53,10 @@
 }
 
 fn proposed(t: f64, digest: &str, story_floor: u8) -> Line {
-    Line { t, what: What::Proposed { change: 0, digest: digest.into(), after: 0, story_floor } }
+    Line {
+        t,
+        what: What::Proposed { change: 0, digest: digest.into(), after: 0, story_floor, without: Vec::new() },
+    }
 }
 
 fn outcome(t: f64, said: &str) -> Line {
@@ -110,6 +113,12 @@
     let laxer =
         [proposed(0.0, "aa", 0), proposed(0.0, "bb", 1), setup(0.1, "2/bb beside 1/aa", 0), calm(1.0)];
     assert_eq!(broken(&laxer), ["rung 0 under the floor 1 of the versions it names"]);
+    let mut drains = proposed(0.0, "bb", 0);
+    if let What::Proposed { without, .. } = &mut drains.what {
+        *without = vec![1];
+    }
+    let drained = [drains, setup(0.1, "2/bb beside 1/aa", 0), calm(1.0)];
+    assert_eq!(broken(&drained), ["a SETUP at node 1, which version 2 drains or does not list"]);
     let apart = [
         setup(0.0, "1/aa", 0),
         setup(0.1, "2/bb beside 1/aa", 0),
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -365,6 +365,36 @@
     pub contradiction: f64,
 }
 
+/// A node that all directors may use, as the agreed list has it. The feed tells where it is and whether it is up.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgreedNode {
+    #[serde(rename = "name")]
+    pub id: u32,
+    pub zone: String,
+    pub kind: String,
+    pub cell: u16,
+    /// Nothing new goes to it.
+    #[serde(default)]
+    pub drain: bool,
+}
+
+/// Where a title lies, as the agreed list has it: so many cells in a row.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgreedTitle {
+    pub name: String,
+    pub first_cell: u16,
+    pub cells: u16,
+}
+
+/// Nodes and titles on which directors agree; where one is `None`, the feed alone has them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Lists {
+    pub nodes: Option<BTreeMap<u32, AgreedNode>>,
+    pub titles: Option<BTreeMap<String, AgreedTitle>>,
+}
+
 /// Rules that directors agree on, as one document.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Shared {
@@ -374,6 +404,7 @@
     pub further: Option<Further>,
     pub directors: Directors,
     pub voters: Voters,
+    pub lists: Lists,
     pub tokens: Option<Tokens>,
     pub keeper: Option<Keeper>,
 }
@@ -401,6 +432,9 @@
     pub keeper: Option<Keeper>,
     /// Of a keeper in this process.
     pub schools: Vec<School>,
+    /// Where rules are agreed.
+    #[serde(default)]
+    pub lists: Lists,
 }
 
 fn a_day() -> f64 {
@@ -525,6 +559,44 @@
     }
 }
 
+impl Reader<'_> {
+    /// Nodes and titles of a document.
+    fn lists(&mut self) -> Lists {
+        let fleet = self.calls.iter().find(|c| c.word == "fleet").and_then(|c| c.to::<Fleet>(self.file).ok());
+        // Without one, that is the fault.
+        let Some(fleet) = fleet else { return Lists::default() };
+        let mut lists = Lists::default();
+        for call in self.calls.iter().filter(|c| c.word == "node") {
+            match call.to::<AgreedNode>(self.file) {
+                Err(fault) => self.faults.push(fault),
+                Ok(n) => {
+                    self.check(call, fleet.zones.contains(&n.zone), "the zone is none of the fleet's");
+                    self.check(call, fleet.kinds.contains_key(&n.kind), "the kind is none of the fleet's");
+                    self.check(call, n.cell < fleet.cells, "the fleet has fewer cells");
+                    let nodes = lists.nodes.get_or_insert_default();
+                    let taken = nodes.insert(n.id, n).is_some();
+                    self.check(call, !taken, "the number is taken");
+                }
+            }
+        }
+        for call in self.calls.iter().filter(|c| c.word == "title") {
+            match call.to::<AgreedTitle>(self.file) {
+                Err(fault) => self.faults.push(fault),
+                Ok(t) => {
+                    let plain = |b: u8| b.is_ascii_alphanumeric() || b"._~-".contains(&b);
+                    let good = (1..=128).contains(&t.name.len()) && t.name.bytes().all(plain);
+                    self.check(call, good, "a name of 1 to 128 letters, digits and . _ ~ -");
+                    let lies = t.first_cell < fleet.cells && (1..=fleet.cells).contains(&t.cells);
+                    self.check(call, lies, "cells that the fleet has, one at least");
+                    let taken = lists.titles.get_or_insert_default().insert(t.name.clone(), t).is_some();
+                    self.check(call, !taken, "the name is taken");
+                }
+            }
+        }
+        lists
+    }
+}
+
 impl KeeperBook {
     /// Reads the settings of a keeper's own process.
     ///
@@ -707,6 +779,7 @@
             r.check(call, matches!(v.at.len(), 3 | 5), "three or five voters");
             r.check(call, distinct(&v.at), "an address stands twice");
         }
+        let lists = r.lists();
         if let Some(call) = calls.iter().find(|c| c.word == "keeper") {
             // One in each director's process would count each school's seats several times.
             r.check(
@@ -727,14 +800,17 @@
         let roster = own("roster", serde_json::json!({ "address": stand_in }));
         let (Some((directors, _)), Some((voters, _))) = (directors, voters) else { return Err(r.faults) };
         let mut faults = r.faults;
-        let mut all: Vec<Call> =
-            calls.iter().filter(|c| !["directors", "voters"].contains(&c.word.as_str())).cloned().collect();
+        let mut all: Vec<Call> = calls
+            .iter()
+            .filter(|c| !["directors", "voters", "node", "title"].contains(&c.word.as_str()))
+            .cloned()
+            .collect();
         let doc = all.clone();
         all.extend([completed(&director, &directors, 0), roster]);
         match Deployment::from_calls(file, &all) {
             Ok(d) if faults.is_empty() => {
                 let Deployment { ladder, groups, fleet, further, tokens, keeper, .. } = d;
-                Ok((Shared { ladder, groups, fleet, further, directors, voters, tokens, keeper }, doc))
+                Ok((Shared { ladder, groups, fleet, further, directors, voters, lists, tokens, keeper }, doc))
             }
             Ok(_) => Err(faults),
             Err(more) => {
@@ -878,6 +954,7 @@
                     tokens: tokens.map(|t| t.0),
                     keeper,
                     schools,
+                    lists: Lists::default(),
                 })
             }
             _ => Err(r.faults),
--- a/crates/kelpdoor-script/src/lib.rs
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -7,8 +7,9 @@
 mod run;
 
 pub use deployment::{
-    Agreement, Deployment, Director, Directors, Fleet, Further, Group, Keeper, KeeperBook, Ladder, NodeLinks,
-    Own, Players, RepeatWord, Roster, School, Shared, Tokens, Voter, Voters,
+    AgreedNode, AgreedTitle, Agreement, Deployment, Director, Directors, Fleet, Further, Group, Keeper,
+    KeeperBook, Ladder, Lists, NodeLinks, Own, Players, RepeatWord, Roster, School, Shared, Tokens, Voter,
+    Voters,
 };
 pub use run::{Call, Fault, Place, read, run};
 
@@ -29,7 +30,7 @@
 
 /// Words of a document that directors agree on.
 pub const SHARED: &[&str] =
-    &["ladder", "group", "fleet", "further", "directors", "voters", "tokens", "keeper"];
+    &["ladder", "group", "fleet", "further", "directors", "voters", "node", "title", "tokens", "keeper"];
 
 /// Words of a director's own settings, where the rest is agreed.
 pub const OWN: &[&str] = &["director", "roster", "players", "node_links", "agreement"];
--- a/crates/kelpdoor-script/src/run.rs
+++ b/crates/kelpdoor-script/src/run.rs
@@ -111,7 +111,7 @@
     };
 }
 
-words!(ladder group fleet director further roster players node_links tokens keeper school directors agreement voter voters
+words!(ladder group fleet director further roster players node_links tokens keeper school directors agreement voter voters node title
     day crash vanish slow neighbour rack_sag ageing deploy discovery_stale report_late balancer_roll
     balancer_stall zone_loss hot_key preempt drain keeper_roll keeper_stall new_key cut late
     trickle line_reset voter_roll voter_stall voter_disk voter_full propose voter_list);
