Test what a lost store waits for, and that who is off the list neither counts nor votes

Cause: three changes made on purpose stayed green: a promise counted from off the list, a vote given there, a lost store that did not wait for what is pending. Each is red now.

--- a/crates/kelpdoor-agreement/tests/table.rs
+++ b/crates/kelpdoor-agreement/tests/table.rs
@@ -299,6 +299,47 @@
     assert_eq!(say(0.6, 2, None), 0.5 + 0.99);
 }
 
+#[test]
+fn who_lost_its_store_waits_until_nothing_is_pending_at_those_it_hears() {
+    let mut v = and_one_to_join();
+    // 0, 1 and 2 accept version 2; 2 alone learns that it is chosen, and may have gone on with 3 by the list it has.
+    list(&mut v, 0, 1, 8, "1 2 3");
+    pump(&mut v, 1.0, |_, to, w| matches!(w, Word::Accepted { .. }) && to != 2);
+    assert!(v[..3].iter().all(|v| v.durable().accepted.is_some()));
+    v[2] = Voter::new(VoterId(2), Durable::lost("f"), READING, 9, 2.0);
+    v[2].tick(2.0);
+    pump(&mut v, 2.0, |_, _, _| false);
+    assert_eq!((v[2].durable().newest(), v[2].durable().votes_from), (1, None));
+    // Once it is finished, those who decide after it are heard, and version 3 is left to them.
+    for k in 0..6 {
+        let now = 3.0 + f64::from(k) * 0.5;
+        v.iter_mut().for_each(|v| v.tick(now));
+        pump(&mut v, now, |_, _, _| false);
+    }
+    assert_eq!((v[2].durable().newest(), v[2].durable().votes_from), (2, Some(4)));
+}
+
+#[test]
+fn who_is_not_on_the_list_neither_counts_nor_votes() {
+    let mut v = and_one_to_join();
+    list(&mut v, 0, 1, 8, "0 1 2");
+    let out = v[0].take_out().1;
+    let Some(Out::To(_, Word::Prepare { number, ballot })) = out.first() else { panic!("{out:?}") };
+    let (number, ballot) = (*number, *ballot);
+    v[0].hear(1.0, VoterId(3), Word::Promise { number, ballot, accepted: None });
+    assert_eq!(v[0].take_out().1, [], "no majority with 3");
+    v[0].hear(1.0, VoterId(1), Word::Promise { number, ballot, accepted: None });
+    assert!(matches!(v[0].take_out().1[..], [Out::To(_, Word::Accept { .. }), Out::To(..)]));
+    v[0].hear(1.0, VoterId(3), Word::Accepted { number, ballot });
+    assert_eq!(v[0].durable().newest(), 1);
+    // It could vote for version 3 if it were named.
+    v[3].hear(1.0, VoterId(0), Word::Learn { number: 2, id: 8, text: "text 8 by 0 1 2".into() });
+    v[3].take_out();
+    assert!(v[3].durable().votes() && !v[3].listed());
+    v[3].hear(1.0, VoterId(0), Word::Prepare { number: 3, ballot });
+    assert_eq!(v[3].take_out().1, [], "3 promises nothing");
+}
+
 #[test]
 fn a_name_has_one_director_at_a_time() {
     let mut v = voters();
