--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -415,6 +415,8 @@
     file: String,
     calls: Vec<Call>,
     pub agreement: Agreement,
+    /// Of a voter in this process.
+    pub voter: Option<Voter>,
 }
 
 /// All settings of one director.
@@ -722,9 +724,19 @@
                 r.faults.push(Fault { file: file.clone(), at: Place::default(), what });
             }
         }
-        let faults = r.faults;
+        let mut faults = r.faults;
+        let voter = Voter::from_calls(&file, &calls).unwrap_or_else(|more| {
+            faults.extend(more);
+            None
+        });
+        if let (Some((a, _)), Some(v)) = (&agreement, &voter)
+            && a.fleet != v.fleet
+        {
+            let what = format!("voter: its fleet is {:?}, the director's is {:?}", v.fleet, a.fleet);
+            faults.push(Fault { file: file.clone(), at: Place::default(), what });
+        }
         match agreement.map(|a| a.0) {
-            Some(agreement) if faults.is_empty() => Ok(Some(Own { file, calls, agreement })),
+            Some(agreement) if faults.is_empty() => Ok(Some(Own { file, calls, agreement, voter })),
             _ => Err(faults),
         }
     }
@@ -739,7 +751,7 @@
         let d = &shared.directors;
         let place = d.names.iter().position(|n| *n == self.agreement.name);
         let me = place.unwrap_or(d.names.len() - 1) as u32;
-        let own = self.calls.iter().filter(|c| c.word != "agreement");
+        let own = self.calls.iter().filter(|c| !["agreement", "voter"].contains(&c.word.as_str()));
         let own = own.map(|c| if c.word == "director" { completed(c, d, me) } else { c.clone() });
         let all: Vec<Call> = doc.into_iter().chain(own).collect();
         Ok((Deployment::from_calls(&self.file, &all)?, shared, place.is_some()))
--- a/crates/kelpdoor-script/src/lib.rs
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -33,7 +33,7 @@
     &["ladder", "group", "fleet", "further", "directors", "voters", "node", "title", "tokens", "keeper"];
 
 /// Words of a director's own settings, where the rest is agreed.
-pub const OWN: &[&str] = &["director", "roster", "players", "node_links", "agreement"];
+pub const OWN: &[&str] = &["director", "roster", "players", "node_links", "agreement", "voter"];
 
 /// Both kinds of a director's settings.
 pub const OWN_OR_WHOLE: &[&str] = &[
@@ -49,6 +49,7 @@
     "keeper",
     "school",
     "agreement",
+    "voter",
 ];
 
 /// Words of a keeper's settings.
--- a/crates/kelpdoord/src/lib.rs
+++ b/crates/kelpdoord/src/lib.rs
@@ -14,7 +14,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use kelpdoor_agreement::VoterId;
 use kelpdoor_director::{Following, ServeOptions, journal, keeper_options, serve};
-use kelpdoor_keeper::{Ask, Tell, VoterOptions, start_voter};
+use kelpdoor_keeper::{Ask, RunningVoter, Tell, VoterOptions, start_voter};
 use kelpdoor_platform::{Start, StartFault};
 use kelpdoor_script::{Deployment, Fault, KEEPER, KeeperBook, Own, Voter};
 use kelpdoor_tokens::KeySet;
@@ -69,6 +69,9 @@
         /// End at once when standard input closes, for whoever starts directors and may die before them.
         #[arg(long)]
         stay_with_stdin: bool,
+        /// The fleet is founded now: once for each voter, which has no store yet; of a voter in this process.
+        #[arg(long)]
+        found: bool,
         /// Threads for sockets and decisions.
         #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=64))]
         threads: u16,
@@ -180,8 +183,8 @@
     }
 }
 
-async fn vote(voter: Voter, found: bool) -> Result<()> {
-    let mut ends = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
+/// Starts a voter, and says where it listens.
+async fn vote_at(voter: Voter, found: bool) -> Result<RunningVoter> {
     let listen = voter.listen.or(voter.voters.get(&voter.me).copied()).context("voter: listen is missing")?;
     let options = VoterOptions {
         me: VoterId(voter.me),
@@ -193,7 +196,12 @@
         found,
         clock_rate: voter.clock_rate,
     };
-    let mut running = start_voter(options).await.with_context(|| format!("the voter on {listen}"))?;
+    start_voter(options).await.with_context(|| format!("the voter on {listen}"))
+}
+
+async fn vote(voter: Voter, found: bool) -> Result<()> {
+    let mut ends = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
+    let mut running = vote_at(voter, found).await?;
     println!("kelpdoord voter listening on {}", running.address);
     std::io::stdout().flush()?;
     let [term, int] = &mut ends;
@@ -279,26 +287,37 @@
 /// A director's settings: all of its own, or its own part where the rest is agreed.
 enum Mine {
     Whole(Box<Deployment>),
-    Agreed(Own),
+    Agreed(Box<Own>),
 }
 
 fn mine(path: &Path) -> Result<Mine> {
     match Own::read(path).map_err(told)? {
-        Some(own) => Ok(Mine::Agreed(own)),
+        Some(own) => Ok(Mine::Agreed(Box::new(own))),
         None => Ok(Mine::Whole(Box::new(settings(path)?))),
     }
 }
 
-async fn run(mine: Mine, journal: Option<PathBuf>) -> Result<()> {
+async fn run(mine: Mine, journal: Option<PathBuf>, found: bool) -> Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
+    let mut voter = None;
     let (deployment, agreed) = match mine {
+        Mine::Whole(_) if found => bail!("--found is for a process with a voter(..) in its settings"),
         Mine::Whole(deployment) => (*deployment, None),
         Mine::Agreed(own) => {
             let name = own.agreement.name.clone();
+            match own.voter.clone() {
+                Some(v) => {
+                    let running = vote_at(v, found).await?;
+                    tracing::info!(address = %running.address, "a voter in this process");
+                    voter = Some(running);
+                }
+                None if found => bail!("--found is for a process with a voter(..) in its settings"),
+                None => {}
+            }
             tracing::info!(name, "asking the voters for the rules");
             let started = tokio::select! {
-                started = Following::start(own) => started?,
+                started = Following::start(*own) => started?,
                 _ = term.recv() => return Ok(()),
                 _ = int.recv() => return Ok(()),
             };
@@ -317,9 +336,21 @@
             _ = int.recv() => {}
         }
     };
-    tokio::select! {
-        () = signal() => {}
-        ended = running.ended() => bail!("the director ended by itself: {ended:?}"),
+    // A voter that cannot write ends, and says so; the director goes on by the others.
+    let mut voted = async || match &mut voter {
+        Some(v) => v.ended().await,
+        None => std::future::pending().await,
+    };
+    let mut by_itself = false;
+    loop {
+        tokio::select! {
+            () = signal() => break,
+            ended = running.ended() => bail!("the director ended by itself: {ended:?}"),
+            ended = voted(), if !by_itself => {
+                tracing::error!(?ended, "the voter in this process ended; the director goes on");
+                by_itself = true;
+            }
+        }
     }
     let counts = running.counts();
     tracing::info!(
@@ -335,19 +366,23 @@
         }
         () = signal() => bail!("ended at once by a second signal"),
     }
+    if let Some(mut voter) = voter.filter(|_| !by_itself) {
+        voter.shut_down().await;
+        voter.ended().await.map_err(|e| anyhow::anyhow!("the voter did not end well: {e}"))?;
+    }
     Ok(())
 }
 
 fn act(arguments: Arguments) -> Result<()> {
     match arguments.what {
-        What::Serve { config, log, log_filter, journal, stay_with_stdin: stay, threads } => {
+        What::Serve { config, log, log_filter, journal, stay_with_stdin: stay, found, threads } => {
             let mine = mine(&config)?;
             logs(log, &log_filter)?;
             if stay {
                 stay_with_stdin();
             }
             let mut runtime = tokio::runtime::Builder::new_multi_thread();
-            runtime.worker_threads(threads.into()).enable_all().build()?.block_on(run(mine, journal))
+            runtime.worker_threads(threads.into()).enable_all().build()?.block_on(run(mine, journal, found))
         }
         What::Check { document: Some(file), json, .. } => {
             let shared = agreed::document(&file)?.1;
