Keep a change of rung back in the outbox when the lease is over

Cause: the outbox looked at the lease for SETUPs alone (shell.rs, link's writer); a change of rung decided before a pause left after it, when floors may have changed. It stands apart now like a SETUP, and one that did not leave in time is not in force: the player hears the rung that its node knows. Where two changes are out and the first is refused or kept back, the second goes from the rung before the first (desk.rs, rung_refused): it would have put a session back to a rung that its node never had.

Tested on the desk; interleavings of the desk with a slow outbox as before.

--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -165,7 +165,7 @@
                 self.director.go_by(&h.book.terms());
             }
             Input::Lease { until } => h.lease = Some(until),
-            Input::Unsent { node, link, pipe } => h.unsent(node, link, pipe),
+            Input::Unsent { node, link, name } => h.unsent(node, link, name),
             Input::ShutDown => h.closing = true,
         }
     }
@@ -386,16 +386,24 @@
     }
 
     /// The lease was over when the turn of a SETUP came: neither it nor its PLAY is answered, whatever became of the session.
+    /// Or that of a change of rung: the session stays at the rung that its node knows.
     fn unsent(&mut self, node: u32, number: u64, of: u64) {
         let Some(link) = self.links.get_mut(&node).filter(|l| l.number == number) else { return };
-        let mut id = None;
+        let (mut id, mut kept) = (None, None);
         link.out.retain(|_, asked| match asked {
+            Asked::Rung { sess, rung, was, name } if *name == of => {
+                kept = Some((*sess, *rung, *was));
+                false
+            }
             Asked::Setup { pipe, sess } | Asked::Play { pipe, sess } if *pipe == of => {
                 id = Some(*sess);
                 false
             }
             _ => true,
         });
+        if let Some((sess, rung, was)) = kept {
+            return self.rung_refused(node, sess, rung, was);
+        }
         let Some(id) = id.filter(|id| self.current(*id, of).is_some()) else { return };
         if let Some(a) = self.sess.get_mut(&id).and_then(|s| s.attempt.as_mut()) {
             a.sent = false;
@@ -512,7 +520,7 @@
             Some(Effect::Node { node: n, link: l, bytes: before }) if (*n, *l) == (node, link) => {
                 return before.append(&mut bytes);
             }
-            Some(Effect::Setup { bytes: before, .. }) if matches!(method, Method::Setup | Method::Play) => {
+            Some(Effect::Leased { bytes: before, .. }) if before.is_empty() || method == Method::Play => {
                 return before.append(&mut bytes);
             }
             _ => {}
@@ -643,7 +651,7 @@
         if self.lease.is_some() {
             setup.push((names::RULES, label));
             // A mark that nothing joins: what follows stands apart from what went before.
-            self.effects.push(Effect::Setup { node, link: of_link, pipe, bytes: Vec::new() });
+            self.effects.push(Effect::Leased { node, link: of_link, name: pipe, bytes: Vec::new() });
         }
         self.request(node, Asked::Setup { sess: id, pipe }, Method::Setup, &uri, &setup);
         self.request(node, Asked::Play { sess: id, pipe }, Method::Play, &uri, &setup[..1]);
@@ -752,17 +760,25 @@
                 }
                 self.plays(sess, r.headers.get(names::ASKED).map(AskedOf::read));
             }
-            Asked::Rung { sess, rung, was } => {
+            Asked::Rung { sess, rung, was, .. } => {
                 if !r.ok() {
-                    self.rung_refused(sess, rung, was);
+                    self.rung_refused(node, sess, rung, was);
                 }
             }
             Asked::Teardown { sess } => self.torn_down(sess, node, load),
         }
     }
 
-    /// The node keeps a session at the rung it had; only the last change counts.
-    fn rung_refused(&mut self, id: u64, rung: u8, was: u8) {
+    /// The node keeps a session at the rung it had; only the last change counts, and one that is out goes from there.
+    fn rung_refused(&mut self, node: u32, id: u64, rung: u8, was: u8) {
+        for asked in self.links.get_mut(&node).into_iter().flat_map(|l| l.out.values_mut()) {
+            if let Asked::Rung { sess, was: from, .. } = asked
+                && *sess == id
+                && *from == rung
+            {
+                *from = was;
+            }
+        }
         let Some(s) = self.sess.get_mut(&id).filter(|s| s.stage == Stage::Playing && s.rung == rung) else {
             return;
         };
@@ -1156,7 +1172,14 @@
         let Some(rtsp) = a.rtsp else { return };
         let uri = self.uri(a.node, "");
         let with = [(names::SESSION, rtsp), (names::RUNG, rung.to_string())];
-        self.request(a.node, Asked::Rung { sess: sess.0, rung, was }, Method::SetParameter, &uri, &with);
+        self.next_pipe += 1;
+        let name = self.next_pipe;
+        let link = self.links.get(&a.node).filter(|l| l.line == Line::Up).map(|l| l.number);
+        if let Some(link) = link.filter(|_| self.lease.is_some()) {
+            self.effects.push(Effect::Leased { node: a.node, link, name, bytes: Vec::new() });
+        }
+        let asked = Asked::Rung { sess: sess.0, rung, was, name };
+        self.request(a.node, asked, Method::SetParameter, &uri, &with);
         self.say(sock, ToPlayer::Rung { key, rung });
     }
 
--- a/crates/kelpdoor-director/src/effect.rs
+++ b/crates/kelpdoor-director/src/effect.rs
@@ -71,11 +71,11 @@
     Lease {
         until: f64,
     },
-    /// A SETUP did not leave: the lease was over when its turn came.
+    /// A SETUP or a change of rung did not leave: the lease was over when its turn came.
     Unsent {
         node: u32,
         link: u64,
-        pipe: u64,
+        name: u64,
     },
     /// No new sessions from now on; what is owed is answered.
     ShutDown,
@@ -101,12 +101,13 @@
         #[serde(with = "bytes_text")]
         bytes: Vec<u8>,
     },
-    /// A SETUP, its PLAY behind it, of a director that acts under a lease: it leaves while that lasts, or not at all.
-    Setup {
+    /// A SETUP with its PLAY behind it, or a change of rung, of a director that acts under a lease: it leaves while that
+    /// lasts, or not at all.
+    Leased {
         node: u32,
         link: u64,
-        /// Its name on the wire.
-        pipe: u64,
+        /// Of a SETUP the one on the wire.
+        name: u64,
         #[serde(with = "bytes_text")]
         bytes: Vec<u8>,
     },
--- a/crates/kelpdoor-director/src/link.rs
+++ b/crates/kelpdoor-director/src/link.rs
@@ -20,6 +20,8 @@
         sess: u64,
         rung: u8,
         was: u8,
+        /// Of those that went out under a lease, what the outbox gives back.
+        name: u64,
     },
     Teardown {
         sess: u64,
--- a/crates/kelpdoor-director/src/shell.rs
+++ b/crates/kelpdoor-director/src/shell.rs
@@ -106,7 +106,7 @@
     }
 }
 
-/// Bytes for a node; what may leave only under a lease has its end, and the name of its SETUP.
+/// Bytes for a node; what may leave only under a lease has its end, and its name.
 struct ToNode {
     bytes: Vec<u8>,
     leased: Option<(f64, u64)>,
@@ -393,9 +393,9 @@
                 Effect::Node { node, link, bytes } => {
                     self.tell_node(node, link, ToNode { bytes, leased: None });
                 }
-                Effect::Setup { node, link, pipe, bytes } => {
+                Effect::Leased { node, link, name, bytes } => {
                     let until = self.agreed.as_ref().map_or(f64::INFINITY, |a| a.lease);
-                    self.tell_node(node, link, ToNode { bytes, leased: Some((until, pipe)) });
+                    self.tell_node(node, link, ToNode { bytes, leased: Some((until, name)) });
                 }
                 Effect::HangUp { node, link } => self.hang_up(node, link),
                 Effect::AskRoster(ask) => {
@@ -576,10 +576,10 @@
     let writer = async {
         while let Some(ToNode { bytes, leased }) = from.recv().await {
             let over = |until: f64| steady.is_some_and(|s| s.now() >= until);
-            if let Some((_, pipe)) = leased.filter(|l| over(l.0)) {
+            if let Some((_, name)) = leased.filter(|l| over(l.0)) {
                 // We stood still, or it lay behind what the node did not read.
                 queued.fetch_sub(bytes.len(), Ordering::Relaxed);
-                let _ = to.send((Instant::now(), Input::Unsent { node, link, pipe })).await;
+                let _ = to.send((Instant::now(), Input::Unsent { node, link, name })).await;
                 continue;
             }
             if let Err(e) = write.write_all(&bytes).await {
--- a/crates/kelpdoor-director/tests/common/mod.rs
+++ b/crates/kelpdoor-director/tests/common/mod.rs
@@ -136,7 +136,9 @@
 pub fn requests(effects: &[Effect]) -> Vec<(u32, u64, Request)> {
     let mut all = Vec::new();
     for effect in effects {
-        let Effect::Node { node, link, bytes } = effect else { continue };
+        let (Effect::Node { node, link, bytes } | Effect::Leased { node, link, bytes, .. }) = effect else {
+            continue;
+        };
         let mut rest = &bytes[..];
         while let Ok(Some((message, len))) = kelpdoor_rtsp::parse(rest) {
             rest = &rest[len..];
--- a/crates/kelpdoor-director/tests/desk.rs
+++ b/crates/kelpdoor-director/tests/desk.rs
@@ -174,8 +174,8 @@
         let mut unsent = Vec::new();
         for effect in effects {
             match effect {
-                Effect::Setup { node, link, pipe, .. } if self.slow => unsent.push((node, link, pipe)),
-                Effect::Setup { node, link, bytes, .. } => {
+                Effect::Leased { node, link, name: pipe, .. } if self.slow => unsent.push((node, link, pipe)),
+                Effect::Leased { node, link, bytes, .. } => {
                     assert!(self.lease.is_some_and(|until| now < until), "a SETUP without a lease");
                     let mut rest = &bytes[..];
                     while let Ok(Some((message, len))) = kelpdoor_rtsp::parse(rest) {
@@ -215,7 +215,7 @@
             }
         }
         for (node, link, pipe) in unsent {
-            self.input(Input::Unsent { node, link, pipe });
+            self.input(Input::Unsent { node, link, name: pipe });
         }
     }
 
--- a/crates/kelpdoor-director/tests/story.rs
+++ b/crates/kelpdoor-director/tests/story.rs
@@ -436,7 +436,7 @@
         let until = bench.now + seconds;
         bench.input(Input::Lease { until })
     };
-    let setups = |effects: &[Effect]| effects.iter().filter(|e| matches!(e, Effect::Setup { .. })).count();
+    let setups = |effects: &[Effect]| effects.iter().filter(|e| matches!(e, Effect::Leased { .. })).count();
     let answers = |effects: &[Effect]| -> Vec<String> {
         let of = |e: &Effect| match e {
             Effect::Player { message, .. } if message.is_final() => Some(message.text()),
@@ -460,13 +460,13 @@
     // One that an outbox gave back is answered as well, and its link does not wait for what never left.
     lease(&mut bench, 1.0);
     let effects = bench.start(1, "key-00004", "any", "t0");
-    let sent = |effects: &[Effect]| match effects.iter().find(|e| matches!(e, Effect::Setup { .. })) {
-        Some(Effect::Setup { node, link, pipe, .. }) => (*node, *link, *pipe),
+    let sent = |effects: &[Effect]| match effects.iter().find(|e| matches!(e, Effect::Leased { .. })) {
+        Some(Effect::Leased { node, link, name: pipe, .. }) => (*node, *link, *pipe),
         _ => panic!("a SETUP goes out: {effects:?}"),
     };
     let (node, link, pipe) = sent(&effects);
     let out = bench.desk.counts().requests_out;
-    let effects = bench.input(Input::Unsent { node, link, pipe });
+    let effects = bench.input(Input::Unsent { node, link, name: pipe });
     assert_eq!(answers(&effects), [busy("key-00004")]);
     assert_eq!(bench.desk.counts().requests_out, out - 2);
     // Nor if its viewer has stopped it meanwhile, when its end alone is still waited for.
@@ -474,7 +474,39 @@
     let effects = bench.start(1, "key-00005", "any", "t0");
     let (node, link, pipe) = sent(&effects);
     bench.input(Input::Player { sock: 1, message: FromPlayer::Stop { key: RequestKey("key-00005".into()) } });
-    let effects = bench.input(Input::Unsent { node, link, pipe });
+    let effects = bench.input(Input::Unsent { node, link, name: pipe });
     assert_eq!(answers(&effects), [""; 0]);
     assert_eq!(bench.desk.counts().requests_out, out + 1, "its TEARDOWN");
 }
+
+#[test]
+fn a_change_of_rung_that_did_not_leave_in_time_is_not_in_force() {
+    let mut bench = up(1);
+    bench.input(Input::Rules { book: Box::new(book()), label: "4/ab".into() });
+    bench.input(Input::Lease { until: bench.now + 100.0 });
+    let effects = bench.start(1, "key-00001", "any", "t0");
+    let (node, link, setup, play) = asked(&effects);
+    bench.says(node, link, ok(&setup).with(names::SESSION, "s1"));
+    bench.says(node, link, ok(&play).with(names::ASKED, "link=0.21"));
+    let effects = bench.wait(2.0);
+    // It stands apart from what goes out anyway, so that the outbox can keep it back alone.
+    let leased: Vec<(u32, u64, u64)> = effects
+        .iter()
+        .filter_map(|e| match e {
+            Effect::Leased { node, link, name, bytes } => {
+                assert!(bytes.starts_with(b"SET_PARAMETER "), "{}", String::from_utf8_lossy(bytes));
+                Some((*node, *link, *name))
+            }
+            _ => None,
+        })
+        .collect();
+    let [(node, link, name)] = leased[..] else { panic!("one rise: {effects:?}") };
+    let out = bench.desk.counts().requests_out;
+    trace(
+        &bench.input(Input::Unsent { node, link, name }),
+        expect![[r#"1 < {"key":"key-00001","rung":1,"type":"rung"}"#]],
+    );
+    assert_eq!(bench.desk.counts().requests_out, out - 1, "nothing is waited for");
+    // Given back twice, or by an older link: nothing.
+    assert!(bench.input(Input::Unsent { node, link, name }).is_empty());
+}
