--- a/crates/kelpdoor-agreement/tests/simulated.rs
+++ b/crates/kelpdoor-agreement/tests/simulated.rs
@@ -85,6 +85,11 @@
     alone: BTreeMap<u64, f64>,
     switched: BTreeMap<u64, f64>,
     worst: (f64, f64),
+    /// What each director would act on that polls a file four times a lease where voter 0 is, and when it looks again; when
+    /// each version was first acted on so; the longest contradiction of that.
+    polled: Vec<(u64, f64)>,
+    polled_first: BTreeMap<u64, f64>,
+    polled_worst: f64,
     wrong: Vec<String>,
     acted: u64,
     lost_disks: usize,
@@ -122,6 +127,9 @@
             alone: BTreeMap::new(),
             switched: BTreeMap::new(),
             worst: (0.0, 0.0),
+            polled: vec![(0, 0.0); directors],
+            polled_first: BTreeMap::new(),
+            polled_worst: 0.0,
             wrong: Vec::new(),
             acted: 0,
             lost_disks: 0,
@@ -279,6 +287,25 @@
         self.sites[site].paused_until > self.t
     }
 
+    /// The plain baseline: a director that polls a file and goes by what it read last, whatever becomes of the file's server.
+    fn poll(&mut self, f: usize) {
+        let (site, t) = (self.voters.len() + f, self.t);
+        if self.paused(site) {
+            return;
+        }
+        let cut = |from, to| self.cuts.get(&(from, to)).is_some_and(|until| *until > t);
+        if t >= self.polled[f].1 && !self.paused(0) && !cut(site, 0) && !cut(0, site) {
+            self.polled[f] =
+                (self.voters[0].durable().newest().max(self.polled[f].0), t + 0.25 * lease_of(CONTRADICTION));
+        }
+        let acts = self.polled[f].0;
+        if acts > 0 {
+            self.polled_first.entry(acts).or_insert(t);
+            let since = self.polled_first.range(acts + 1..).map(|(_, at)| t - at).fold(0.0, f64::max);
+            self.polled_worst = self.polled_worst.max(since);
+        }
+    }
+
     /// What a director does now, against what all did before.
     fn look(&mut self, f: usize) {
         let site = self.voters.len() + f;
@@ -404,6 +431,7 @@
                 }
                 for f in 0..self.followers.len() {
                     self.look(f);
+                    self.poll(f);
                     self.ask(f);
                 }
                 if self.t < TROUBLE + CALM {
@@ -454,6 +482,7 @@
 
 fn sweep(seeds: std::ops::Range<u64>, voters: usize, spare: usize, directors: usize) {
     let mut lists = 0;
+    let mut polled = Vec::new();
     let (mut acted, mut versions, mut worst, mut schedules) = (0, 0, 0.0f64, 0);
     for seed in seeds {
         let sim = Sim::new(seed, voters, spare, directors).run();
@@ -461,6 +490,7 @@
         assert!(sim.wrong.is_empty(), "seed {seed}, {voters} voters, {spare} spare: {:#?}", sim.wrong);
         acted += sim.acted;
         versions += sim.contents.len();
+        polled.push(sim.polled_worst);
         worst = worst.max(sim.worst.1);
         schedules += 1;
     }
@@ -469,6 +499,12 @@
          of voters proposed, acted on at {acted} looks, \
          two versions' switched keys for {worst:.3} s at most of {CONTRADICTION} s"
     );
+    polled.sort_by(f64::total_cmp);
+    println!(
+        "    polling a file instead, an older version was acted on alone for {:.2} s at the median and {:.2} s at most",
+        polled[polled.len() / 2],
+        polled[polled.len() - 1]
+    );
     assert!(versions > schedules * 2 && acted > 100);
     assert!(spare == 0 || lists > schedules);
 }
@@ -500,3 +536,73 @@
 fn three_hundred_directors() {
     sweep(0..3, 5, 2, 300);
 }
+
+/// From a proposal until each director acts on it, beside the version before it and alone, without trouble.
+fn spreads(directors: usize, voter_gone: bool) -> (f64, f64) {
+    let mut worst = (0.0f64, 0.0f64);
+    for seed in 0..10 {
+        let mut sim = Sim::new(seed, 3, 0, directors);
+        sim.rough = false;
+        if voter_gone {
+            sim.sites[2].paused_until = f64::INFINITY;
+        }
+        let propose = |sim: &mut Sim, after: u64| {
+            let value = Value { id: 2000 + after, text: text(after, &[0, 1, 2]) };
+            let at = sim.t;
+            sim.at(at, Event::Proposed(0, Ask::Propose { after, value, sure: false }));
+        };
+        sim.at(0.0, Event::Look);
+        propose(&mut sim, 0);
+        let begin = 5.0 + 0.1 * seed as f64;
+        let (mut proposed, mut beside, mut alone) = (false, None, None);
+        while let Some(Due(t, _, event)) = sim.due.pop().filter(|due| due.0 < begin + 5.0) {
+            sim.t = t;
+            if t >= begin && !std::mem::replace(&mut proposed, true) {
+                propose(&mut sim, 1);
+            }
+            let look = matches!(event, Event::Look);
+            sim.step(event);
+            if look && proposed {
+                let of = |f: usize| {
+                    let now = sim.local(3 + f);
+                    sim.followers[f]
+                        .acting(now)
+                        .filter(|a| a.version.number == 2 && a.from <= now && now < a.until)
+                };
+                let all: Vec<_> = (0..directors).map_while(of).collect();
+                if all.len() == directors {
+                    beside.get_or_insert(t - begin);
+                    if all.iter().all(|a| a.beside.is_empty()) {
+                        alone.get_or_insert(t - begin);
+                    }
+                }
+            }
+        }
+        worst.0 = worst.0.max(beside.expect("all come to act on it"));
+        worst.1 = worst.1.max(alone.expect("and on it alone"));
+    }
+    worst
+}
+
+#[test]
+fn a_version_reaches_all_within_a_lease_and_holds_alone_after_another() {
+    for (directors, gone) in [(5, false), (5, true), (12, false), (12, true)] {
+        told(directors, gone);
+    }
+}
+
+#[test]
+#[ignore = "a minute"]
+fn and_three_hundred() {
+    told(300, false);
+    told(300, true);
+}
+
+fn told(directors: usize, gone: bool) {
+    let (beside, alone) = spreads(directors, gone);
+    println!(
+        "{directors} directors, a voter gone: {gone}: all heed it after {beside:.2} s, act on it alone after {alone:.2} s, at most"
+    );
+    let lease = lease_of(CONTRADICTION);
+    assert!(beside < lease && alone < CONTRADICTION + 0.1, "{beside} {alone}");
+}
--- a/crates/kelpdoord/src/agreed.rs
+++ b/crates/kelpdoord/src/agreed.rs
@@ -20,6 +20,8 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// Somewhat longer than a voter takes to give a proposal up.
 const ANSWER: Duration = Duration::from_secs(7);
+/// Looks for the newest version wait so long for a voter; those that are up answer within ms.
+const LOOK: Duration = Duration::from_secs(1);
 /// Lists of voters followed from one to the next at most.
 const LISTS: usize = 4;
 /// s; a director that has not asked for so long is shown as cut off, whatever its lease was.
@@ -61,14 +63,30 @@
         Ok(voters)
     }
 
+    /// The newest version of each voter that answers soon; all are asked at once, so that one that stands still holds up
+    /// nothing.
+    fn standing(&self) -> Vec<(VoterId, u64)> {
+        let ask = |k: VoterId| match self.ask_within(k, &Ask::Standing, LOOK) {
+            Ok(Tell::Standing { newest, .. }) => Some((k, newest)),
+            _ => None,
+        };
+        std::thread::scope(|s| {
+            let all: Vec<_> = self.at.keys().map(|k| s.spawn(move || ask(*k))).collect();
+            all.into_iter().filter_map(|t| t.join().ok().flatten()).collect()
+        })
+    }
+
     /// Asks each voter known of for the newest version, and takes its list.
     fn look(&mut self) {
         let mut newest: Option<Chosen> = self.newest.take();
-        for k in self.at.keys() {
-            let have = newest.as_ref().map_or(0, |c| c.number);
-            let Ok(Tell::Standing { newest: n, .. }) = self.ask(*k, &Ask::Standing) else { continue };
-            if n > have
-                && let Ok(Tell::Content { found: Some(c) }) = self.ask(*k, &Ask::Content { number: n })
+        let mut standing = self.standing();
+        standing.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
+        for (k, n) in standing {
+            if n <= newest.as_ref().map_or(0, |c| c.number) {
+                break;
+            }
+            if let Ok(Tell::Content { found: Some(c) }) =
+                self.ask_within(k, &Ask::Content { number: n }, LOOK)
             {
                 newest = Some(c);
             }
@@ -90,11 +108,15 @@
 
     /// A voter's answer.
     fn ask(&self, k: VoterId, ask: &Ask) -> Result<Tell> {
+        self.ask_within(k, ask, ANSWER)
+    }
+
+    fn ask_within(&self, k: VoterId, ask: &Ask, wait: Duration) -> Result<Tell> {
         let at = *self.at.get(&k).context("no such voter")?;
         let k = k.0;
         let mut stream =
             TcpStream::connect_timeout(&at, CONNECT).with_context(|| format!("voter {k} at {at}"))?;
-        stream.set_read_timeout(Some(ANSWER))?;
+        stream.set_read_timeout(Some(wait))?;
         stream.set_write_timeout(Some(CONNECT))?;
         let mut text = serde_json::to_vec(&Ask::Hello { fleet: self.own.fleet.clone() })?;
         text.push(b'\n');
@@ -135,8 +157,7 @@
 
     fn newest(&self) -> Result<Option<Chosen>> {
         let deciding = self.deciding();
-        let heard = |k: &&VoterId| matches!(self.ask(**k, &Ask::Standing), Ok(Tell::Standing { .. }));
-        let heard = deciding.iter().filter(heard).count();
+        let heard = self.standing().iter().filter(|(k, _)| deciding.contains(k)).count();
         if heard * 2 <= deciding.len() {
             bail!("{heard} of {} voters answer, which is no majority", deciding.len());
         }
