Agree on schools: a keeper goes by the newest list, and gives nothing out without a majority

Need: the list of schools stood in the keeper's own settings, so that no version of it could be named or gone back to.

A lease after it last asked one it sells nothing, as if nothing were bought; what is held stays. One keeper counts, so the class is free, with whom it cuts short. Off without agreement(..).

Tested with processes: 3 seats, then 5, then two voters of three gone and none; own schools beside agreed ones do not start.

--- a/crates/kelpdoor-agreement/src/keys.rs
+++ b/crates/kelpdoor-agreement/src/keys.rs
@@ -6,7 +6,7 @@
 
 use kelpdoor_script::{
     AgreedNode, AgreedTitle, Deployment, Directors, Fault, Fleet, Further, Group, Keeper, Ladder, Lists, Own,
-    Shared, Tokens, Voters,
+    School, Shared, Tokens, Voters,
 };
 
 use crate::follower::Acting;
@@ -291,6 +291,28 @@
         Lists { nodes: both, titles: old.titles.clone() }
     }
 
+    /// One keeper counts all seats of a school, so nobody else can act on another number: it goes by the new one as soon as
+    /// it hears of it.
+    fn schools(&mut self, old: &[School], new: &[School]) -> Vec<School> {
+        let seats = |of: &[School]| -> BTreeMap<String, u32> {
+            let name = |School { name, seats, seat_class }: &School| {
+                (seat_class.as_ref().map_or(name.clone(), |c| format!("{name}:{c}")), *seats)
+            };
+            of.iter().map(name).collect()
+        };
+        let (old, named) = (seats(old), seats(new));
+        let names: BTreeSet<&String> = old.keys().chain(named.keys()).collect();
+        for name in names {
+            self.within = format!("school {name}");
+            let (o, n) = (old.get(name).copied().unwrap_or(0), named.get(name).copied().unwrap_or(0));
+            self.row(Class::Free, "seats", &o, &n);
+            if let Some(last) = self.changes.last_mut().filter(|_| n < o) {
+                last.cuts = Some("new viewers of it, until enough seats came back".into());
+            }
+        }
+        new.to_vec()
+    }
+
     fn voters(&mut self, old: &Voters, new: &Voters) -> Voters {
         self.within = "voters".into();
         let Voters { at } = new;
@@ -341,7 +363,7 @@
 /// What is acted on while both versions may be, and every key that differs.
 pub fn both(old: &Shared, new: &Shared) -> (Shared, Vec<Change>) {
     let mut w = Walk { changes: Vec::new(), within: String::new() };
-    let Shared { ladder, groups, fleet, further, directors, voters, lists, tokens, keeper } = new;
+    let Shared { ladder, groups, fleet, further, directors, voters, lists, schools, tokens, keeper } = new;
     let names = |groups: &[Group]| groups.iter().map(|g| g.name.clone()).collect::<Vec<_>>();
     // Groups are known by their place.
     w.fixed("groups", &names(&old.groups), &names(groups));
@@ -353,6 +375,7 @@
         directors: w.directors(&old.directors, directors),
         voters: w.voters(&old.voters, voters),
         lists: w.lists(&old.lists, lists),
+        schools: w.schools(&old.schools, schools),
         tokens: w.tokens(&old.tokens, tokens),
         keeper: w.keeper(&old.keeper, keeper),
     };
@@ -417,7 +440,7 @@
         merged = Some(merged.map_or(shared.clone(), |m| both(&m, &shared).0));
     }
     places.push(place(&newest));
-    let Shared { ladder, groups, fleet, further, directors, voters: _, lists, tokens, keeper } =
+    let Shared { ladder, groups, fleet, further, directors, voters: _, lists, schools: _, tokens, keeper } =
         merged.map_or(newest.clone(), |m| both(&m, &newest).0);
     (book.ladder, book.groups, book.fleet, book.further) = (ladder, groups, fleet, further);
     (book.tokens, book.keeper, book.lists) = (tokens, keeper, lists);
--- a/crates/kelpdoor-agreement/tests/table.rs
+++ b/crates/kelpdoor-agreement/tests/table.rs
@@ -591,6 +591,24 @@
     .assert_eq(&faults);
 }
 
+#[test]
+fn schools_are_counted_by_one_keeper_and_change_at_once() {
+    let with = |lines: &str| {
+        Shared::run("document", &format!("{DOCUMENT}{lines}")).unwrap_or_else(|f| panic!("{f:?}"))
+    };
+    let old = with("school(\"olaf\", seats = 3)\nschool(\"olaf\", seats = 2, seat_class = \"teacher\")\n");
+    let new = with("school(\"olaf\", seats = 5)\n");
+    let (m, changes) = both(&old, &new);
+    let shown: String =
+        changes.iter().map(|c| format!("{} {} -> {} {:?}\n", c.key, c.old, c.new, c.cuts)).collect();
+    expect![[r#"
+        school olaf.seats 3 -> 5 None
+        school olaf:teacher.seats 2 -> 0 Some("new viewers of it, until enough seats came back")
+    "#]]
+    .assert_eq(&shown);
+    assert_eq!((m.schools, may_follow(&old, &new, false).is_ok()), (new.schools, true));
+}
+
 #[test]
 fn turns_under_two_numberings_are_turns_under_each() {
     for a in 1..9u32 {
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -133,6 +133,8 @@
 pub struct KeeperBook {
     pub keeper: Keeper,
     pub schools: Vec<School>,
+    /// Where schools are agreed: the voters to ask.
+    pub agreement: Option<Agreement>,
 }
 
 /// What is known of the media nodes beforehand.
@@ -405,6 +407,8 @@
     pub directors: Directors,
     pub voters: Voters,
     pub lists: Lists,
+    /// Of a keeper that follows the rules; a director has no use for them.
+    pub schools: Vec<School>,
     pub tokens: Option<Tokens>,
     pub keeper: Option<Keeper>,
 }
@@ -536,6 +540,15 @@
                 "listen and ledger are settings of a keeper in this process, address of one outside",
             );
         }
+        let schools = self.schools();
+        let inside = keeper.as_ref().is_some_and(|(k, _)| k.address.is_none());
+        for call in self.calls.iter().filter(|c| c.word == "school") {
+            self.check(call, inside, "schools are settings of the process that the keeper runs in");
+        }
+        (keeper.map(|k| k.0), schools)
+    }
+
+    fn schools(&mut self) -> Vec<School> {
         let mut schools: Vec<School> = Vec::new();
         for call in self.calls.iter().filter(|c| c.word == "school") {
             match call.to::<School>(self.file) {
@@ -551,13 +564,25 @@
                     let taken = schools.iter().any(|o| (&o.name, &o.seat_class) == (&s.name, &s.seat_class));
                     self.check(call, !taken, "the name is taken");
                     self.check(call, s.seats <= 1_000_000, "a million seats at most");
-                    let inside = keeper.as_ref().is_some_and(|(k, _)| k.address.is_none());
-                    self.check(call, inside, "schools are settings of the process that the keeper runs in");
                     schools.push(s);
                 }
             }
         }
-        (keeper.map(|k| k.0), schools)
+        schools
+    }
+
+    /// Checks an agreement's own words.
+    fn agreement(&mut self, needed: bool) -> Option<Agreement> {
+        let (a, call) = self.one::<Agreement>("agreement", needed)?;
+        self.check(call, (1..=64).contains(&a.voters.len()), "1 to 64 voters are named");
+        self.check(
+            call,
+            plain_name(&a.name) && plain_name(&a.fleet),
+            "name and fleet of 1 to 64 letters, digits and . _ -",
+        );
+        self.check(call, distinct(&a.voters), "an address stands twice");
+        self.check(call, trial_rate(a.clock_rate), "clock_rate from 0.95 to 1.05");
+        Some(a)
     }
 }
 
@@ -615,9 +640,13 @@
     pub fn from_calls(file: &str, calls: &[Call]) -> Result<Self, Vec<Fault>> {
         let mut r = Reader { file, calls, faults: Vec::new() };
         let (keeper, schools) = r.keeper(true);
+        let agreement = r.agreement(false);
+        if let Some(call) = calls.iter().find(|c| c.word == "school").filter(|_| agreement.is_some()) {
+            r.faults.push(call.fault(file, "school is agreed, it is no setting of the keeper"));
+        }
         match keeper {
             Some(keeper) if r.faults.is_empty() && keeper.address.is_none() => {
-                Ok(KeeperBook { keeper, schools })
+                Ok(KeeperBook { keeper, schools, agreement })
             }
             Some(_) if r.faults.is_empty() => {
                 let what = "a keeper's own settings have listen, not address".to_owned();
@@ -692,17 +721,7 @@
             return Ok(None);
         }
         let mut r = Reader { file: &file, calls: &calls, faults: Vec::new() };
-        let agreement = r.one::<Agreement>("agreement", true);
-        if let Some((a, call)) = &agreement {
-            r.check(call, (1..=64).contains(&a.voters.len()), "1 to 64 voters are named");
-            r.check(
-                call,
-                plain_name(&a.name) && plain_name(&a.fleet),
-                "name and fleet of 1 to 64 letters, digits and . _ -",
-            );
-            r.check(call, distinct(&a.voters), "an address stands twice");
-            r.check(call, trial_rate(a.clock_rate), "clock_rate from 0.95 to 1.05");
-        }
+        let agreement = r.agreement(true);
         for call in &calls {
             if !crate::OWN.contains(&call.word.as_str()) {
                 r.faults.push(
@@ -729,13 +748,13 @@
             faults.extend(more);
             None
         });
-        if let (Some((a, _)), Some(v)) = (&agreement, &voter)
+        if let (Some(a), Some(v)) = (&agreement, &voter)
             && a.fleet != v.fleet
         {
             let what = format!("voter: its fleet is {:?}, the director's is {:?}", v.fleet, a.fleet);
             faults.push(Fault { file: file.clone(), at: Place::default(), what });
         }
-        match agreement.map(|a| a.0) {
+        match agreement {
             Some(agreement) if faults.is_empty() => Ok(Some(Own { file, calls, agreement, voter })),
             _ => Err(faults),
         }
@@ -792,6 +811,7 @@
             r.check(call, distinct(&v.at), "an address stands twice");
         }
         let lists = r.lists();
+        let schools = r.schools();
         if let Some(call) = calls.iter().find(|c| c.word == "keeper") {
             // One in each director's process would count each school's seats several times.
             r.check(
@@ -814,7 +834,7 @@
         let mut faults = r.faults;
         let mut all: Vec<Call> = calls
             .iter()
-            .filter(|c| !["directors", "voters", "node", "title"].contains(&c.word.as_str()))
+            .filter(|c| !["directors", "voters", "node", "title", "school"].contains(&c.word.as_str()))
             .cloned()
             .collect();
         let doc = all.clone();
@@ -822,7 +842,21 @@
         match Deployment::from_calls(file, &all) {
             Ok(d) if faults.is_empty() => {
                 let Deployment { ladder, groups, fleet, further, tokens, keeper, .. } = d;
-                Ok((Shared { ladder, groups, fleet, further, directors, voters, lists, tokens, keeper }, doc))
+                Ok((
+                    Shared {
+                        ladder,
+                        groups,
+                        fleet,
+                        further,
+                        directors,
+                        voters,
+                        lists,
+                        schools,
+                        tokens,
+                        keeper,
+                    },
+                    doc,
+                ))
             }
             Ok(_) => Err(faults),
             Err(more) => {
--- a/crates/kelpdoor-script/src/lib.rs
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -29,8 +29,19 @@
 ];
 
 /// Words of a document that directors agree on.
-pub const SHARED: &[&str] =
-    &["ladder", "group", "fleet", "further", "directors", "voters", "node", "title", "tokens", "keeper"];
+pub const SHARED: &[&str] = &[
+    "ladder",
+    "group",
+    "fleet",
+    "further",
+    "directors",
+    "voters",
+    "node",
+    "title",
+    "school",
+    "tokens",
+    "keeper",
+];
 
 /// Words of a director's own settings, where the rest is agreed.
 pub const OWN: &[&str] = &["director", "roster", "players", "node_links", "agreement", "voter"];
@@ -53,7 +64,7 @@
 ];
 
 /// Words of a keeper's settings.
-pub const KEEPER: &[&str] = &["keeper", "school", "voter"];
+pub const KEEPER: &[&str] = &["keeper", "school", "voter", "agreement"];
 
 /// Words of a trouble script.
 pub const TROUBLE: &[&str] = &[
--- a/crates/kelpdoord/tests/inside.rs
+++ b/crates/kelpdoord/tests/inside.rs
@@ -71,11 +71,10 @@
     String::from_utf8_lossy(if out.status.success() { &out.stdout } else { &out.stderr }).into_owned()
 }
 
-#[test]
-fn voters_in_three_directors_agree_and_two_go_on_without_the_third() {
-    let base = std::env::temp_dir().join(format!("kelpdoord-inside-{}", std::process::id()));
-    // An address that was free may be taken a moment later; then with others. The first proposal waits for the others' lines.
-    let (mut fleet, dir) = (0..10)
+/// A fleet that has agreed on its first rules. An address that was free may be taken a moment later; then with others. The first
+/// proposal waits for the others' lines.
+fn agreed_fleet(base: &Path) -> (Fleet, PathBuf) {
+    (0..10)
         .find_map(|attempt| {
             let dir = base.join(attempt.to_string());
             let mut fleet = start(&dir);
@@ -83,7 +82,26 @@
             let all_run = fleet.processes.iter_mut().all(|p| matches!(p.try_wait(), Ok(None)));
             (agreed && all_run).then_some((fleet, dir))
         })
-        .expect("a fleet");
+        .expect("a fleet")
+}
+
+/// Asks until it is so, for half a minute.
+fn until(mut wanted: impl FnMut() -> bool) -> bool {
+    (0..600).any(|_| {
+        std::thread::sleep(std::time::Duration::from_millis(50));
+        wanted()
+    })
+}
+
+fn further_rules(dir: &Path, name: &str, more: &str) {
+    let text = std::fs::read_to_string(dir.join("rules.star")).expect("there") + more;
+    std::fs::write(dir.join(name), text).expect("written");
+}
+
+#[test]
+fn voters_in_three_directors_agree_and_two_go_on_without_the_third() {
+    let base = std::env::temp_dir().join(format!("kelpdoord-inside-{}", std::process::id()));
+    let (mut fleet, dir) = agreed_fleet(&base);
     // Each director knows the rules now, and listens.
     for p in &mut fleet.processes {
         let mut line = String::new();
@@ -91,14 +109,12 @@
         assert!(line.starts_with("kelpdoord listening on 127.0.0.1:"), "{line}");
     }
     fleet.processes[0].kill().expect("it runs");
-    let next = std::fs::read_to_string(dir.join("rules.star")).expect("there") + "# second\n";
-    std::fs::write(dir.join("next.star"), next).expect("written");
+    further_rules(&dir, "next.star", "# second\n");
     let said = propose(&dir, "next.star", 1);
     assert!(said.starts_with("agreed 2/"), "{said}");
     // The other two come to act on it, by the two voters that are left.
     let mut shown = serde_json::Value::Null;
-    let acting = (0..600).any(|_| {
-        std::thread::sleep(std::time::Duration::from_millis(50));
+    let acting = until(|| {
         let out =
             daemon().args(["agreed", "--json", "--config"]).arg(settings(&dir, 2)).output().expect("it runs");
         shown = serde_json::from_slice(&out.stdout).expect("json");
@@ -112,3 +128,51 @@
     drop(fleet);
     let _ = std::fs::remove_dir_all(&base);
 }
+
+#[test]
+fn a_keeper_goes_by_the_agreed_schools_and_gives_no_seat_out_without_a_majority_of_voters() {
+    let base = std::env::temp_dir().join(format!("kelpdoord-schools-{}", std::process::id()));
+    let (mut fleet, dir) = agreed_fleet(&base);
+    let of_director = std::fs::read_to_string(settings(&dir, 0)).expect("there");
+    let agreement = of_director.lines().find(|l| l.starts_with("agreement(")).expect("a line");
+    let ledger = dir.join("ledger").display().to_string();
+    let text = format!("keeper(listen = \"127.0.0.1:0\", ledger = {ledger:?})\n{agreement}\n");
+    std::fs::write(dir.join("keeper.star"), &text).expect("written");
+    let mut keep = daemon();
+    keep.args(["keeper", "--stay-with-stdin", "--config"]).arg(dir.join("keeper.star"));
+    keep.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::null());
+    let mut keeper = keep.spawn().expect("it starts");
+    let mut line = String::new();
+    BufReader::new(keeper.stdout.take().expect("piped")).read_line(&mut line).expect("a line");
+    let address = line.trim().rsplit(' ').next().expect("its address").to_owned();
+    fleet.processes.push(keeper);
+    let bought = || {
+        let out = daemon().args(["seats", "--json", "--keeper", &address]).output().expect("it runs");
+        let told: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap_or_default();
+        let olaf = told["standing"]["schools"]
+            .as_array()
+            .and_then(|all| all.iter().find(|s| s["school"] == "olaf").cloned());
+        olaf.and_then(|s| s["bought"].as_u64())
+    };
+    for (after, seats) in [(1, 3), (2, 5)] {
+        further_rules(&dir, "next.star", &format!("school(\"olaf\", seats = {seats})\n"));
+        let said = propose(&dir, "next.star", after);
+        assert!(said.starts_with("agreed "), "{said}");
+        assert!(until(|| bought() == Some(seats)), "{seats} seats, not {:?}", bought());
+    }
+    // Two voters of three gone: somebody may have agreed on fewer.
+    for p in &mut fleet.processes[..2] {
+        p.kill().expect("it runs");
+    }
+    assert!(until(|| bought() == Some(0)), "none is given out, not {:?}", bought());
+    // Its own list is none beside the agreed one.
+    std::fs::write(dir.join("keeper.star"), format!("{text}school(\"olaf\", seats = 9)\n")).expect("written");
+    let out = daemon().args(["keeper", "--config"]).arg(dir.join("keeper.star")).output().expect("it runs");
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(
+        !out.status.success() && said.contains("school is agreed, it is no setting of the keeper"),
+        "{said}"
+    );
+    drop(fleet);
+    let _ = std::fs::remove_dir_all(&base);
+}
