Step directors' wall clocks in trials and random schedules

Need: chaos had steady clocks that run apart and none whose wall time jumps; leases use no wall clock, which was tested on parts.

agreement(wall_off = FILE), for trials alone: seconds by which a director takes its wall clock to be off, read every 0.2 s. wall_step in trouble scripts and random schedules, up to an hour either way.

--- a/crates/kelpdoor-clock/src/lib.rs
+++ b/crates/kelpdoor-clock/src/lib.rs
@@ -2,6 +2,7 @@
 //! directors' slots for cold nodes stay in common. A step of the wall clock, a suspended process and a slow round
 //! are told apart: the first shows in wall time alone, the others in both.
 
+use std::path::PathBuf;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use nix::time::{ClockId, clock_gettime};
@@ -10,6 +11,8 @@
 const SLEW: f64 = 0.005;
 /// s; wall time further off than this was stepped, which is reported.
 const STEP: f64 = 1.0;
+/// s; a file that steps the wall clock in trials is read so often.
+const REREAD: f64 = 0.2;
 
 /// The arithmetic alone, with both times passed in.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +46,8 @@
 pub struct Clock {
     from: Instant,
     slew: Slew,
+    /// Of trials: the file, when it is read again, and what it said.
+    off: Option<(PathBuf, f64, f64)>,
 }
 
 fn wall() -> f64 {
@@ -51,13 +56,30 @@
 
 impl Default for Clock {
     fn default() -> Self {
-        Clock { from: Instant::now(), slew: Slew::new(0.0, wall()) }
+        Clock { from: Instant::now(), slew: Slew::new(0.0, wall()), off: None }
     }
 }
 
 impl Clock {
+    /// For trials: takes the wall clock to be off by as many seconds as that file says, from now on; 0 where it says none.
+    pub fn off_by(file: PathBuf) -> Self {
+        Clock { off: Some((file, 0.0, 0.0)), ..Clock::default() }
+    }
+
     pub fn now(&mut self) -> (f64, Option<f64>) {
-        self.slew.now(self.from.elapsed().as_secs_f64(), wall())
+        let mono = self.from.elapsed().as_secs_f64();
+        let off = match &mut self.off {
+            None => 0.0,
+            Some((file, again, off)) => {
+                if mono >= *again {
+                    *again = mono + REREAD;
+                    let said = std::fs::read_to_string(file).ok().and_then(|s| s.trim().parse::<f64>().ok());
+                    *off = said.filter(|s| s.is_finite()).unwrap_or(0.0);
+                }
+                *off
+            }
+        };
+        self.slew.now(mono, wall() + off)
     }
 }
 
@@ -100,6 +122,17 @@
         assert_eq!(clock.now(3.0, 900.0).0, now);
     }
 
+    #[test]
+    fn a_trial_s_file_steps_the_wall_clock() {
+        let file = std::env::temp_dir().join(format!("kelpdoor-clock-{}", std::process::id()));
+        let mut clock = Clock::off_by(file.clone());
+        assert_eq!(clock.now().1, None);
+        std::fs::write(&file, "-3600\n").unwrap();
+        let stepped = (0..1_000_000_000u64).find_map(|_| clock.now().1).expect("read again in the end");
+        assert!((stepped + 3600.0).abs() < 1.0, "{stepped}");
+        std::fs::remove_file(&file).unwrap();
+    }
+
     #[test]
     fn a_suspended_process_is_no_step() {
         let mut clock = Slew::new(0.0, 1000.0);
--- a/crates/kelpdoor-director/src/following.rs
+++ b/crates/kelpdoor-director/src/following.rs
@@ -72,6 +72,7 @@
 pub struct Following {
     pub(crate) ruling: watch::Receiver<Ruling>,
     pub(crate) steady: Steady,
+    pub(crate) wall_off: Option<PathBuf>,
     pub(crate) tasks: JoinSet<()>,
 }
 
@@ -98,10 +99,11 @@
         let kept = kept(&own.agreement)?;
         let (first, mut waits) = mpsc::channel(1);
         let mut tasks = JoinSet::new();
+        let wall_off = own.agreement.wall_off.clone();
         tasks.spawn(follow(own, fleet, kept, steady, first));
         let Some(ruling) = waits.recv().await else { anyhow::bail!("no version of the rules reads") };
         let book = Deployment::clone(&ruling.borrow().book);
-        Ok((Following { ruling, steady, tasks }, book))
+        Ok((Following { ruling, steady, wall_off, tasks }, book))
     }
 }
 
--- a/crates/kelpdoor-director/src/shell.rs
+++ b/crates/kelpdoor-director/src/shell.rs
@@ -171,12 +171,12 @@
     tasks.spawn(follow(book.clone(), inputs.clone(), asked));
     let shell = Shell {
         book: book.clone(),
-        clock: Clock::default(),
+        clock: agreed.as_ref().and_then(|a| a.wall_off.clone()).map_or_else(Clock::default, Clock::off_by),
         inputs: inputs.clone(),
         ask,
         socks: HashMap::new(),
         links: HashMap::new(),
-        agreed: agreed.map(|Following { ruling, steady, tasks: following }| {
+        agreed: agreed.map(|Following { ruling, steady, tasks: following, .. }| {
             // Ended with the shell.
             tasks.spawn(async move {
                 let mut following = following;
--- a/crates/kelpdoor-lab/src/chaos.rs
+++ b/crates/kelpdoor-lab/src/chaos.rs
@@ -95,7 +95,7 @@
         let all: Vec<String> = (0..voters + SPARE).map(|v| v.to_string()).collect();
         let all = all.join(", ");
         let span = format!("at = {at:.2}, lasts = {lasts:.2}");
-        lines.push(match rng.u8(..18) {
+        lines.push(match rng.u8(..19) {
             // A director from all, some from one, a voter from the others.
             0 => format!("cut({span}, directors = [{d}], voters = [{all}], way = \"{way}\")"),
             1 => format!("cut({span}, directors = [{some}], voters = [{v}, {other}], way = \"{way}\")"),
@@ -127,6 +127,10 @@
                     "voter_list(at = {at:.2}, voters = [{list}], change = {change}, directors = [{d}], notice = {at_most:.2})"
                 )
             }
+            18 => format!(
+                "wall_step({span}, directors = [{some}], factor = {:.1}, way = \"{way}\")",
+                3600.0 * rng.f64().powi(3)
+            ),
             _ => {
                 change += 1;
                 format!("propose(at = {at:.2}, change = {change}, directors = [{d}])")
--- a/crates/kelpdoor-lab/src/day.rs
+++ b/crates/kelpdoor-lab/src/day.rs
@@ -294,6 +294,18 @@
                     tracing::error!(%e, "a proposal");
                 }
             }
+            Kind::WallStep => {
+                let Some(agreeing) = &self.agreeing else { return };
+                let far = if t.way == "back" { -t.factor } else { t.factor };
+                for off in [far, 0.0] {
+                    for &d in &t.directors {
+                        if let Err(e) = agreeing.step_wall(d, off) {
+                            tracing::error!(%e, "a wall clock");
+                        }
+                    }
+                    pause(if off == far { t.lasts } else { 0.0 }).await;
+                }
+            }
             Kind::VoterList => {
                 let through = t.directors.first().copied().unwrap_or(0);
                 let Some(agreeing) = &self.agreeing else { return };
--- a/crates/kelpdoor-lab/src/trouble.rs
+++ b/crates/kelpdoor-lab/src/trouble.rs
@@ -100,11 +100,13 @@
     VoterFull,
     /// A changed document is proposed.
     Propose,
+    /// The wall clocks of directors are stepped, and set right again.
+    WallStep,
     /// Voters are started and a list of them proposed; who is off it then ends.
     VoterList,
 }
 
-const KINDS: [(&str, Kind); 28] = [
+const KINDS: [(&str, Kind); 29] = [
     ("crash", Kind::Crash),
     ("vanish", Kind::Vanish),
     ("slow", Kind::Slow),
@@ -133,6 +135,7 @@
     ("voter_full", Kind::VoterFull),
     ("propose", Kind::Propose),
     ("voter_list", Kind::VoterList),
+    ("wall_step", Kind::WallStep),
 ];
 
 /// One trouble. Which fields count depends on its kind; `docs/bad-day.md` has the table.
@@ -283,7 +286,10 @@
         | Kind::Preempt
         | Kind::Drain => needs(t.nodes.is_empty(), "nodes"),
         Kind::RackSag => needs(t.racks.is_empty(), "racks"),
-        Kind::BalancerRoll | Kind::BalancerStall => needs(t.directors.is_empty(), "directors"),
+        Kind::WallStep if size.voters == 0 => Some("it needs voters in the day".into()),
+        Kind::BalancerRoll | Kind::BalancerStall | Kind::WallStep => {
+            needs(t.directors.is_empty(), "directors")
+        }
         Kind::ZoneLoss if !size.zones.contains(&t.zone) => Some(format!("no zone {:?}", t.zone)),
         Kind::HotKey => needs(t.players == 0 || t.players > 5000, "players, 1 to 5000,"),
         Kind::Cut
--- a/crates/kelpdoor-lab/src/voting.rs
+++ b/crates/kelpdoor-lab/src/voting.rs
@@ -112,6 +112,11 @@
         })
     }
 
+    /// Steps a director's wall clock to that many seconds off.
+    pub fn step_wall(&self, d: u32, off: f64) -> Result<()> {
+        Ok(fs::write(self.plan.wall(d), off.to_string())?)
+    }
+
     /// The whole script of a director; `cache` is its kept list.
     pub fn director_script(&self, d: u32, name: &str, roster: SocketAddr, cache: &Path) -> String {
         self.plan.director_script(d, name, roster, cache)
@@ -204,13 +209,19 @@
         format!("voters = {{{}}}, reach = {{{}}}", named(self.size.voters as usize), named(lines.len()))
     }
 
+    fn wall(&self, d: u32) -> PathBuf {
+        self.dir.join(format!("director-{d}.wall"))
+    }
+
     fn director_script(&self, d: u32, name: &str, roster: SocketAddr, cache: &Path) -> String {
         let zone = &self.size.zones[d as usize % self.size.zones.len()];
         let site = (self.size.voters + self.size.spare_voters + d) as usize;
         let copy = self.dir.join(format!("director-{d}.rules")).display().to_string();
+        let wall = self.wall(d).display().to_string();
         format!(
             "{own}\ndirector(zone = {zone:?}, listen = \"127.0.0.1:0\")\nroster(address = \"{roster}\", cache = {cache:?})\n\
-             agreement({list}, fleet = \"{FLEET}\", name = \"{name}\", copy = {copy:?}, clock_rate = {rate})\n",
+             agreement({list}, fleet = \"{FLEET}\", name = \"{name}\", copy = {copy:?}, clock_rate = {rate}, \
+             wall_off = {wall:?})\n",
             own = self.shared.1,
             cache = cache.display().to_string(),
             list = self.list(site),
--- a/crates/kelpdoor-lab/tests/agreement.rs
+++ b/crates/kelpdoor-lab/tests/agreement.rs
@@ -157,5 +157,5 @@
         let script = chaos::read(&lines).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
         words.extend(script.troubles.iter().map(|(kind, _)| format!("{kind:?}")));
     }
-    assert_eq!(words.len(), 12, "{words:?}");
+    assert_eq!(words.len(), 13, "{words:?}");
 }
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -291,6 +291,9 @@
     /// For trials: how fast this process takes its steady clock to run.
     #[serde(default = "one")]
     pub clock_rate: f64,
+    /// For trials: a file with the seconds by which this process takes its wall clock to be off.
+    #[serde(default)]
+    pub wall_off: Option<PathBuf>,
 }
 
 /// A voter's own settings.
--- a/crates/kelpdoor-script/src/lib.rs
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -97,4 +97,5 @@
     "voter_full",
     "propose",
     "voter_list",
+    "wall_step",
 ];
