Keep lines to voters in one place for directors and voters

Cause: both had grown the same map of lines that follows the agreed list (following.rs, voter.rs). Lines in line.rs keeps, drops and asks for both; the exhaustive checks share the hash of their states. No behaviour changes; tests as before.

--- a/crates/kelpdoor-agreement/tests/exhaustive.rs
+++ b/crates/kelpdoor-agreement/tests/exhaustive.rs
@@ -17,6 +17,18 @@
 
 const FOUNDERS: [VoterId; 3] = [VoterId(0), VoterId(1), VoterId(2)];
 
+/// Names a state in 128 bits.
+fn hashed(voters: &[Voter], rest: impl Hash) -> u128 {
+    let of = |salt: u8| {
+        let mut h = DefaultHasher::new();
+        salt.hash(&mut h);
+        voters.iter().for_each(|v| v.shape().hash(&mut h));
+        rest.hash(&mut h);
+        h.finish()
+    };
+    u128::from(of(0)) << 64 | u128::from(of(1))
+}
+
 #[derive(Clone)]
 struct State {
     voters: Vec<Voter>,
@@ -31,17 +43,7 @@
 
 impl State {
     fn key(&self) -> u128 {
-        let mut hashes = [0u64; 2];
-        for (salt, hash) in hashes.iter_mut().enumerate() {
-            let mut h = DefaultHasher::new();
-            salt.hash(&mut h);
-            self.voters.iter().for_each(|v| v.shape().hash(&mut h));
-            self.net.hash(&mut h);
-            (self.restarts, self.again).hash(&mut h);
-            self.accepted.hash(&mut h);
-            *hash = h.finish();
-        }
-        u128::from(hashes[0]) << 64 | u128::from(hashes[1])
+        hashed(&self.voters, (&self.net, self.restarts, self.again, &self.accepted))
     }
 
     /// Takes out what a voter has to say; `lost`: it dies between its write and its words.
@@ -177,15 +179,7 @@
 
 impl Handing {
     fn key(&self) -> u128 {
-        let mut hashes = [0u64; 2];
-        for (salt, hash) in hashes.iter_mut().enumerate() {
-            let mut h = DefaultHasher::new();
-            salt.hash(&mut h);
-            self.voters.iter().for_each(|v| v.shape().hash(&mut h));
-            (&self.net, self.proposals, self.again, self.restarts, &self.accepted).hash(&mut h);
-            *hash = h.finish();
-        }
-        u128::from(hashes[0]) << 64 | u128::from(hashes[1])
+        hashed(&self.voters, (&self.net, self.proposals, self.again, self.restarts, &self.accepted))
     }
 
     fn flush(&mut self, k: usize) {
--- a/crates/kelpdoor-director/src/following.rs
+++ b/crates/kelpdoor-director/src/following.rs
@@ -1,20 +1,18 @@
 //! The way to the voters: a line to each, what they say, and what this director may act on by it. Beside the desk, and on no
 //! session's path: a voter that is slow or gone delays nothing here.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kelpdoor_agreement::keys::acted_on;
-use kelpdoor_agreement::{Ask, Chosen, Follower, VoterId};
+use kelpdoor_agreement::{Chosen, Follower, VoterId};
 use kelpdoor_clock::Steady;
-use kelpdoor_keeper::{Heard, MOST_OUT, READING, addresses, line};
+use kelpdoor_keeper::{Heard, Lines, READING, addresses};
 use kelpdoor_script::{Agreement, Deployment, Own};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 const FORMAT: &str = "kelpdoor-agreed 1";
@@ -113,18 +111,19 @@
 ) {
     let mut follower = Follower::new(&own.agreement.name, fastrand::u64(..), kept, READING);
     let (to, mut words) = mpsc::channel(WORDS);
-    let mut lines = Lines { all: BTreeMap::new(), tasks: JoinSet::new(), fleet: fleet.clone(), to };
-    lines.dial(&own, &mut follower);
+    let mut lines = Lines::new(&fleet, to);
+    dial(&mut lines, &own.agreement, &mut follower);
     let (save, saved) = watch::channel(None);
-    lines.tasks.spawn(keep(own.agreement.copy.clone(), fleet.clone(), saved));
+    let mut keeps = JoinSet::new();
+    keeps.spawn(keep(own.agreement.copy.clone(), fleet.clone(), saved));
     let mut told: Option<watch::Sender<Ruling>> = None;
     let mut said = Said::default();
     let mut unread = String::new();
     loop {
         let now = steady.now();
-        for (voter, line) in &lines.all {
-            if let Some(ask) = follower.ask(now, *voter) {
-                let _ = line.asks.try_send(ask);
+        for voter in lines.voters() {
+            if let Some(ask) = follower.ask(now, voter) {
+                lines.ask(voter, ask);
             }
         }
         let acting = follower.acting(now).map(|a| (a.label(), a));
@@ -178,7 +177,7 @@
             word = words.recv() => word,
             () = sleep(Duration::from_secs_f64((due - now).max(0.001))) => None,
         };
-        let Some((voter, heard)) = word.filter(|(voter, _)| lines.all.contains_key(voter)) else { continue };
+        let Some((voter, heard)) = word.filter(|(voter, _)| lines.has(*voter)) else { continue };
         match heard {
             Heard::Connected => follower.connected(voter),
             Heard::Told(tell) => {
@@ -188,48 +187,18 @@
                 }
                 if let Some(c) = follower.known().filter(|c| c.number > before) {
                     save.send_replace(Some(c.clone()));
-                    lines.dial(&own, &mut follower);
+                    dial(&mut lines, &own.agreement, &mut follower);
                 }
             }
         }
     }
 }
 
-struct Line {
-    at: SocketAddr,
-    asks: mpsc::Sender<Ask>,
-    task: AbortHandle,
-}
-
-/// Lines to the voters that the known version names, and to those of the settings: they may know a newer one.
-struct Lines {
-    all: BTreeMap<VoterId, Line>,
-    tasks: JoinSet<()>,
-    fleet: String,
-    to: mpsc::Sender<(VoterId, Heard)>,
-}
-
-impl Lines {
-    fn dial(&mut self, own: &Own, follower: &mut Follower) {
-        let known = follower.known().map(|c| c.value.text.as_str());
-        let all = addresses(&own.agreement.voters, known, &own.agreement.reach);
-        self.all.retain(|voter, line| {
-            let stays = all.get(voter) == Some(&line.at);
-            if !stays {
-                line.task.abort();
-                follower.forget(*voter);
-            }
-            stays
-        });
-        while self.tasks.try_join_next().is_some() {}
-        for (voter, at) in all {
-            if !self.all.contains_key(&voter) {
-                let (asks, asked) = mpsc::channel(MOST_OUT);
-                let task =
-                    self.tasks.spawn(line(at, self.fleet.clone(), voter, asked, Some(self.to.clone())));
-                self.all.insert(voter, Line { at, asks, task });
-            }
-        }
+/// Keeps lines to the voters that the known version names, and to those of the settings: they may know a newer one.
+fn dial(lines: &mut Lines, own: &Agreement, follower: &mut Follower) {
+    let known = follower.known().map(|c| c.value.text.as_str());
+    for gone in lines.dial(addresses(&own.voters, known, &own.reach)) {
+        follower.forget(gone);
     }
 }
 
--- a/crates/kelpdoor-keeper/src/lib.rs
+++ b/crates/kelpdoor-keeper/src/lib.rs
@@ -13,7 +13,7 @@
 mod voter;
 mod wire;
 
-pub use line::{Heard, MOST_OUT, line};
+pub use line::{Heard, Lines};
 pub use log::{Log, LogFault, Opened};
 pub use serve::{KeeperOptions, RunningKeeper, start};
 pub use voter::{READING, RunningVoter, VoterOptions, addresses, start as start_voter};
--- a/crates/kelpdoor-keeper/src/line.rs
+++ b/crates/kelpdoor-keeper/src/line.rs
@@ -1,6 +1,7 @@
 //! A connection kept to a voter, by directors and by the other voters: made anew whenever it breaks or nothing comes back
 //! on it. Questions that find no connection are dropped: whoever asked asks again.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,10 +9,11 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// Questions waiting for a connection at most; more are dropped.
-pub const MOST_OUT: usize = 256;
+const MOST_OUT: usize = 256;
 /// s; wait before a voter is connected again, at first and at most.
 const WAIT: (f64, f64) = (0.05, 1.0);
 /// A connection is made within this, or tried again.
@@ -29,10 +31,69 @@
     Told(Tell),
 }
 
+struct Line {
+    at: SocketAddr,
+    asks: mpsc::Sender<Ask>,
+    task: AbortHandle,
+}
+
+/// Lines to voters, as the agreed list changes; ended with it.
+pub struct Lines {
+    all: BTreeMap<VoterId, Line>,
+    tasks: JoinSet<()>,
+    fleet: String,
+    heard: mpsc::Sender<(VoterId, Heard)>,
+}
+
+impl Lines {
+    /// What lines bring goes to `heard`.
+    pub fn new(fleet: &str, heard: mpsc::Sender<(VoterId, Heard)>) -> Self {
+        Lines { all: BTreeMap::new(), tasks: JoinSet::new(), fleet: fleet.to_owned(), heard }
+    }
+
+    /// Keeps a line to each of these and to no other; those that had one elsewhere, or had one before.
+    pub fn dial(&mut self, to: BTreeMap<VoterId, SocketAddr>) -> Vec<VoterId> {
+        let mut gone = Vec::new();
+        self.all.retain(|voter, line| {
+            let stays = to.get(voter) == Some(&line.at);
+            if !stays {
+                line.task.abort();
+                gone.push(*voter);
+            }
+            stays
+        });
+        while self.tasks.try_join_next().is_some() {}
+        for (voter, at) in to {
+            if !self.all.contains_key(&voter) {
+                let (asks, asked) = mpsc::channel(MOST_OUT);
+                let task = line(at, self.fleet.clone(), voter, asked, self.heard.clone());
+                let task = self.tasks.spawn(task);
+                self.all.insert(voter, Line { at, asks, task });
+            }
+        }
+        gone
+    }
+
+    pub fn voters(&self) -> impl Iterator<Item = VoterId> + use<'_> {
+        self.all.keys().copied()
+    }
+
+    pub fn has(&self, voter: VoterId) -> bool {
+        self.all.contains_key(&voter)
+    }
+
+    /// Dropped where there is no line, or too much waits on it: whoever asks asks again.
+    pub fn ask(&self, voter: VoterId, ask: Ask) {
+        if let Some(line) = self.all.get(&voter) {
+            let _ = line.asks.try_send(ask);
+        }
+    }
+}
+
 /// Keeps a connection to the voter in that place, until `asks` or `heard` ends. What it brings goes to `heard`.
-pub async fn line(
+async fn line(
     address: SocketAddr, fleet: String, place: VoterId, mut asks: mpsc::Receiver<Ask>,
-    heard: Option<mpsc::Sender<(VoterId, Heard)>>,
+    heard: mpsc::Sender<(VoterId, Heard)>,
 ) {
     let mut wait = WAIT.0;
     let mut last = String::new();
@@ -41,7 +102,7 @@
         let why = match timeout(CONNECT, TcpStream::connect(address)).await {
             Err(_) => "not connected in time".to_owned(),
             Ok(Err(e)) => e.to_string(),
-            Ok(Ok(stream)) => match talk(stream, &fleet, place, &mut asks, heard.as_ref()).await {
+            Ok(Ok(stream)) => match talk(stream, &fleet, place, &mut asks, &heard).await {
                 Some(why) => why,
                 None => return,
             },
@@ -75,7 +136,7 @@
 /// One connection to its end; `None` when nobody asks any more.
 async fn talk(
     stream: TcpStream, fleet: &str, place: VoterId, asks: &mut mpsc::Receiver<Ask>,
-    heard: Option<&mpsc::Sender<(VoterId, Heard)>>,
+    heard: &mpsc::Sender<(VoterId, Heard)>,
 ) -> Option<String> {
     let _ = stream.set_nodelay(true);
     let (read, mut to) = stream.into_split();
@@ -83,10 +144,7 @@
     if let Err(why) = write(&mut to, &hello).await {
         return Some(why);
     }
-    let say = async |what| match heard {
-        None => Some(()),
-        Some(to) => to.send((place, what)).await.ok(),
-    };
+    let say = async |what| heard.send((place, what)).await.ok();
     let mut lines = BufReader::new(read);
     let mut line = Vec::new();
     let mut welcome = false;
--- a/crates/kelpdoor-keeper/src/voter.rs
+++ b/crates/kelpdoor-keeper/src/voter.rs
@@ -15,10 +15,10 @@
 use kelpdoor_script::Shared;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, JoinHandle, JoinSet};
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
-use crate::line::{Heard, MOST_OUT, line};
+use crate::line::{Heard, Lines};
 use crate::sockets::{Came, accept};
 
 const FORMAT: &str = "kelpdoor-voter 2";
@@ -149,6 +149,7 @@
     let mut tasks = JoinSet::new();
     let (heard, said) = mpsc::channel(WORDS);
     tasks.spawn(accept::<Ask, Tell, Come>(listener, to.clone(), MAX_LINE, Tell::Fault));
+    let peers = Lines::new(&fleet, heard);
     let mut shell = Shell {
         me: options.me,
         fleet,
@@ -157,14 +158,13 @@
         store: options.store,
         first: options.voters,
         reach: options.reach,
-        peers: HashMap::new(),
+        peers,
         conns: HashMap::new(),
         welcome: HashSet::new(),
         asked_on: HashMap::new(),
-        heard,
         told: 0,
         listed: true,
-        tasks,
+        _tasks: tasks,
     };
     shell.dial();
     let task = tokio::spawn(shell.run(from, said));
@@ -186,27 +186,18 @@
     store: PathBuf,
     first: BTreeMap<u8, SocketAddr>,
     reach: BTreeMap<u8, SocketAddr>,
-    peers: HashMap<VoterId, Peer>,
+    peers: Lines,
     conns: HashMap<u64, mpsc::Sender<Tell>>,
     /// Connections that named our fleet.
     welcome: HashSet<u64>,
     /// By voter, the connection on which it last spoke: the way back to one that there is no line to.
     asked_on: HashMap<VoterId, u64>,
-    /// Where lines put what comes back on them.
-    heard: mpsc::Sender<(VoterId, Heard)>,
     /// The newest version that was logged.
     told: u64,
     /// The newest version names this voter, as logged.
     listed: bool,
     /// Ended with the shell.
-    tasks: JoinSet<()>,
-}
-
-/// A line to another voter.
-struct Peer {
-    at: SocketAddr,
-    asks: mpsc::Sender<Ask>,
-    line: AbortHandle,
+    _tasks: JoinSet<()>,
 }
 
 impl Shell {
@@ -264,22 +255,7 @@
         let newest = self.voter.newest().map(|c| c.value.text.as_str());
         let mut all = addresses(&self.first, newest, &self.reach);
         all.remove(&self.me);
-        self.peers.retain(|place, peer| {
-            let stays = all.get(place) == Some(&peer.at);
-            if !stays {
-                peer.line.abort();
-            }
-            stays
-        });
-        while self.tasks.try_join_next().is_some() {}
-        for (place, at) in all {
-            if !self.peers.contains_key(&place) {
-                let (asks, asked) = mpsc::channel(MOST_OUT);
-                let line =
-                    self.tasks.spawn(line(at, self.fleet.clone(), place, asked, Some(self.heard.clone())));
-                self.peers.insert(place, Peer { at, asks, line });
-            }
-        }
+        self.peers.dial(all);
     }
 
     fn say(&mut self, out: Vec<Out>) {
@@ -297,18 +273,19 @@
                 }
             }
         }
-        let me = self.me;
-        let say = |peer: &Peer, word: Word| {
-            let _ = peer.asks.try_send(Ask::Voter { from: me, word });
-        };
+        let from = self.me;
         for o in out {
             match o {
-                Out::To(to, word) => match (self.peers.get(&to), self.asked_on.get(&to).copied()) {
-                    (Some(peer), _) => say(peer, word),
-                    (None, Some(conn)) => self.tell(conn, Tell::Voter { word }),
-                    (None, None) => {}
-                },
-                Out::Others(word) => self.peers.values().for_each(|peer| say(peer, word.clone())),
+                Out::To(to, word) if self.peers.has(to) => self.peers.ask(to, Ask::Voter { from, word }),
+                Out::To(to, word) => {
+                    if let Some(conn) = self.asked_on.get(&to).copied() {
+                        self.tell(conn, Tell::Voter { word });
+                    }
+                }
+                Out::Others(word) => {
+                    let all = self.peers.voters();
+                    all.for_each(|to| self.peers.ask(to, Ask::Voter { from, word: word.clone() }));
+                }
                 Out::Tell(conn, tell) => self.tell(conn, tell),
             }
         }
