Put what leaves under a lease apart by its name, not by a mark before it

Cause, read and not met: a mark was put among the effects and the next request joined it (desk.rs, request). Where that request was not made, at 50,000 unanswered ones on a link, the mark stayed, and whatever was asked next, of another node too, went out to the mark's node and under its lease: a TEARDOWN could be kept back. What is asked for says now itself whether it needs a lease. Interleavings check that each such write is a SETUP with its PLAY or one change of rung; red with a PLAY that goes apart.

A node of the feed that the agreed list lacks or has otherwise is logged when the feed names it, not at a change of rules alone.

--- a/crates/kelpdoor-director/src/desk.rs
+++ b/crates/kelpdoor-director/src/desk.rs
@@ -515,17 +515,21 @@
         let mut bytes = Vec::with_capacity(192);
         Message::Request(request).write(&mut bytes);
         let link = link.number;
-        // One write for what goes out together; a SETUP under a lease takes its own PLAY along and nothing else.
-        match self.effects.last_mut() {
-            Some(Effect::Node { node: n, link: l, bytes: before }) if (*n, *l) == (node, link) => {
-                return before.append(&mut bytes);
+        // One write for what goes out together, but that what may leave only under a lease stands apart: a SETUP with its PLAY,
+        // a change of rung.
+        let leased = asked.under_lease().filter(|_| self.lease.is_some());
+        match (self.effects.last_mut(), leased) {
+            (Some(Effect::Node { node: n, link: l, bytes: before }), None) if (*n, *l) == (node, link) => {
+                before.append(&mut bytes);
             }
-            Some(Effect::Leased { bytes: before, .. }) if before.is_empty() || method == Method::Play => {
-                return before.append(&mut bytes);
+            (Some(Effect::Leased { node: n, link: l, name: of, bytes: before }), Some(name))
+                if (*n, *l, *of) == (node, link, name) =>
+            {
+                before.append(&mut bytes);
             }
-            _ => {}
+            (_, None) => self.effects.push(Effect::Node { node, link, bytes }),
+            (_, Some(name)) => self.effects.push(Effect::Leased { node, link, name, bytes }),
         }
-        self.effects.push(Effect::Node { node, link, bytes });
     }
 
     fn dial(&mut self, node: u32) {
@@ -639,7 +643,6 @@
             return self.give_up(id, Ending::Moot, false);
         }
         (a.sent, a.link) = (true, link.number);
-        let of_link = link.number;
         let mut setup = vec![
             (names::PIPELINED, pipe.to_string()),
             (names::TRANSPORT, "RTP/AVP/TCP;unicast".to_owned()),
@@ -650,8 +653,6 @@
         let uri = format!("rtsp://{}/{}", link.address, s.title_name);
         if self.lease.is_some() {
             setup.push((names::RULES, label));
-            // A mark that nothing joins: what follows stands apart from what went before.
-            self.effects.push(Effect::Leased { node, link: of_link, name: pipe, bytes: Vec::new() });
         }
         self.request(node, Asked::Setup { sess: id, pipe }, Method::Setup, &uri, &setup);
         self.request(node, Asked::Play { sess: id, pipe }, Method::Play, &uri, &setup[..1]);
@@ -979,8 +980,11 @@
             }
         };
         self.round.list_changes.push(change);
-        if message == FromRoster::Failed {
-            return;
+        let (FromRoster::Whole { nodes, .. } | FromRoster::Change { nodes, .. }) = &message else { return };
+        let kept_off = nodes.iter().filter(|n| self.phase(n) != n.phase).map(|n| n.id.to_string());
+        let kept_off = kept_off.collect::<Vec<_>>().join(", ");
+        if !kept_off.is_empty() {
+            self.note(None, format!("not as the agreed list has them, nothing new goes there: {kept_off}"));
         }
         self.relink();
         if !self.saving {
@@ -1174,10 +1178,6 @@
         let with = [(names::SESSION, rtsp), (names::RUNG, rung.to_string())];
         self.next_pipe += 1;
         let name = self.next_pipe;
-        let link = self.links.get(&a.node).filter(|l| l.line == Line::Up).map(|l| l.number);
-        if let Some(link) = link.filter(|_| self.lease.is_some()) {
-            self.effects.push(Effect::Leased { node: a.node, link, name, bytes: Vec::new() });
-        }
         let asked = Asked::Rung { sess: sess.0, rung, was, name };
         self.request(a.node, asked, Method::SetParameter, &uri, &with);
         self.say(sock, ToPlayer::Rung { key, rung });
--- a/crates/kelpdoor-director/src/link.rs
+++ b/crates/kelpdoor-director/src/link.rs
@@ -32,6 +32,18 @@
     },
 }
 
+impl Asked {
+    /// The name of what may leave only under a lease, where rules are agreed.
+    pub fn under_lease(&self) -> Option<u64> {
+        match self {
+            Asked::Setup { pipe: name, .. } | Asked::Play { pipe: name, .. } | Asked::Rung { name, .. } => {
+                Some(*name)
+            }
+            Asked::Options | Asked::Teardown { .. } | Asked::Probe { .. } => None,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Line {
     Down,
--- a/crates/kelpdoor-director/tests/desk.rs
+++ b/crates/kelpdoor-director/tests/desk.rs
@@ -177,12 +177,20 @@
                 Effect::Leased { node, link, name: pipe, .. } if self.slow => unsent.push((node, link, pipe)),
                 Effect::Leased { node, link, bytes, .. } => {
                     assert!(self.lease.is_some_and(|until| now < until), "a SETUP without a lease");
-                    let mut rest = &bytes[..];
+                    assert!(self.up.contains(&(node, link)), "bytes for a link that is not up");
+                    let (mut rest, mut methods) = (&bytes[..], Vec::new());
                     while let Ok(Some((message, len))) = kelpdoor_rtsp::parse(rest) {
                         rest = &rest[len..];
+                        methods.extend(if let Message::Request(r) = &message {
+                            Some(r.method)
+                        } else {
+                            None
+                        });
                         self.heard(node, link, message);
                     }
                     assert!(rest.is_empty(), "half a message was written");
+                    let whole = [&[Method::Setup, Method::Play][..], &[Method::SetParameter]];
+                    assert!(whole.contains(&&methods[..]), "{methods:?} under one lease");
                 }
                 Effect::Player { message, .. } => {
                     let Some(key) = message.key().map(|k| k.0.clone()) else { continue };
