Take no number from the wire that would end a voter's or a director's count

Cause, read and not met: a word with version or round 2^64-1 was taken, and the next sum overflowed, which ends the process; a round is on disk by then, so that a voter could not start again (voter.rs, begin; follower.rs, learn). Words are taken up to 2^53. The test ends in a panic, add with overflow, on the code before.

--- a/crates/kelpdoor-agreement/src/follower.rs
+++ b/crates/kelpdoor-agreement/src/follower.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::RATE_ERROR;
-use crate::words::{Ask, Chosen, Reading, Tell, VoterId};
+use crate::words::{Ask, Chosen, MOST, Reading, Tell, VoterId};
 
 /// Renewals within a lease: three may be lost.
 const RENEWALS: f64 = 4.0;
@@ -178,6 +178,9 @@
         };
         let Some((_, asked)) = line.out.filter(|(out, _)| *out == seq) else { return Ok(()) };
         line.out = None;
+        if newest.max(document.as_ref().map_or(0, |c| c.number)) > MOST {
+            return Err(format!("voter {voter} tells of version {newest}, which none comes to"));
+        }
         let have = self.known.as_ref().map_or(0, |c| c.number);
         if let Some(c) = document.filter(|c| c.number > have) {
             self.learn(now, c);
--- a/crates/kelpdoor-agreement/src/voter.rs
+++ b/crates/kelpdoor-agreement/src/voter.rs
@@ -363,6 +363,10 @@
     /// A word of another voter's.
     pub fn hear(&mut self, now: f64, from: VoterId, word: Word) {
         let (newest, may_vote) = (self.durable.newest(), self.durable.votes() && self.listed());
+        if !word.plausible() {
+            // It would end the count; no voter of ours says it.
+            return;
+        }
         if let Word::Accept { text, .. }
         | Word::Learn { text, .. }
         | Word::Promise { accepted: Some((.., text)), .. } = &word
--- a/crates/kelpdoor-agreement/src/words.rs
+++ b/crates/kelpdoor-agreement/src/words.rs
@@ -55,6 +55,27 @@
     }
 }
 
+/// Versions and rounds are counted up to here: more than any fleet comes to, and far from where a sum would not hold.
+pub const MOST: u64 = 1 << 53;
+
+impl Word {
+    /// Whether its numbers are such as a voter may come to.
+    pub(crate) fn plausible(&self) -> bool {
+        let round = |b: &Ballot| b.round <= MOST;
+        match self {
+            Word::Prepare { number, ballot }
+            | Word::Accept { number, ballot, .. }
+            | Word::Accepted { number, ballot }
+            | Word::Refuse { number, promised: ballot } => *number <= MOST && round(ballot),
+            Word::Promise { number, ballot, accepted } => {
+                *number <= MOST && round(ballot) && accepted.as_ref().is_none_or(|(b, ..)| round(b))
+            }
+            Word::Learn { number, .. } | Word::Have { number, .. } => *number <= MOST,
+            Word::Behind { have } | Word::Want { have, .. } => *have <= MOST,
+        }
+    }
+}
+
 /// Between voters.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/kelpdoor-agreement/tests/table.rs
+++ b/crates/kelpdoor-agreement/tests/table.rs
@@ -3,7 +3,7 @@
 use expect_test::expect;
 use kelpdoor_agreement::keys::{Class, both, may_follow, numbering};
 use kelpdoor_agreement::{
-    Ask, Chosen, Durable, Follower, Out, Reading, Tell, Value, Voter, VoterId, Word, lease_of,
+    Ask, Ballot, Chosen, Durable, Follower, Out, Reading, Tell, Value, Voter, VoterId, Word, lease_of,
 };
 use kelpdoor_script::Shared;
 
@@ -340,6 +340,25 @@
     assert_eq!(v[3].take_out().1, [], "3 promises nothing");
 }
 
+#[test]
+fn numbers_that_none_comes_to_end_no_count() {
+    let mut v = voters();
+    let ballot = Ballot { round: u64::MAX, voter: VoterId(1) };
+    let (number, id, text) = (u64::MAX, 1, String::new());
+    v[0].hear(0.0, VoterId(1), Word::Learn { number, id, text: text.clone() });
+    v[0].hear(0.0, VoterId(1), Word::Prepare { number: 1, ballot });
+    v[0].hear(0.0, VoterId(1), Word::Accept { number: 1, ballot, id, text });
+    v[0].hear(0.0, VoterId(1), Word::Refuse { number: 1, promised: ballot });
+    assert_eq!(v[0].durable(), &Durable::founded("f", &FOUNDERS));
+    propose(&mut v, 0, 0, 1);
+    assert_eq!(pump(&mut v, 0.0, |_, _, _| false), [Tell::Agreed { number: 1 }]);
+    let mut f = Follower::new("d", 1, None, READING);
+    let Some(Ask::Renew { seq, .. }) = f.ask(0.0, VoterId(0)) else { panic!() };
+    let far = Chosen { number: u64::MAX, value: value(1) };
+    let told = Tell::Granted { seq, newest: 1, pending: false, document: Some(far) };
+    assert!(f.heard(0.0, VoterId(0), told).is_err() && f.known().is_none());
+}
+
 #[test]
 fn a_name_has_one_director_at_a_time() {
     let mut v = voters();
