Let a keeper of seats follow the agreed schools as a director does

Cause, read and not met: the daemon asked voters for schools by a loop of its own (kelpdoord/agreed.rs), with a lease of its own on a clock that a suspension stops. It took a majority that had accepted something newer for one that had not, and a keeper that stood still gave seats out by an old list before it noticed. It goes by Following now, what is read of a version being a parameter; the keeper looks at its lease with each claim, by the clock that counts a suspension.

Tested: nothing known, not begun, under a lease, over, under a newer one (kept.rs); with processes as before (inside.rs), where the keeper's name has to be its own.

--- a/crates/kelpdoor-agreement/src/keys.rs
+++ b/crates/kelpdoor-agreement/src/keys.rs
@@ -422,6 +422,14 @@
     Ok(changes)
 }
 
+/// The schools that a keeper of seats goes by: the newest version's, for nobody else counts them.
+///
+/// # Errors
+/// Every fault found, which no voter lets pass.
+pub fn schools_acted_on(acting: &Acting) -> Result<Vec<School>, Vec<Fault>> {
+    Ok(Shared::run("the document", &acting.version.value.text)?.schools)
+}
+
 /// The settings that a director goes by while it acts on these versions, and whether the newest lists it.
 ///
 /// # Errors
--- a/crates/kelpdoor-director/src/following.rs
+++ b/crates/kelpdoor-director/src/following.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use kelpdoor_agreement::keys::acted_on;
-use kelpdoor_agreement::{Chosen, Follower, VoterId};
+use kelpdoor_agreement::{Acting, Chosen, Follower, VoterId};
 use kelpdoor_clock::Steady;
 use kelpdoor_keeper::{Heard, Lines, READING, addresses};
-use kelpdoor_script::{Agreement, Deployment, Own};
+use kelpdoor_script::{Agreement, Deployment, Fault, Own};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -48,8 +48,9 @@
 
 /// What may be acted on, as of its last change.
 #[derive(Clone, Debug)]
-pub struct Ruling {
-    pub book: Arc<Deployment>,
+pub struct Ruling<B = Deployment> {
+    /// What is read of the versions acted on.
+    pub book: Arc<B>,
     /// Versions, the newest first.
     pub label: String,
     /// The newest version's list names this director; else it begins nothing.
@@ -59,24 +60,24 @@
     pub until: f64,
 }
 
-impl Ruling {
+impl<B> Ruling<B> {
     /// Until when something new may be begun, as of now; past, if it may not.
     pub fn lease(&self, now: f64) -> f64 {
         if self.listed && now >= self.from { self.until } else { f64::NEG_INFINITY }
     }
 }
 
-/// A director's part in an agreement, at work.
-pub struct Following {
-    pub(crate) ruling: watch::Receiver<Ruling>,
+/// The part in an agreement of a director, or of whoever goes by what `B` reads of it, at work.
+pub struct Following<B = Deployment> {
+    pub(crate) ruling: watch::Receiver<Ruling<B>>,
     pub(crate) steady: Steady,
     pub(crate) wall_off: Option<PathBuf>,
     pub(crate) tasks: JoinSet<()>,
 }
 
-impl Following {
+impl<B: Clone + Send + Sync + 'static> Following<B> {
     /// What may be acted on, as of now.
-    pub fn ruling(&self) -> Ruling {
+    pub fn ruling(&self) -> Ruling<B> {
         self.ruling.borrow().clone()
     }
 
@@ -87,36 +88,49 @@
         }
     }
 
-    /// Starts to follow, and waits until a version is known: from an earlier start, or from a voter.
+    /// Starts to follow, and waits until a version is known: from an earlier start, or from a voter. `read` takes what is
+    /// gone by out of the versions acted on, and whether the newest lets us go by it.
     ///
     /// # Errors
     /// Where a kept copy is another fleet's, or no version reads.
-    pub async fn start(own: Own) -> anyhow::Result<(Following, Deployment)> {
-        let steady = Steady::new(own.agreement.clock_rate);
-        let fleet = own.agreement.fleet.clone();
-        let kept = kept(&own.agreement)?;
+    pub async fn reading(
+        of: Agreement, read: impl Fn(&Acting) -> Result<(B, bool), Vec<Fault>> + Send + 'static,
+    ) -> anyhow::Result<Self> {
+        let steady = Steady::new(of.clock_rate);
+        let kept = kept(&of)?;
         let (first, mut waits) = mpsc::channel(1);
         let mut tasks = JoinSet::new();
-        let wall_off = own.agreement.wall_off.clone();
-        tasks.spawn(follow(own, fleet, kept, steady, first));
+        let wall_off = of.wall_off.clone();
+        tasks.spawn(follow(of, kept, steady, read, first));
         let Some(ruling) = waits.recv().await else { anyhow::bail!("no version of the rules reads") };
-        let book = Deployment::clone(&ruling.borrow().book);
-        Ok((Following { ruling, steady, wall_off, tasks }, book))
+        Ok(Following { ruling, steady, wall_off, tasks })
+    }
+}
+
+impl Following {
+    /// As [`reading`](Self::reading), all settings of a director.
+    ///
+    /// # Errors
+    /// As there.
+    pub async fn start(own: Own) -> anyhow::Result<(Following, Deployment)> {
+        let following = Following::reading(own.agreement.clone(), move |a| acted_on(&own, a)).await?;
+        let book = Deployment::clone(&following.ruling().book);
+        Ok((following, book))
     }
 }
 
-async fn follow(
-    own: Own, fleet: String, kept: Option<Chosen>, steady: Steady,
-    first: mpsc::Sender<watch::Receiver<Ruling>>,
+async fn follow<B: Clone + Send + Sync + 'static>(
+    of: Agreement, kept: Option<Chosen>, steady: Steady,
+    read: impl Fn(&Acting) -> Result<(B, bool), Vec<Fault>>, first: mpsc::Sender<watch::Receiver<Ruling<B>>>,
 ) {
-    let mut follower = Follower::new(&own.agreement.name, fastrand::u64(..), kept, READING);
+    let mut follower = Follower::new(&of.name, fastrand::u64(..), kept, READING);
     let (to, mut words) = mpsc::channel(WORDS);
-    let mut lines = Lines::new(&fleet, to);
-    dial(&mut lines, &own.agreement, &mut follower);
+    let mut lines = Lines::new(&of.fleet, to);
+    dial(&mut lines, &of, &mut follower);
     let (save, saved) = watch::channel(None);
     let mut keeps = JoinSet::new();
-    keeps.spawn(keep(own.agreement.copy.clone(), fleet.clone(), saved));
-    let mut told: Option<watch::Sender<Ruling>> = None;
+    keeps.spawn(keep(of.copy.clone(), of.fleet.clone(), saved));
+    let mut told: Option<watch::Sender<Ruling<B>>> = None;
     let mut said = Said::default();
     let mut unread = String::new();
     loop {
@@ -131,10 +145,10 @@
             let before = told.as_ref().map(|t| t.borrow().clone()).filter(|r| r.label == label);
             let ruling = match before {
                 Some(r) => Some(Ruling { from: acting.from, until: acting.until, ..r }),
-                None => match acted_on(&own, &acting) {
+                None => match read(&acting) {
                     Ok((book, listed)) => {
                         if !listed {
-                            tracing::error!(name = own.agreement.name, %label, "the agreed list does not name this director");
+                            tracing::error!(name = of.name, %label, "the agreed list does not name this director");
                         }
                         tracing::info!(%label, "rules");
                         let (book, from, until) = (Arc::new(book), acting.from, acting.until);
@@ -187,7 +201,7 @@
                 }
                 if let Some(c) = follower.known().filter(|c| c.number > before) {
                     save.send_replace(Some(c.clone()));
-                    dial(&mut lines, &own.agreement, &mut follower);
+                    dial(&mut lines, &of, &mut follower);
                 }
             }
         }
@@ -210,7 +224,7 @@
 }
 
 impl Said {
-    fn lease(&mut self, now: f64, ruling: &Ruling) {
+    fn lease<B>(&mut self, now: f64, ruling: &Ruling<B>) {
         let acts = now < ruling.lease(now);
         if self.acts.replace(acts) == Some(acts) {
             return;
--- a/crates/kelpdoor-director/src/keeping.rs
+++ b/crates/kelpdoor-director/src/keeping.rs
@@ -29,10 +29,16 @@
         listen: keeper.listen.unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
         ledger: keeper.ledger.clone(),
         lease: Lease { lasts: keeper.lease, clock_error: keeper.clock_error },
-        schools: schools.iter().map(|s| (pool(&s.name, s.seat_class.as_deref()), s.seats)).collect(),
+        schools: pools(schools),
+        agreed: None,
     }
 }
 
+/// Schools as a keeper counts them.
+pub fn pools(schools: &[School]) -> Vec<(kelpdoor_seats::School, u32)> {
+    schools.iter().map(|s| (pool(&s.name, s.seat_class.as_deref()), s.seats)).collect()
+}
+
 /// The keeper's address, and the keeper if it runs here.
 pub async fn find(keeper: &Keeper, schools: &[School]) -> io::Result<(SocketAddr, Option<RunningKeeper>)> {
     if let Some(address) = keeper.address {
--- a/crates/kelpdoor-director/src/lib.rs
+++ b/crates/kelpdoor-director/src/lib.rs
@@ -20,7 +20,7 @@
 pub use effect::{Effect, Input, NodeWord, Shown};
 pub use following::{Following, Ruling, kept};
 pub use gate::{Gate, Pass};
-pub use keeping::keeper_options;
+pub use keeping::{keeper_options, pools};
 pub use kelpdoor_clock::{Clock, Slew};
 pub use roster::{FromRoster, MAX_LINE, Phase, RosterFault, RosterList, RosterNode, RosterTitle, ToRoster};
 pub use shell::{Running, ServeOptions, serve};
--- a/crates/kelpdoor-keeper/benches/grants.rs
+++ b/crates/kelpdoor-keeper/benches/grants.rs
@@ -62,6 +62,7 @@
         ledger: Some(path.to_owned()),
         lease: LEASE,
         schools: vec![(School("olaf".into()), 1_000_000)],
+        agreed: None,
     };
     let keeper = start(options).await.expect("a keeper");
     let (read, mut write) = TcpStream::connect(keeper.address).await.expect("connected").into_split();
--- a/crates/kelpdoor-keeper/src/serve.rs
+++ b/crates/kelpdoor-keeper/src/serve.rs
@@ -6,10 +6,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use kelpdoor_clock::Clock;
+use kelpdoor_clock::{Clock, Steady};
 use kelpdoor_seats::{DirectorId, Lease, Ledger, School, ToKeeper};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
@@ -36,6 +36,33 @@
     pub ledger: Option<PathBuf>,
     pub lease: Lease,
     pub schools: Vec<(School, u32)>,
+    /// Where schools are agreed: what to go by instead.
+    pub agreed: Option<Agreed>,
+}
+
+/// Schools under a lease, as of its last change.
+#[derive(Clone, Debug)]
+pub struct Sold {
+    pub schools: Vec<(School, u32)>,
+    /// Of the versions, for the log.
+    pub label: String,
+    /// Steady time: no seat is given out before, and none from then on.
+    pub from: f64,
+    pub until: f64,
+}
+
+impl Sold {
+    /// Before any version is known.
+    pub fn nothing() -> Self {
+        let (from, until) = (f64::INFINITY, f64::NEG_INFINITY);
+        Sold { schools: Vec::new(), label: String::new(), from, until }
+    }
+}
+
+/// Who tells what is agreed, and what leases are counted by.
+pub struct Agreed {
+    pub sold: watch::Receiver<Sold>,
+    pub steady: Steady,
 }
 
 enum Come {
@@ -113,6 +140,8 @@
         conns: HashMap::new(),
         at: HashMap::new(),
         out: Vec::new(),
+        agreed: options.agreed,
+        sells: None,
     };
     keeper.buy(options.schools);
     keeper.keep().await.map_err(io::Error::other)?;
@@ -136,6 +165,9 @@
     at: HashMap<DirectorId, u64>,
     /// Answers that wait for the log.
     out: Vec<(u64, Tell)>,
+    agreed: Option<Agreed>,
+    /// The versions by which seats are given out now, if they may be; empty before it was looked at.
+    sells: Option<String>,
 }
 
 fn director(word: &ToKeeper) -> DirectorId {
@@ -180,6 +212,7 @@
             let now = self.now();
             let mut end = false;
             self.ledger.sweep(now);
+            self.look();
             if let Some(first) = first {
                 end |= self.come(now, first);
             }
@@ -211,6 +244,8 @@
                 self.at.retain(|_, at| *at != conn);
             }
             Come::Socket(Came::Asked(conn, Ask::Word(word))) => {
+                // At each claim: we may have stood still since the last.
+                self.look();
                 let from = director(&word);
                 if self.at.len() >= DIRECTORS && !self.at.contains_key(&from) {
                     return false;
@@ -245,6 +280,27 @@
         }
     }
 
+    /// Where schools are agreed: those of the lease, or none.
+    fn look(&mut self) {
+        let Some(agreed) = &mut self.agreed else { return };
+        let now = agreed.steady.now();
+        let sold = agreed.sold.borrow_and_update();
+        let sells = (sold.from <= now && now < sold.until).then(|| sold.label.clone());
+        if self.sells == sells {
+            return;
+        }
+        let schools = if sells.is_some() { sold.schools.clone() } else { Vec::new() };
+        drop(sold);
+        match &sells {
+            Some(label) => tracing::info!(label, schools = schools.len(), "the agreed schools"),
+            None => {
+                tracing::warn!("no lease on the agreed schools: what is held is held, no seat is given out")
+            }
+        }
+        self.sells = sells;
+        self.buy(schools);
+    }
+
     fn buy(&mut self, schools: Vec<(School, u32)>) {
         let mut all: HashMap<School, u32> = self.ledger.schools().map(|s| (s.clone(), 0)).collect();
         all.extend(schools);
--- a/crates/kelpdoor-keeper/tests/kept.rs
+++ b/crates/kelpdoor-keeper/tests/kept.rs
@@ -4,11 +4,13 @@
 use std::path::Path;
 use std::time::Duration;
 
-use kelpdoor_keeper::{Ask, KeeperOptions, Log, RunningKeeper, SchoolStanding, Tell, start};
+use kelpdoor_clock::Steady;
+use kelpdoor_keeper::{Agreed, Ask, KeeperOptions, Log, RunningKeeper, SchoolStanding, Sold, Tell, start};
 use kelpdoor_seats::{Change, DirectorId, Epoch, FromKeeper, Lease, Ledger, School, ToKeeper, TokenId};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 const LEASE: Lease = Lease { lasts: 60.0, clock_error: 1.0 };
@@ -134,11 +136,16 @@
 }
 
 async fn keeper(ledger: &Path, seats: u32) -> RunningKeeper {
+    keeper_by(ledger, vec![(school(), seats)], None).await
+}
+
+async fn keeper_by(ledger: &Path, schools: Vec<(School, u32)>, agreed: Option<Agreed>) -> RunningKeeper {
     let options = KeeperOptions {
         listen: "127.0.0.1:0".parse().expect("an address"),
         ledger: Some(ledger.to_owned()),
         lease: LEASE,
-        schools: vec![(school(), seats)],
+        schools,
+        agreed,
     };
     start(options).await.expect("a keeper")
 }
@@ -200,3 +207,39 @@
     assert!(matches!(good.word(claim("c", 3)).await, FromKeeper::Full { .. }));
     assert!(matches!(good.word(claim("a", 4)).await, FromKeeper::Granted { .. }));
 }
+
+#[tokio::test]
+async fn agreed_seats_are_given_out_under_a_lease_alone_looked_at_with_each_claim() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let steady = Steady::new(1.0);
+    let (tell, sold) = watch::channel(Sold::nothing());
+    let agreed = Some(Agreed { sold, steady });
+    let keeper = keeper_by(&dir.path().join("ledger"), Vec::new(), agreed).await;
+    let mut d = Director::connect(&keeper).await;
+    d.word(ToKeeper::Hello { director: DirectorId(4), nonce: 9 }).await;
+    let now = steady.now();
+    // Nothing known; not begun; under a lease; over, as after a pause; and under one again, by a newer version.
+    let leases = [
+        None,
+        Some((now + 900.0, now + 999.0, 5)),
+        Some((now, now + 999.0, 2)),
+        Some((now, now, 2)),
+        Some((now, now + 999.0, 3)),
+    ];
+    let mut said = String::new();
+    for (k, lease) in leases.into_iter().enumerate() {
+        if let Some((from, until, seats)) = lease {
+            tell.send_replace(Sold { schools: vec![(school(), seats)], label: k.to_string(), from, until });
+        }
+        for token in ["a", "b"] {
+            let granted = matches!(
+                d.word(claim(&format!("{token}{k}"), said.len() as u64 + 1)).await,
+                FromKeeper::Granted { .. }
+            );
+            said += if granted { "granted " } else { "full " };
+        }
+    }
+    // What was held all along stays.
+    assert!(matches!(d.word(claim("a2", 999)).await, FromKeeper::Granted { .. }));
+    expect_test::expect!["full full full full granted granted full full granted full "].assert_eq(&said);
+}
--- a/crates/kelpdoor-lab/tests/seats.rs
+++ b/crates/kelpdoor-lab/tests/seats.rs
@@ -44,6 +44,7 @@
             ledger: Some(self.dir.path().join("ledger")),
             lease: Lease { lasts: 14.0, clock_error: 0.5 },
             schools: vec![(School(tickets::school(0)), seats)],
+            agreed: None,
         };
         // Where it listened before, the port is free as soon as the old one has ended.
         within(10, async {
--- a/crates/kelpdoord/src/agreed.rs
+++ b/crates/kelpdoord/src/agreed.rs
@@ -4,17 +4,16 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
-use kelpdoor_agreement::keys::{Change, may_follow};
-use kelpdoor_agreement::{
-    Ask, Chosen, DirectorStanding, MAX_LINE, RATE_ERROR, Tell, Value, VoterId, lease_of,
-};
-use kelpdoor_director::kept;
-use kelpdoor_keeper::addresses;
-use kelpdoor_script::{Agreement, Own, School, Shared};
+use kelpdoor_agreement::keys::{Change, may_follow, schools_acted_on};
+use kelpdoor_agreement::{Acting, Ask, Chosen, DirectorStanding, MAX_LINE, Tell, Value, VoterId};
+use kelpdoor_director::{Following, kept, pools};
+use kelpdoor_keeper::{Sold, addresses};
+use kelpdoor_script::{Agreement, Own, Shared};
 use serde_json::json;
+use tokio::sync::watch;
 
 use crate::told;
 
@@ -24,9 +23,6 @@
 const ANSWER: Duration = Duration::from_secs(7);
 /// Looks for the newest version wait so long for a voter; those that are up answer within ms.
 const LOOK: Duration = Duration::from_secs(1);
-/// A keeper waits so long for a voter, and so long between two looks: several fit into a lease.
-const SOON: Duration = Duration::from_millis(250);
-const PAUSE: Duration = Duration::from_millis(100);
 /// Lists of voters followed from one to the next at most.
 const LISTS: usize = 4;
 /// s; a director that has not asked for so long is shown as cut off, whatever its lease was.
@@ -52,11 +48,7 @@
     pub fn of(config: &Path) -> Result<Self> {
         let own = Own::read(config).map_err(told)?;
         let own = own.with_context(|| format!("{}: no agreement(..) in it", config.display()))?;
-        Voters::at(own.agreement)
-    }
-
-    /// As those of an agreement, or of a copy that it names, know them.
-    fn at(own: Agreement) -> Result<Self> {
+        let own = own.agreement;
         // Those of the settings may all be gone by now: a director's copy names those who came after them.
         let kept = kept(&own)?;
         let at = addresses(&own.voters, kept.as_ref().map(|c| c.value.text.as_str()), &own.reach);
@@ -64,7 +56,7 @@
         // A newer list may name more, who know of a newer list still.
         for _ in 0..LISTS {
             let before = voters.at.clone();
-            voters.look(LOOK);
+            voters.look();
             if voters.at == before {
                 break;
             }
@@ -74,8 +66,8 @@
 
     /// The newest version of each voter that answers soon; all are asked at once, so that one that stands still holds up
     /// nothing.
-    fn standing(&self, wait: Duration) -> Vec<(VoterId, u64)> {
-        let ask = |k: VoterId| match self.ask_within(k, &Ask::Standing, wait) {
+    fn standing(&self) -> Vec<(VoterId, u64)> {
+        let ask = |k: VoterId| match self.ask_within(k, &Ask::Standing, LOOK) {
             Ok(Tell::Standing { newest, .. }) => Some((k, newest)),
             _ => None,
         };
@@ -86,17 +78,16 @@
     }
 
     /// Asks each voter known of for the newest version, and takes its list.
-    fn look(&mut self, wait: Duration) -> Vec<VoterId> {
+    fn look(&mut self) {
         let mut newest: Option<Chosen> = self.newest.take();
-        let mut standing = self.standing(wait);
-        let heard = standing.iter().map(|s| s.0).collect();
+        let mut standing = self.standing();
         standing.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
         for (k, n) in standing {
             if n <= newest.as_ref().map_or(0, |c| c.number) {
                 break;
             }
             if let Ok(Tell::Content { found: Some(c) }) =
-                self.ask_within(k, &Ask::Content { number: n }, wait)
+                self.ask_within(k, &Ask::Content { number: n }, LOOK)
             {
                 newest = Some(c);
             }
@@ -105,7 +96,6 @@
             self.at = addresses(&self.own.voters, Some(&c.value.text), &self.own.reach);
         }
         self.newest = newest;
-        heard
     }
 
     /// Those who decide the next version, if any was agreed; else those of the settings.
@@ -125,8 +115,8 @@
     fn ask_within(&self, k: VoterId, ask: &Ask, wait: Duration) -> Result<Tell> {
         let at = *self.at.get(&k).context("no such voter")?;
         let k = k.0;
-        let mut stream = TcpStream::connect_timeout(&at, CONNECT.min(wait))
-            .with_context(|| format!("voter {k} at {at}"))?;
+        let mut stream =
+            TcpStream::connect_timeout(&at, CONNECT).with_context(|| format!("voter {k} at {at}"))?;
         stream.set_read_timeout(Some(wait))?;
         stream.set_write_timeout(Some(CONNECT))?;
         let mut text = serde_json::to_vec(&Ask::Hello { fleet: self.own.fleet.clone() })?;
@@ -168,7 +158,7 @@
 
     fn newest(&self) -> Result<Option<Chosen>> {
         let deciding = self.deciding();
-        let heard = self.standing(LOOK).iter().filter(|(k, _)| deciding.contains(k)).count();
+        let heard = self.standing().iter().filter(|(k, _)| deciding.contains(k)).count();
         if heard * 2 <= deciding.len() {
             bail!("{heard} of {} voters answer, which is no majority", deciding.len());
         }
@@ -283,44 +273,15 @@
     }
 }
 
-/// What a keeper of seats goes by.
-pub struct Bought {
-    pub version: String,
-    pub schools: Vec<School>,
-    /// From when the voters were asked on.
-    pub until: Instant,
-}
-
-/// Asks voters for the agreed schools, over and over, and says what it heard while anybody listens. Nothing is said where no
-/// majority answers: whoever listens lets what it heard run out. It blocks.
-pub fn follow_schools(own: Agreement, said: tokio::sync::mpsc::Sender<Bought>) {
-    let mut voters: Option<Voters> = None;
-    while !said.is_closed() {
-        let v = match &mut voters {
-            Some(v) => v,
-            None => match Voters::at(own.clone()) {
-                Ok(v) => voters.insert(v),
-                Err(e) => {
-                    tracing::error!(%e, "the voters cannot be asked");
-                    return;
-                }
-            },
-        };
-        let asked = Instant::now();
-        let heard = v.look(SOON);
-        let deciding = v.deciding();
-        let most = heard.iter().filter(|h| deciding.contains(h)).count() * 2 > deciding.len();
-        if let Some(newest) = v.newest.as_ref().filter(|_| most)
-            && let Ok(shared) = Shared::run("the newest version", &newest.value.text)
-        {
-            let lease = lease_of(shared.directors.contradiction) * (1.0 - RATE_ERROR);
-            let until = asked + Duration::from_secs_f64(lease);
-            let bought = Bought { version: newest.label(), schools: shared.schools, until };
-            if said.blocking_send(bought).is_err() {
-                return;
-            }
-        }
-        std::thread::sleep(PAUSE);
+/// Tells a keeper of seats the agreed schools, under a lease like a director's.
+pub async fn follow_schools(own: Agreement, sold: watch::Sender<Sold>) -> Result<()> {
+    let read = |acting: &Acting| Ok((pools(&schools_acted_on(acting)?), true));
+    let mut following = Following::reading(own, read).await?;
+    loop {
+        let r = following.ruling();
+        let schools = r.book.to_vec();
+        sold.send_replace(Sold { schools, label: r.label, from: r.from, until: r.until });
+        following.changed().await;
     }
 }
 
--- a/crates/kelpdoord/src/lib.rs
+++ b/crates/kelpdoord/src/lib.rs
@@ -13,12 +13,15 @@
 use anyhow::{Context, Result, bail};
 use clap::{Parser, Subcommand, ValueEnum};
 use kelpdoor_agreement::VoterId;
+use kelpdoor_clock::Steady;
 use kelpdoor_director::{Following, ServeOptions, journal, keeper_options, serve};
-use kelpdoor_keeper::{Ask, RunningVoter, Tell, VoterOptions, start_voter};
+use kelpdoor_keeper::{Agreed, Ask, RunningVoter, Sold, Tell, VoterOptions, start_voter};
 use kelpdoor_platform::{Start, StartFault};
 use kelpdoor_script::{Deployment, Fault, KEEPER, KeeperBook, Own, Voter};
 use kelpdoor_tokens::KeySet;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tracing_subscriber::EnvFilter;
 
 #[derive(Parser)]
@@ -217,14 +220,15 @@
 async fn count_seats(config: PathBuf, book: KeeperBook) -> Result<()> {
     let mut ends = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
     let mut again = signal(SignalKind::hangup())?;
-    // Agreed ones come from the voters: until a majority is heard nobody gets a seat that it does not have.
-    let options = keeper_options(&book.keeper, &book.schools);
-    let (say, mut heard) = tokio::sync::mpsc::channel(1);
+    let mut options = keeper_options(&book.keeper, &book.schools);
     let follows = book.agreement.is_some();
-    if let Some(own) = book.agreement.clone() {
-        std::thread::spawn(move || agreed::follow_schools(own, say));
+    let mut following = JoinSet::new();
+    if let Some(own) = book.agreement {
+        let steady = Steady::new(own.clock_rate);
+        let (tell, sold) = watch::channel(Sold::nothing());
+        following.spawn(agreed::follow_schools(own, tell));
+        options.agreed = Some(Agreed { sold, steady });
     }
-    let mut bought: Option<agreed::Bought> = None;
     let listen = options.listen;
     let mut running =
         kelpdoor_keeper::start(options).await.with_context(|| format!("the keeper on {listen}"))?;
@@ -232,28 +236,10 @@
     std::io::stdout().flush()?;
     let [term, int] = &mut ends;
     loop {
-        let until = bought.as_ref().map(|b| b.until);
-        let over = async {
-            match until {
-                Some(until) => tokio::time::sleep_until(until.into()).await,
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
-            Some(news) = heard.recv(), if follows => {
-                if bought.as_ref().is_none_or(|b| b.version != news.version) {
-                    tracing::info!(version = news.version, schools = news.schools.len(), "the agreed schools");
-                    running.buy(keeper_options(&book.keeper, &news.schools).schools).await;
-                }
-                bought = Some(news);
-            }
-            () = over => {
-                tracing::warn!("no majority of voters: what is held is held, no seat is given out");
-                running.buy(Vec::new()).await;
-                bought = None;
-            }
+            Some(ended) = following.join_next() => bail!("the agreed schools are not to be had: {ended:?}"),
             _ = again.recv() => match KeeperBook::read(&config) {
                 Ok(_) if follows => tracing::info!("the schools are agreed: nothing to read again"),
                 Ok(book) => {
--- a/crates/kelpdoord/tests/inside.rs
+++ b/crates/kelpdoord/tests/inside.rs
@@ -135,6 +135,8 @@
     let (mut fleet, dir) = agreed_fleet(&base);
     let of_director = std::fs::read_to_string(settings(&dir, 0)).expect("there");
     let agreement = of_director.lines().find(|l| l.starts_with("agreement(")).expect("a line");
+    // Under a name of its own, as every director.
+    let agreement = agreement.replace("name = \"d0\"", "name = \"seats\"");
     let ledger = dir.join("ledger").display().to_string();
     let text = format!("keeper(listen = \"127.0.0.1:0\", ledger = {ledger:?})\n{agreement}\n");
     std::fs::write(dir.join("keeper.star"), &text).expect("written");
