--- a/crates/kelpdoor-lab/src/day.rs
+++ b/crates/kelpdoor-lab/src/day.rs
@@ -321,12 +321,12 @@
                 }
                 match off {
                     Err(e) => tracing::error!(%e, "a list of voters"),
-                    Ok(off) => {
+                    Ok(None) => {}
+                    Ok(Some(off)) => {
+                        self.voter(async |voting| voting.now_listed(&t.voters).await).await;
                         pause(t.notice).await;
                         self.voter(async |voting| {
-                            for v in off.into_iter().flatten() {
-                                voting.kill(v).await;
-                            }
+                            voting.end_off(&off).await;
                             Ok(())
                         })
                         .await;
--- a/crates/kelpdoor-lab/src/voting.rs
+++ b/crates/kelpdoor-lab/src/voting.rs
@@ -44,6 +44,8 @@
     children: Vec<Option<Daemon>>,
     /// Who is not asked to found the fleet at its start: who did, and who joins.
     founded: Vec<bool>,
+    /// On the list that was agreed last.
+    listed: Vec<u32>,
     recorder: Recorder,
 }
 
@@ -97,6 +99,7 @@
             between: between.clone(),
             children: (0..n).map(|_| None).collect(),
             founded: (0..n).map(|v| v >= size.voters).collect(),
+            listed: (0..size.voters).collect(),
             recorder: recorder.clone(),
         };
         for v in 0..size.voters {
@@ -142,6 +145,19 @@
         Ok(())
     }
 
+    /// These are on the list now: they run, though an earlier list had ended one meanwhile.
+    pub async fn now_listed(&mut self, voters: &[u32]) -> Result<()> {
+        self.listed = voters.to_vec();
+        self.all_up(voters).await
+    }
+
+    /// Ends those of them that no later list has put on again.
+    pub async fn end_off(&mut self, off: &[u32]) {
+        for v in off.iter().copied().filter(|v| !self.listed.contains(v)).collect::<Vec<_>>() {
+            self.kill(v).await;
+        }
+    }
+
     /// Starts a voter, wherever it may listen: the relays before it know.
     pub async fn again(&mut self, v: u32) -> Result<()> {
         let k = v as usize;
