Read what lies in the sockets before each round, and leave in order

Seen: the program, stopped while a viewer's close, a node's answer or a late connection came in, went on with what it found in the order in which it found it.

Causes and lines: - shell.rs `run`: a round fired time-outs before the sockets were read, and `first` was held back while `catch_up` took what came after it, so that a close read first counted last: a SETUP left for one who was gone, and an answer that lay there lost to its time-out. Every round now looks first, lists before viewers before nodes, the first input with them. - exchange.rs `depart`, `link_up`: a SETUP that waited for its connection left with it although its viewer had gone, always so where `mayCancel` is false; and to a node that drains, started anew or whose address is another's by then. - shell.rs `may_end`: it ended on what had been read, not on what lay in accept queue and sockets, and cut viewers' connections under a START that crossed. They are closed in order first, and what is sent again is refused. - `given_up` forgot the oldest when full, so that a late answer stood for nobody; set-ups are refused then instead. - `owed` could lose a release to repeated rungs; `untold` was bounded under what may stand. - a START read before its connection gave way was passed over without a word; it is refused. - an idle connection near its node's own time for closing took a SETUP that the close crosses. - the change log was asked again without jitter; peers that do not read could fill the places of newcomers for a second.

LAST_SETUPS 1.0 s -> 0.7 s: the protocol may kill 0.7 s after the longest setup timeout, and counts as lost what came later than that. Ruled out by tests that pass before and after: answers byte by byte or twice, resets before, under and after, a change log that is silent, broken or moves, slow readers at the end, a second signal.

--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -45,16 +45,19 @@
 const OTHER_SOCKETS: usize = 36;
 /// s; a second connection to a node that is idle for so long is closed: nodes say at once what they owe on a new one.
 const LINK_IDLE: f64 = 2.0;
+/// Of the time after which nodes close an idle connection: one idle for so long takes no SETUP, which would cross the close.
+const LINK_STALE: f64 = 0.8;
 /// Connections to nodes that we closed and still read, for an end told just then; more are cut at once.
 const CLOSING: usize = 8;
-/// SETUPs given up lately: a late answer to one is released.
+/// SETUPs given up of late, for whose answers we wait: beyond it, set-ups are refused, as an answer that is not known for a
+/// late one would leave its session standing.
 const GIVEN_UP: usize = 4096;
+/// s; an answer that comes so long after its node was to give up is not waited for.
+const GIVEN_UP_FOR: f64 = 5.0;
 /// Releases and rungs that wait for a connection to one node.
 const OWED: usize = 1024;
 /// s; what is owed to a node that cannot be reached is dropped after so long.
 const OWED_FOR: f64 = 60.0;
-/// Releases that wait for a connection from viewers.
-const UNTOLD: usize = 4096;
 /// s; how often idle connections and quiet nodes are looked for.
 const SWEEP: f64 = 0.1;
 /// Rounds of the decisions within one call, for endings that their own orders bring at once.
@@ -223,8 +226,8 @@
     links: BTreeSet<u64>,
     standing: BTreeSet<SessId>,
     doubted: BTreeSet<SessId>,
-    owed: VecDeque<Owed>,
-    owed_since: f64,
+    /// And since when.
+    owed: VecDeque<(f64, Owed)>,
     pulse: Pulse,
     /// Since when a connection to it has been up without a gap: through all that time it was one process.
     linked_since: f64,
@@ -257,7 +260,8 @@
     ids: HashMap<String, NodeId>,
     /// Who has an address now.
     by_address: HashMap<SocketAddr, NodeId>,
-    given_up: VecDeque<(SessId, NodeId)>,
+    /// And by when their answers have come or never will.
+    given_up: BTreeMap<(SessId, NodeId), f64>,
     untold: VecDeque<(SessId, u32)>,
     open: usize,
     standing: usize,
@@ -267,6 +271,8 @@
     timers: Timers<Timer>,
     next_sweep: f64,
     next_link: u64,
+    /// s; a connection to a node that is idle for so long takes no SETUP.
+    link_stale: f64,
     most_viewers: usize,
     most_links: usize,
     most_standing: usize,
@@ -300,7 +306,7 @@
             nodes: BTreeMap::new(),
             ids: HashMap::new(),
             by_address: HashMap::new(),
-            given_up: VecDeque::new(),
+            given_up: BTreeMap::new(),
             untold: VecDeque::new(),
             open: 0,
             standing: 0,
@@ -310,6 +316,7 @@
             timers: Timers::default(),
             next_sweep: now,
             next_link: 0,
+            link_stale: if start.named.idle > 0.0 { LINK_STALE * start.named.idle } else { f64::INFINITY },
             most_viewers: room / 2,
             most_links: room - room / 2,
             most_standing: start.memory / STANDING.0 / STANDING.1,
@@ -372,6 +379,13 @@
         self.hands.closing = true;
     }
 
+    /// Closes viewers' connections on which nothing is open, so that what crosses that is sent again elsewhere.
+    pub fn shut_viewers(&mut self) {
+        let free: Vec<u64> =
+            self.hands.viewers.iter().filter(|(_, v)| v.open.is_empty()).map(|(&conn, _)| conn).collect();
+        free.into_iter().for_each(|conn| self.hands.viewer_off(conn, true));
+    }
+
     /// Viewers' connections held at most.
     pub fn most_viewers(&self) -> usize {
         self.hands.most_viewers
@@ -458,6 +472,12 @@
 
     fn viewer(&mut self, conn: u64, waited: f64, word: Result<viewer::Word, Bad>) {
         if !self.viewers.contains_key(&conn) {
+            // Read before its connection was closed for another's place: what was taken is answered, if it still can be.
+            if let Ok(viewer::Word::Start(sess, ask)) = word
+                && ask.at.is_none()
+            {
+                self.refuse(conn, sess);
+            }
             return;
         }
         match word {
@@ -588,6 +608,7 @@
         }
         self.came += 1;
         let full = self.open >= OPEN
+            || self.given_up.len() >= GIVEN_UP
             || self.standing >= self.most_standing
             || self.bytes + ask.blob.len() > self.most_bytes
             || self.viewers.get(&conn).is_some_and(|v| v.open.len() >= OPEN_EACH);
@@ -657,9 +678,12 @@
         let Some(s) = self.sess.get_mut(&sess) else { return };
         s.left = true;
         self.round.departures.push(sess);
-        if s.stage == Stage::Asked {
+        match s.stage {
             // Nothing is out, so nothing will say of it again.
-            self.forget(sess);
+            Stage::Asked => drop(self.forget(sess)),
+            // Its connection may come up before the decisions hear of it, and may not cancel what is out.
+            Stage::Waiting => self.setup_over(sess, Ending::Moot, LoadReport::default()),
+            Stage::Out | Stage::Doubt | Stage::Stands => {}
         }
     }
 
@@ -701,7 +725,8 @@
         if let Some(conn) = at {
             return self.finish(conn, Some(sess), why, None);
         }
-        if self.untold.len() >= UNTOLD {
+        // Nothing stands anew before they are told, but for what is served to those who misbehave.
+        if self.untold.len() >= self.most_standing {
             self.untold.pop_front();
         }
         self.untold.push_back((sess, why));
@@ -872,12 +897,15 @@
     /// that goes bad takes few with it.
     fn link_for(&mut self, node: NodeId) -> Option<u64> {
         let n = self.nodes.get(&node)?;
-        let usable = n.links.iter().filter_map(|l| Some((*l, self.links.get(l)?))).filter(|(_, l)| !l.tired);
+        let stale = |l: &Link| l.up && l.out.is_empty() && self.now - l.used >= self.link_stale;
+        let links = n.links.iter().filter_map(|l| Some((*l, self.links.get(l)?)));
+        let usable = links.filter(|(_, l)| !l.tired && !stale(l));
         let best = usable.min_by_key(|(_, l)| (l.out.len(), !l.up)).map(|(l, link)| (l, link.out.len()));
+        let held = n.links.iter().filter_map(|l| self.links.get(l)).filter(|l| !stale(l)).count();
         let each = (self.most_links / self.nodes.len().max(1)).clamp(1, LINKS_EACH);
         match best {
             Some((link, 0)) => Some(link),
-            Some((link, _)) if n.links.len() >= each => Some(link),
+            Some((link, _)) if held >= each => Some(link),
             best => {
                 let new = if self.room_for_link() { self.dial(node) } else { None };
                 new.or(best.map(|b| b.0))
@@ -896,13 +924,17 @@
         }
         let now = self.now;
         let Some(n) = self.nodes.get_mut(&node) else { return };
-        if n.owed.is_empty() {
-            n.owed_since = now;
+        // A rung that waits goes out as it is by then.
+        let again = matches!(owed, Owed::Rung(_)) && n.owed.iter().any(|(_, o)| *o == owed);
+        if again {
+            return;
         }
         if n.owed.len() >= OWED {
-            n.owed.pop_front();
+            // What plays at another rung costs less than what plays for nobody.
+            let rung = n.owed.iter().position(|(_, o)| matches!(o, Owed::Rung(_)));
+            n.owed.remove(rung.unwrap_or(0));
         }
-        n.owed.push_back(owed);
+        n.owed.push_back((now, owed));
     }
 
     fn send_owed(&mut self, link: u64, owed: Owed) {
@@ -919,6 +951,13 @@
     fn link_up(&mut self, link: u64) {
         let Some(l) = self.links.get(&link).filter(|l| !l.closing) else { return };
         let (node, waiting) = (l.node, l.out.clone());
+        if self.nodes.get(&node).is_some_and(|n| self.by_address.get(&n.address) != Some(&node)) {
+            // While it was dialled its address became another node's, which is not the one that was meant.
+            for sess in waiting {
+                self.setup_over(sess, Ending::Moot, LoadReport::default());
+            }
+            return self.hang_up_link(link, true);
+        }
         let alone = self.up_link(node).is_none();
         if let Some(l) = self.links.get_mut(&link) {
             (l.up, l.used) = (true, self.now);
@@ -930,16 +969,14 @@
         n.pulse.heard(self.now);
         let (owed, doubted) = (std::mem::take(&mut n.owed), std::mem::take(&mut n.doubted));
         waiting.into_iter().for_each(|sess| self.send_setup(sess));
-        owed.into_iter().for_each(|owed| self.send_owed(link, owed));
+        owed.into_iter().for_each(|(_, owed)| self.send_owed(link, owed));
         // The node lives, so only the connection was lost: whether its SETUPs ran is not known.
         doubted.into_iter().for_each(|sess| self.setup_lost(sess, Ending::Withdrawn));
     }
 
     fn remember_given_up(&mut self, sess: SessId, node: NodeId) {
-        if self.given_up.len() >= GIVEN_UP {
-            self.given_up.pop_front();
-        }
-        self.given_up.push_back((sess, node));
+        let until = self.sess.get(&sess).map_or(self.now, |s| s.until.max(self.now)) + GIVEN_UP_FOR;
+        self.given_up.insert((sess, node), until);
     }
 
     fn link_failed(&mut self, link: u64, how: Failed) {
@@ -1108,7 +1145,7 @@
 
     fn set_up(&mut self, link: u64, node: NodeId, sess: SessId, blob: Option<String>) {
         if !self.is_out(sess, link) {
-            if self.given_up.contains(&(sess, node)) {
+            if self.given_up.contains_key(&(sess, node)) {
                 self.reply(link, media::release(sess, cause::CLEARED));
             }
             return;
@@ -1191,7 +1228,6 @@
             standing: BTreeSet::new(),
             doubted: BTreeSet::new(),
             owed: VecDeque::new(),
-            owed_since: now,
             pulse: Pulse::new(now),
             linked_since: now,
             told: 0.0,
@@ -1218,8 +1254,29 @@
         change.hosts.iter().filter_map(|h| self.listed(h)).collect()
     }
 
+    /// SETUPs that wait for a connection were ordered by what was known then: where their node begins to drain, is gone or
+    /// started anew since, they are taken back, and the decisions place them again by the drain and the pace of now.
+    fn take_back(&mut self, before: &[(NodeId, Phase, f64)]) {
+        let stale = |&&(node, phase, up_since): &&(NodeId, Phase, f64)| {
+            self.nodes
+                .get(&node)
+                .is_some_and(|n| (n.phase != phase && n.phase != Phase::Ready) || n.line.up_since > up_since)
+        };
+        let stale: Vec<NodeId> = before.iter().filter(stale).map(|b| b.0).collect();
+        for node in stale {
+            let links = self.nodes.get(&node).map(|n| n.links.clone()).unwrap_or_default();
+            for link in links {
+                let Some(l) = self.links.get_mut(&link).filter(|l| !l.up) else { continue };
+                let waiting = std::mem::take(&mut l.out);
+                waiting.into_iter().for_each(|s| self.setup_over(s, Ending::Moot, LoadReport::default()));
+            }
+        }
+    }
+
     fn change(&mut self, change: &Change) {
+        let before: Vec<_> = self.nodes.iter().map(|(&id, n)| (id, n.phase, n.line.up_since)).collect();
         let lines = self.fold(change);
+        self.take_back(&before);
         if change.whole {
             self.round.list_changes.push(ListChange::Whole(lines));
         } else if !lines.is_empty() {
@@ -1240,6 +1297,7 @@
 
     fn sweep(&mut self) {
         let now = self.now;
+        self.given_up.retain(|_, until| *until > now);
         let idle = |v: &Viewer| {
             let after = if v.trusted > 0 { VIEWER_IDLE.1 } else { VIEWER_IDLE.0 };
             v.open.is_empty() && v.stand == 0 && now - v.last >= after
@@ -1254,15 +1312,14 @@
         let now = self.now;
         let linked = self.up_link(id).is_some();
         let Some(n) = self.nodes.get_mut(&id) else { return };
-        if now - n.owed_since > OWED_FOR {
-            n.owed.clear();
-        }
+        n.owed.retain(|(since, _)| now - since <= OWED_FOR);
         let concerned = !(n.standing.is_empty() && n.doubted.is_empty() && n.owed.is_empty());
         let idle = |l: &&u64| {
             self.links.get(l).is_some_and(|l| l.up && l.out.is_empty() && now - l.used >= LINK_IDLE)
         };
         let idle: Vec<u64> = n.links.iter().filter(idle).copied().collect();
         // One stays open, for what stands there.
+        let stale = |l: &&u64| self.links.get(l).is_some_and(|l| now - l.used >= self.link_stale);
         let keep = usize::from(n.phase != Phase::Gone || concerned);
         let up = n.links.iter().filter(|l| self.links.get(l).is_some_and(|l| l.up)).count();
         let (all, over) = (n.links.len(), concerned && n.pulse.over());
@@ -1277,7 +1334,8 @@
             }
             return;
         }
-        idle.into_iter().take(up.saturating_sub(keep)).for_each(|link| self.hang_up_link(link, false));
+        let ours = idle.iter().filter(stale).count().max(up.saturating_sub(keep));
+        idle.into_iter().take(ours).for_each(|link| self.hang_up_link(link, false));
         if over {
             self.node_over(id);
         }
@@ -1384,70 +1442,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::viewer::read;
-
-    /// A start without nodes.
-    fn start() -> Start {
-        let text =
-            r#"{"profiles":[{"name":"c"}],"specifics":{"ratesKb":[1.0],"levelWorth":[1.0],"cells":1}}"#;
-        let settings = serde_json::from_str(text).expect("JSON");
-        let (terms, report) = kelpdoor_terms::terms(&settings).expect("settings");
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        Start {
-            file: "none".into(),
-            name: "n".into(),
-            listen: any,
-            seed: 1,
-            sockets: 256,
-            memory: 32 << 20,
-            changelog: any,
-            known: Vec::new(),
-            known_to: 0,
-            terms,
-            report,
-            named: kelpdoor_terms::named(&settings).expect("settings"),
-        }
-    }
-
-    #[test]
-    fn a_node_has_one_number_at_all_directors_whatever_they_heard_first() {
-        let numbers = |order: [u32; 4]| {
-            let host = |n: u32| {
-                serde_json::json!({"host": format!("s-{n}"), "dial": format!("10.1.0.{n}:1"), "site": "a", "class": "b",
-                    "block": 0, "health": "up", "share": 1, "born_ms": 0})
-            };
-            let event = serde_json::json!({"seq": 1, "fleet": {"whole": true, "hosts": order.map(host)}});
-            let known = serde_json::json!({"seq": 1, "results": [event]});
-            let (known, known_to) = crate::changes::read_known(&known).expect("good events");
-            let x = Exchange::new(&Start { known, known_to, ..start() }, 1000.0);
-            x.hands.ids.into_iter().collect::<BTreeMap<_, _>>()
-        };
-        let one = numbers([1, 2, 3, 4]);
-        assert_eq!(one, numbers([4, 2, 1, 3]));
-        assert_eq!(one.values().collect::<BTreeSet<_>>().len(), 4);
-    }
-
-    #[test]
-    fn what_the_decisions_forget_is_answered_when_it_is_due() {
-        let mut x = Exchange::new(&start(), 1000.0);
-        x.take(1000.0, 0.0, Input::ViewerUp { conn: 1 });
-        let line = r#"{"verb":"START","tag":"0000000000000005","blob":"","opts":{"class":"c","left":2000,"key":"k",
-            "extras":"home:0;copies:1;top:0"}}"#;
-        x.take(1000.0, 0.0, Input::Viewer { conn: 1, word: read(line.as_bytes()) });
-        // As if a fault of theirs had lost it.
-        x.hands.round.new_sessions.clear();
-        let mut said = Vec::new();
-        for now in [1000.0, 1001.9, 1001.99, 1003.0] {
-            x.round(now, &mut |e| {
-                if let Effect::Viewer { bytes, .. } = e {
-                    said.push((now, String::from_utf8_lossy(&bytes).into_owned()));
-                }
-            });
-        }
-        let answer = r#"{"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":41}"#.to_owned() + "\n";
-        assert_eq!(said, [(1001.99, answer)]);
-        assert_eq!((x.counts().open, x.counts().timers), (0, 0));
-    }
-}
+mod tests;
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -18,7 +18,7 @@
 use hyper_util::rt::TokioIo;
 use kelpdoor_clock::Clock;
 use kelpdoor_parts::{CATCH_UP, stood_still};
-use kelpdoor_rtsp::{Version, parse_as};
+use kelpdoor_rtsp::{Message, Version, parse_as};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
@@ -32,8 +32,10 @@
 
 /// Inputs waiting for the exchange at most, of 16 KiB each; readers wait beyond it, and so do their peers.
 const INPUTS: usize = 256;
-/// Inputs taken into one round at most.
-const BATCH: usize = 256;
+/// Inputs taken into one round at most, and of the memory for what they hold: who sends hundreds of set-ups and takes them
+/// back at once has none of them sent on.
+const BATCH: usize = 1024;
+const BATCH_PART: usize = 16;
 /// Read from one socket at a time, so that a peer at full speed leaves room for others.
 const READ: usize = 8 << 10;
 /// Bytes that wait for a peer that does not read; beyond it, it is cut off.
@@ -55,11 +57,16 @@
 const FEED_WAIT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 /// Bytes of the change log without an event in them at most.
 const FEED_EVENT: usize = 8 << 20;
-/// After the signal to end, set-ups are served for so long yet; later ones are refused. Once none came for a while, and
-/// none is open or in line, the process ends; and after a longer while even if they keep coming.
-const LAST_SETUPS: Duration = Duration::from_millis(1000);
+/// After the signal to end, set-ups are served for so long yet: what comes later has to be answered before the process is
+/// killed, so it is refused at once. Once none came for a while, none is open or in line and every end and release is told,
+/// viewers' connections are closed, and what crosses that and is sent again, which takes a viewer 50 ms at most, is refused;
+/// then the process ends. After a longer while it does so even if set-ups keep coming or an end cannot be told.
+const LAST_SETUPS: Duration = Duration::from_millis(700);
 const LAST_QUIET: Duration = Duration::from_millis(150);
 const LAST_WORDS: Duration = Duration::from_millis(3000);
+/// Turns that readers get before a round, at least and at most: in the first what came is seen, in the second it is read;
+/// further ones while something comes.
+const LOOKS: (u32, u32) = (2, 16);
 /// Lines of the log a second at most.
 const LINES: u32 = 40;
 
@@ -375,11 +382,18 @@
     .await;
 }
 
-async fn accept(listener: TcpListener, most: usize, backlog: Backlog, pipes: Pipes, to: mpsc::Sender<Came>) {
-    let lingering = Rc::new(Semaphore::new(LINGERING));
+async fn accept(
+    listener: TcpListener, most: usize, backlog: Backlog, pipes: Pipes, to: mpsc::Sender<Came>,
+    lingering: Rc<Semaphore>,
+) {
     let mut conn = 0;
     loop {
         while pipes.borrow().len() >= most + LINGERING + NEWCOMERS {
+            // One that was closed and whose peer does not read gives way first: a crowd of those would keep others out for
+            // as long as their last words may take.
+            if let Some(slow) = pipes.borrow().values().find(|p| p.closing.get() && !p.cut.get()) {
+                slow.abort();
+            }
             sleep(CROWDED).await;
         }
         let stream = match listener.accept().await {
@@ -491,8 +505,11 @@
     }
 }
 
-/// Follows the change log, wherever it is now, from the last number heard.
-async fn follow(mut at: watch::Receiver<SocketAddr>, mut last: u64, to: mpsc::Sender<Came>) {
+/// Follows the change log, wherever it is now, from the last number heard. Each wait is drawn from its half up, for all
+/// directors lose it at the same moment.
+async fn follow(
+    mut at: watch::Receiver<SocketAddr>, mut last: u64, to: mpsc::Sender<Came>, mut rng: fastrand::Rng,
+) {
     let (mut wait, mut failed) = (FEED_WAIT.0, None);
     loop {
         let address = *at.borrow_and_update();
@@ -505,7 +522,7 @@
         wait = if last > before || began.elapsed() > FEED_SILENCE * 2 { FEED_WAIT.0 } else { wait * 2 };
         wait = wait.min(FEED_WAIT.1);
         tokio::select! {
-            () = sleep(wait) => {}
+            () = sleep(wait.mul_f64(0.5 + 0.5 * rng.f64())) => {}
             _ = at.changed() => at.mark_changed(),
         }
     }
@@ -526,6 +543,12 @@
     lines: (Instant, u32),
     /// Set-ups that came so far, and when that was last seen to change.
     last_setup: (u64, Instant),
+    /// Bytes that inputs of one round may hold.
+    most_batch: usize,
+    /// Viewers' connections that may linger at a time.
+    lingering: Rc<Semaphore>,
+    /// When viewers' connections were closed for the end.
+    shut_at: Option<Instant>,
 }
 
 impl Shell {
@@ -543,7 +566,7 @@
                 tracing::debug!("{input:?}");
                 self.links.remove(link);
             }
-            Input::LinkUp { .. } => tracing::debug!("{input:?}"),
+            Input::LinkUp { .. } | Input::ViewerLost { .. } => tracing::debug!("{input:?}"),
             Input::Node { link, message } => tracing::trace!(link, "{message:?}"),
             _ => {}
         }
@@ -621,7 +644,8 @@
         }
     }
 
-    /// Whether the process may end, so long after it was told to: nothing is open, and nothing is to be expected.
+    /// Whether the process may end, so long after it was told to: nothing is open, every end is told, and nothing is to be
+    /// expected. Viewers' connections are closed once it might, and it ends after a further quiet while.
     fn may_end(&mut self, since: Duration, line: &mpsc::Receiver<Came>) -> bool {
         let counts = self.exchange.counts();
         if counts.came != self.last_setup.0 {
@@ -631,8 +655,59 @@
             return false;
         }
         self.exchange.close();
-        let quiet = self.last_setup.1.elapsed() >= LAST_QUIET && line.is_empty();
-        counts.open == 0 && (quiet || since >= LAST_WORDS)
+        let quiet = self.last_setup.1.elapsed() >= LAST_QUIET && line.is_empty() && counts.owed == 0;
+        if counts.open > 0 || !(quiet || since >= LAST_WORDS) {
+            return false;
+        }
+        let shut = *self.shut_at.get_or_insert_with(|| {
+            // All at once, and their descriptors are held already.
+            self.lingering.add_permits(self.exchange.most_viewers());
+            Instant::now()
+        });
+        // Those that came since are closed too, each with what was taken on it answered.
+        self.exchange.shut_viewers();
+        shut.elapsed() >= LAST_QUIET
+    }
+
+    /// Lets readers pass on all that lies in the sockets: whether a viewer is still there is known before anything is done
+    /// for it, and what was taken before the process ends.
+    async fn look(&mut self, input: &mut mpsc::Receiver<Came>, batch: &mut Vec<Came>) {
+        let held = |(_, input): &Came| match input {
+            Input::Viewer { word: Ok(viewer::Word::Start(_, ask)), .. } => ask.blob.len(),
+            Input::Node { message: Message::Response(r), .. } => r.body.len(),
+            Input::Node { message: Message::Request(r), .. } => r.body.len(),
+            _ => 0,
+        };
+        let mut bytes: usize = batch.iter().map(held).sum();
+        for turn in 0..LOOKS.1 {
+            let before = batch.len();
+            while batch.len() < BATCH
+                && bytes < self.most_batch
+                && let Ok(next) = input.try_recv()
+            {
+                bytes += held(&next);
+                batch.push(next);
+            }
+            let full = batch.len() >= BATCH || bytes >= self.most_batch;
+            if full || turn >= LOOKS.0 && batch.len() == before {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Takes one batch in: first what the list says, then what viewers say, then nodes, each in the order in which it
+    /// came, so that nothing leaves for one who is gone by then, or to a node that is.
+    fn take_all(&mut self, now: f64, mut batch: Vec<Came>) {
+        batch.sort_by_key(|(_, input)| match input {
+            Input::Change(_) => 0,
+            Input::ViewerUp { .. }
+            | Input::Viewer { .. }
+            | Input::ViewerOverlong { .. }
+            | Input::ViewerLost { .. } => 1,
+            _ => 2,
+        });
+        batch.into_iter().for_each(|came| self.take(now, came));
     }
 
     async fn run(
@@ -667,19 +742,15 @@
                 first = input.recv() => first,
                 () = sleep_until(due) => None,
             };
+            let mut batch: Vec<Came> = first.into_iter().collect();
             let gap = last.elapsed();
             if stood_still(gap, Duration::from_secs_f64(wait)) {
                 tracing::warn!(seconds = gap.as_secs_f64(), "stood still; reading what came meanwhile first");
-                self.catch_up(&mut input).await;
+                self.catch_up(&mut input, std::mem::take(&mut batch)).await;
             }
+            self.look(&mut input, &mut batch).await;
             let now = self.now();
-            if let Some(first) = first {
-                self.take(now, first);
-                for _ in 1..BATCH {
-                    let Ok(next) = input.try_recv() else { break };
-                    self.take(now, next);
-                }
-            }
+            self.take_all(now, batch);
             last = Instant::now();
         }
         let pipes: Vec<Rc<Pipe>> =
@@ -696,13 +767,12 @@
     }
 
     /// Takes what lies in the sockets after a pause of the process, before any time-out fires on it.
-    async fn catch_up(&mut self, input: &mut mpsc::Receiver<Came>) {
+    async fn catch_up(&mut self, input: &mut mpsc::Receiver<Came>, mut first: Vec<Came>) {
         let until = Instant::now() + CATCH_UP;
         while Instant::now() < until {
+            self.look(input, &mut first).await;
             let now = self.now();
-            while let Ok(next) = input.try_recv() {
-                self.take(now, next);
-            }
+            self.take_all(now, std::mem::take(&mut first));
             sleep(Duration::from_millis(1)).await;
         }
     }
@@ -721,9 +791,10 @@
     let backlog = Backlog { bytes: Rc::default(), most: start.memory / PART_EACH };
     // These never end; the director would be deaf without them.
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(follow(at, start.known_to, to.clone()));
-    let most = exchange.most_viewers();
-    tasks.spawn_local(accept(listener, most, backlog.clone(), viewers.clone(), to.clone()));
+    tasks.spawn_local(follow(at, start.known_to, to.clone(), fastrand::Rng::with_seed(start.seed)));
+    let (most, lingering) = (exchange.most_viewers(), Rc::new(Semaphore::new(LINGERING)));
+    let accepting = accept(listener, most, backlog.clone(), viewers.clone(), to.clone(), lingering.clone());
+    tasks.spawn_local(accepting);
     tracing::info!(name = start.name, listen = %start.listen, sockets = start.sockets, "started");
     let shell = Shell {
         exchange,
@@ -736,6 +807,9 @@
         file: start.file,
         lines: (Instant::now(), 0),
         last_setup: (0, Instant::now()),
+        most_batch: start.memory / BATCH_PART,
+        lingering,
+        shut_at: None,
         backlog,
     };
     shell.run(input, signals, tasks).await
@@ -751,80 +825,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn only_a_refusal_is_one_and_what_we_lack_says_nothing_of_a_node() {
-        let of = |code: i32| failed(Some(&io::Error::from_raw_os_error(code)));
-        assert_eq!(of(libc::ECONNREFUSED), Failed::Refused);
-        assert_eq!([of(libc::EMFILE), of(libc::EADDRNOTAVAIL)], [Failed::Ours; 2]);
-        assert_eq!([of(libc::EHOSTUNREACH), failed(None)], [Failed::Silent; 2]);
-    }
-
-    fn backlog(most: usize) -> Backlog {
-        Backlog { bytes: Rc::default(), most }
-    }
-
-    async fn pair() -> (Rc<TcpStream>, TcpStream) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-        let ours = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("connected");
-        (Rc::new(ours), listener.accept().await.expect("accepted").0)
-    }
-
-    #[tokio::test]
-    async fn a_peer_that_does_not_read_is_cut_off_at_the_bound_and_holds_no_connection_that_closes() {
-        let (ours, _theirs) = pair().await;
-        let all = backlog(1 << 20);
-        let pipe = Pipe::new(Some(ours.clone()), all.clone());
-        let chunk = vec![b'x'; 16 << 10];
-        for _ in 0..10_000 {
-            if pipe.waits() {
-                break;
-            }
-            pipe.write(&chunk);
-        }
-        assert!(pipe.waits() && !pipe.cut.get());
-        pipe.close();
-        let end = timeout(LINGER * 2, serve(&ours, &pipe, true, async |_: &mut Vec<u8>| true)).await;
-        assert_eq!(end, Ok(false), "it ends though its last words are not read");
-        (0..10).for_each(|_| pipe.write(&chunk));
-        assert!(pipe.cut.get() && all.bytes.get() <= PENDING);
-        drop(pipe);
-        assert_eq!(all.bytes.get(), 0);
-    }
-
-    #[tokio::test]
-    async fn what_a_peer_said_before_it_saw_our_close_is_read() {
-        use tokio::io::{AsyncReadExt, AsyncWriteExt};
-        let (ours, mut theirs) = pair().await;
-        let pipe = Pipe::new(Some(ours.clone()), backlog(1 << 20));
-        pipe.close();
-        let said = RefCell::new(Vec::new());
-        let served = serve(&ours, &pipe, true, async |buf: &mut Vec<u8>| {
-            said.borrow_mut().append(buf);
-            true
-        });
-        let peer = async {
-            theirs.write_all(b"over").await.expect("the way to us is open");
-            assert_eq!(theirs.read(&mut [0; 8]).await.expect("our end"), 0);
-            drop(theirs);
-        };
-        let both = timeout(LINGER * 2, async { tokio::join!(served, peer) }).await;
-        let (ours_to_end, ()) = both.expect("both ends close");
-        assert_eq!((ours_to_end, &said.borrow()[..]), (false, &b"over"[..]));
-    }
-
-    #[tokio::test]
-    async fn all_peers_together_keep_within_their_bound() {
-        let all = backlog(20 << 10);
-        let pipes = [Pipe::new(None, all.clone()), Pipe::new(None, all.clone())];
-        pipes.iter().for_each(|p| p.write(&[0; 16 << 10]));
-        assert_eq!(pipes.each_ref().map(|p| p.cut.get()), [false, true]);
-    }
-
-    #[tokio::test]
-    async fn a_fault_in_a_connections_task_costs_that_connection_alone() {
-        guarded(async { panic!("a fault") }).await;
-    }
-}
+mod tests;
--- a/crates/kelpdoor-platform/tests/exchange.rs
+++ b/crates/kelpdoor-platform/tests/exchange.rs
@@ -739,3 +739,108 @@
     let c = s.exchange.counts();
     assert!(c.links <= 6 && c.open > c.links, "{c:?}");
 }
+
+fn told(text: &str) -> Input {
+    Input::Change(kelpdoor_platform::changes::read_event(text).expect("good"))
+}
+
+#[test]
+fn setups_that_wait_are_taken_back_where_their_node_drains_is_gone_or_started_anew() {
+    let line = |health: &str, born: u32| {
+        format!(
+            r#"{{"seq":2,"fleet":{{"hosts":[{{"host":"s-1","dial":"10.1.0.1:5070","site":"dc1","class":"box-3c","block":1,
+            "health":"{health}","share":3,"born_ms":{born}}}]}}}}"#
+        )
+    };
+    let mut table = String::new();
+    for (health, born) in [("up", 0), ("draining", 0), ("removed", 0), ("up", 1_009_000)] {
+        let mut s = Story::new(1, 256);
+        s.open(1);
+        s.ask(1, 5);
+        s.told();
+        // Both in one batch.
+        s.take(told(&line(health, born)));
+        s.up(0);
+        let sent = s.told().contains("< SETUP");
+        table.push_str(&format!("{health} {born}: {}\n", if sent { "sent" } else { "taken back" }));
+    }
+    expect![[r#"
+        up 0: sent
+        draining 0: taken back
+        removed 0: taken back
+        up 1009000: taken back
+    "#]]
+    .assert_eq(&table);
+}
+
+#[test]
+fn a_setup_that_waits_leaves_with_its_viewer_before_its_connection_is_up() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.take(Input::ViewerLost { conn: 1 });
+    s.up(0);
+    expect![[r#"
+        10.00 link 0 dial 10.1.0.1:5070
+    "#]]
+    .assert_eq(&s.told());
+    assert_eq!((s.exchange.counts().open, s.exchange.counts().timers), (0, 0));
+}
+
+#[test]
+fn a_set_up_read_before_its_connection_gave_way_is_refused_on_it() {
+    let mut s = Story::new(1, 64);
+    let most = s.exchange.most_viewers() as u64;
+    (1..=most).for_each(|conn| s.open(conn));
+    s.told();
+    // Its START stands in line behind the newcomer that takes its place.
+    s.take(Input::ViewerUp { conn: most + 1 });
+    s.go(Input::Viewer {
+        conn: 1,
+        word: kelpdoor_platform::viewer::read(start(5, "lecture", "home:0;copies:4;top:4", "v=0").as_bytes()),
+    });
+    expect![[r#"
+        10.00 viewer 1 shut
+        10.00 viewer 1 < {"verb":"FINISH","tag":"0000000000000005","opts":{"wait":1000},"rc":42}
+    "#]]
+    .assert_eq(&s.told());
+    assert_eq!(s.exchange.counts().open, 0);
+}
+
+#[test]
+fn set_ups_are_refused_while_answers_to_too_many_given_up_may_come() {
+    let mut s = Story::new(4, 256);
+    s.open(1);
+    let mut given_up = 0;
+    for id in 1..10_000 {
+        s.ask(1, id);
+        if s.trace.contains("\"rc\":42") {
+            break;
+        }
+        s.settle();
+        s.say(1, &finish(id, 16));
+        given_up += 1;
+        s.told();
+    }
+    assert_eq!(given_up, 4096);
+    // Once none can come any more they are taken as before.
+    s.pass(20.0);
+    s.told();
+    s.ask(1, 40_000);
+    assert!(!s.told().contains("FINISH"));
+}
+
+#[test]
+fn a_connection_idle_for_nearly_as_long_as_its_node_allows_takes_no_setup() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    s.ask(1, 5);
+    s.up(0);
+    s.node(0, "RTSP/1.0 453 Full|CSeq: 1|Session: 0000000000000005");
+    s.pass(25.0);
+    s.told();
+    s.open(2);
+    s.ask(2, 6);
+    let told = s.told();
+    assert!(told.contains("dial") && !told.contains("link 0 < SETUP"), "{told}");
+}
