--- a/crates/kelpdoor-platform/tests/exchange.rs
+++ b/crates/kelpdoor-platform/tests/exchange.rs
@@ -826,7 +826,8 @@
     // Once none can come any more they are taken as before.
     s.pass(20.0);
     s.told();
-    s.ask(1, 40_000);
+    s.open(2);
+    s.ask(2, 40_000);
     assert!(!s.told().contains("FINISH"));
 }
 
