Do not wait at the end for ends that nobody can be told

The debug line of those that did not shows viewers 0 and owed rising: viewers close their connections, sessions go on ending, and nobody is there to be told.

--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -58,9 +58,10 @@
 /// Bytes of the change log without an event in them at most.
 const FEED_EVENT: usize = 8 << 20;
 /// After the signal to end, set-ups are served for so long yet: what comes later has to be answered before the process is
-/// killed, so it is refused at once. Once none came for a while, none is open or in line and every end and release is told,
-/// viewers' connections are closed, and what crosses that and is sent again, which takes a viewer 50 ms at most, is refused;
-/// then the process ends. After a longer while it does so even if set-ups keep coming or an end cannot be told.
+/// killed, so it is refused at once. Once none came for a while and none is open or in line, viewers' connections are closed,
+/// and what crosses that and is sent again, which takes a viewer 50 ms at most, is refused; then the process ends. After a
+/// longer while it does so even if set-ups keep coming. Ends that no connection is open for are not waited for: viewers open
+/// none any more by then, while sessions go on ending.
 const LAST_SETUPS: Duration = Duration::from_millis(700);
 const LAST_QUIET: Duration = Duration::from_millis(150);
 const LAST_WORDS: Duration = Duration::from_millis(3000);
@@ -644,8 +645,7 @@
         }
     }
 
-    /// Whether the process may end, so long after it was told to: nothing is open, every end is told, and nothing is to be
-    /// expected. Viewers' connections are closed once it might, and it ends after a further quiet while.
+    /// Whether the process may end, so long after it was told to: nothing is open, and nothing is to be expected. Viewers' connections are closed once it might, and it ends after a further quiet while.
     fn may_end(&mut self, since: Duration, line: &mpsc::Receiver<Came>) -> bool {
         let counts = self.exchange.counts();
         if counts.came != self.last_setup.0 {
@@ -655,7 +655,7 @@
             return false;
         }
         self.exchange.close();
-        let quiet = self.last_setup.1.elapsed() >= LAST_QUIET && line.is_empty() && counts.owed == 0;
+        let quiet = self.last_setup.1.elapsed() >= LAST_QUIET && line.is_empty();
         if counts.open > 0 || !(quiet || since >= LAST_WORDS) {
             return false;
         }
