--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -399,6 +399,11 @@
         due.into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
 
+    /// Whether a time-out is due, after which something may be sent; a round that only lets time go by sends nothing new.
+    pub fn times_out(&self, now: f64) -> bool {
+        self.hands.timers.next().is_some_and(|due| due <= now)
+    }
+
     pub fn counts(&self) -> Counts {
         let h = &self.hands;
         Counts {
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -669,8 +669,8 @@
         shut.elapsed() >= LAST_QUIET
     }
 
-    /// Lets readers pass on all that lies in the sockets: whether a viewer is still there is known before anything is done
-    /// for it, and what was taken before the process ends.
+    /// Before a round that may send something: lets readers pass on all that lies in the sockets. Whether a viewer is still
+    /// there is known before anything is done for it, and what was taken before the process ends.
     async fn look(&mut self, input: &mut mpsc::Receiver<Came>, batch: &mut Vec<Came>) {
         let held = |(_, input): &Came| match input {
             Input::Viewer { word: Ok(viewer::Word::Start(_, ask)), .. } => ask.blob.len(),
@@ -748,7 +748,10 @@
                 tracing::warn!(seconds = gap.as_secs_f64(), "stood still; reading what came meanwhile first");
                 self.catch_up(&mut input, std::mem::take(&mut batch)).await;
             }
-            self.look(&mut input, &mut batch).await;
+            let now = self.now();
+            if !batch.is_empty() || ending.is_some() || self.exchange.times_out(now) {
+                self.look(&mut input, &mut batch).await;
+            }
             let now = self.now();
             self.take_all(now, batch);
             last = Instant::now();
--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -653,7 +653,8 @@
         let all: f64 = n.listed.iter().filter(|&&i| self.doubted(i)).map(bear).sum();
         let windows = 1.0 - COLD_USE + COLD_USE * (now - self.started) / f.fall_window.max(1e-3);
         let phase = (f.me as f64 + 0.5) / f.directors;
-        all / f.directors * windows >= self.doubt_sent + phase
+        // Where no pace is stated there is none to share.
+        f.cold_budget == 0.0 || all / f.directors * windows >= self.doubt_sent + phase
     }
 
     /// Nodes that may take this session now.
