Count SETUPs for viewers that have gone, as an eighth rule of the checker

The platform's stand-in has such viewers now (one in five set-ups is cancelled, closed or reset within 0.3 s), and the record says when; the checker breaks the rule from the third SETUP on that begins over 0.1 s after. What viewers say and are told is traced.

--- a/crates/kelpdoor-lab/src/platform.rs
+++ b/crates/kelpdoor-lab/src/platform.rs
@@ -46,6 +46,8 @@
     pub resets: f64,
     /// Bad viewers, a second.
     pub rude: f64,
+    /// Of set-ups, those whose viewer cancels them or closes within 0.3 s.
+    pub leaving: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -94,6 +96,7 @@
             refused: 0.05,
             resets: 3.0,
             rude: 8.0,
+            leaving: 0.2,
         };
         Day {
             directors: 2,
@@ -163,6 +166,8 @@
     boot: u32,
     answered: bool,
     over: bool,
+    /// Its viewer closed or cancelled.
+    left: bool,
 }
 
 struct DirectorState {
@@ -360,7 +365,7 @@
             Ok(Ok(status)) if status.success() => {}
             other => self.wrong(format!("director {d} did not end well: {other:?}")),
         }
-        let open = self.lock().waits.values().filter(|w| w.director == d && !w.answered).count();
+        let open = self.lock().waits.values().filter(|w| w.director == d && !w.answered && !w.left).count();
         if open > 0 {
             self.wrong(format!("director {d} ended with {open} set-ups unanswered"));
         }
@@ -411,7 +416,11 @@
         let late: Vec<String> = s.owed.iter().filter(|(_, by)| **by < now).map(|(t, _)| t.clone()).collect();
         for tag in late {
             s.owed.remove(&tag);
-            let of = s.waits.get(&tag).map(|w| (w.director, w.boot));
+            let of = s.waits.get(&tag).filter(|w| !w.left).map(|w| (w.director, w.boot));
+            if of.is_none() && s.waits.contains_key(&tag) {
+                // Its viewer went first.
+                continue;
+            }
             s.told.wrong.push(format!("{tag} was over, and its viewer not told in time ({of:?})"));
         }
     }
--- a/crates/kelpdoor-lab/src/platform/viewers.rs
+++ b/crates/kelpdoor-lab/src/platform/viewers.rs
@@ -80,7 +80,7 @@
             let text = json!({"verb": "START", "tag": tag, "blob": format!("offer {tag}\r\n"), "opts": {"class": class,
                 "left": format!("{}", LEFT * 1000.0), "key": format!("{:016x}", rng.u8(..4)),
                 "extras": format!("home:{home};copies:{};top:3", 3.min(self.day.nodes))}});
-            let wait = Wait { director, boot, answered: false, over: false };
+            let wait = Wait { director, boot, answered: false, over: false, left: false };
             {
                 let mut s = self.lock();
                 s.waits.insert(tag.clone(), wait);
@@ -94,6 +94,13 @@
                 got: false,
                 text: start.to_string(),
             });
+            let leaving = self.lock().faults.leaving;
+            if rng.f64() < leaving {
+                // On a connection of its own, which ends with it.
+                let (me, how, after) = (self.clone(), rng.u8(..3), 0.3 * rng.f64());
+                tokio::spawn(async move { me.leaves(port, &format!("{text}\n"), &tag, how, after).await });
+                continue;
+            }
             let Some(conn) = &mut conns[k] else { continue };
             if conn.write_all(format!("{text}\n").as_bytes()).await.is_err() {
                 conns[k] = None;
@@ -104,6 +111,37 @@
         drop(conns);
     }
 
+    /// A viewer that asks and goes before long: by a word, a close or a reset. What it is answered until then is not read,
+    /// so that nothing is owed to it.
+    async fn leaves(self, port: u16, start: &str, tag: &str, how: u8, after: f64) {
+        let stream = async {
+            let mut stream = TcpStream::connect(("127.0.0.1", port)).await?;
+            stream.write_all(start.as_bytes()).await?;
+            std::io::Result::Ok(stream)
+        };
+        let Ok(mut stream) = stream.await else {
+            self.lock().waits.remove(tag);
+            return;
+        };
+        sleep(Duration::from_secs_f64(after)).await;
+        if how == 0 {
+            let finish = json!({"verb": "FINISH", "tag": tag, "opts": {}, "rc": 16}).to_string() + "\n";
+            let _ = stream.write_all(finish.as_bytes()).await;
+        } else if how == 1 {
+            let _ = stream.set_zero_linger();
+        }
+        let of = self.lock().waits.get_mut(tag).map(|w| {
+            w.left = true;
+            (w.director, w.boot)
+        });
+        let Some((director, boot)) = of else { return };
+        let text = json!({"type": "leave", "key": tag}).to_string();
+        self.recorder.put(What::Player { player: 0, director, boot, got: false, text });
+        if how == 0 {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     fn heard(&self, director: u32, boot: u32, line: &str) {
         let v: Value = serde_json::from_str(line).unwrap_or_default();
         let tag = v["tag"].as_str().unwrap_or("").to_owned();
@@ -118,6 +156,11 @@
             ("FINISH", _) => "failed",
             _ => return,
         };
+        if w.left {
+            // Its end may be told on any connection.
+            s.owed.remove(&tag);
+            return;
+        }
         if w.answered {
             if kind == "failed" && !w.over {
                 w.over = true;
--- a/crates/kelpdoor-lab/tests/checker.rs
+++ b/crates/kelpdoor-lab/tests/checker.rs
@@ -221,6 +221,25 @@
     tape.judge(expect!["rule 6, line 40: director 0: 6 further SETUPs in 10 s, 5.5 allowed"]);
 }
 
+#[test]
+fn rule_8_a_viewer_that_has_gone() {
+    let mut t = Tape::new();
+    t.node_up(1, false, "a");
+    for k in 0..4 {
+        let key = format!("gone-{k}");
+        t.start(&key, "story");
+        t.player(false, format!(r#"{{"type":"leave","key":"{key}"}}"#));
+        // Just after it is no case.
+        t.wait(if k == 0 { 0.05 } else { 0.2 });
+        let setup = t.setup(&key, "story", 1, 1);
+        t.teardown(setup);
+    }
+    // The second and third late ones are the second and third cases.
+    let verdict = check(&t.lines);
+    let broken: Vec<u8> = verdict.broken.iter().map(|b| b.rule).collect();
+    assert_eq!((verdict.left, verdict.late_setups, broken), (4, 3, vec![8]), "{:#?}", verdict.broken);
+}
+
 #[test]
 fn a_record_read_back_is_the_same() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -260,7 +260,7 @@
     ids: HashMap<String, NodeId>,
     /// Who has an address now.
     by_address: HashMap<SocketAddr, NodeId>,
-    /// And by when their answers have come or never will.
+    /// SETUPs given up, and by when their answers have come or never will.
     given_up: BTreeMap<(SessId, NodeId), f64>,
     untold: VecDeque<(SessId, u32)>,
     open: usize,
--- a/crates/kelpdoor-platform/src/media.rs
+++ b/crates/kelpdoor-platform/src/media.rs
@@ -67,7 +67,7 @@
 pub fn ended(why: u32, anew: bool) -> Ending {
     match why {
         cause::CLEARED => Ending::Served,
-        31 => Ending::Withdrawn,
+        cause::CANCELLED => Ending::Withdrawn,
         _ if anew => Ending::Broken,
         _ => Ending::Withdrawn,
     }
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -569,6 +569,7 @@
             }
             Input::LinkUp { .. } | Input::ViewerLost { .. } => tracing::debug!("{input:?}"),
             Input::Node { link, message } => tracing::trace!(link, "{message:?}"),
+            Input::Viewer { conn, word } => tracing::trace!(conn, "{word:?}"),
             _ => {}
         }
         self.exchange.take(now, came.elapsed().as_secs_f64(), input);
@@ -592,6 +593,7 @@
         for effect in effects {
             match effect {
                 Effect::Viewer { conn, bytes } => {
+                    tracing::trace!(conn, "{}", String::from_utf8_lossy(&bytes));
                     if let Some(pipe) = self.viewers.borrow().get(&conn) {
                         pipe.write(&bytes);
                     }
@@ -772,10 +774,13 @@
     /// Takes what lies in the sockets after a pause of the process, before any time-out fires on it.
     async fn catch_up(&mut self, input: &mut mpsc::Receiver<Came>, mut first: Vec<Came>) {
         let until = Instant::now() + CATCH_UP;
-        while Instant::now() < until {
+        loop {
             self.look(input, &mut first).await;
             let now = self.now();
             self.take_all(now, std::mem::take(&mut first));
+            if Instant::now() >= until {
+                return;
+            }
             sleep(Duration::from_millis(1)).await;
         }
     }
--- a/crates/kelpdoor-platform/src/viewer.rs
+++ b/crates/kelpdoor-platform/src/viewer.rs
@@ -20,6 +20,8 @@
 pub mod cause {
     /// Normal clearing: a set-up given up, a session at its end.
     pub const CLEARED: u32 = 16;
+    /// A session was moved, or ended by its viewer, who is owed no word of it.
+    pub const CANCELLED: u32 = 31;
     /// The session was cut, or a set-up failed.
     pub const FAILED: u32 = 41;
     /// Refused: trying again is harmless.
