--- a/crates/kelpdoord/tests/ends.rs
+++ b/crates/kelpdoord/tests/ends.rs
@@ -5,7 +5,8 @@
 
 use nix::sys::signal::Signal;
 use platform::{
-    FENCE, Feed, Going, Got, Stage, Viewer, answer, finish_line, settings, start_line, start_with, tag,
+    FENCE, Feed, Going, Got, Stage, Viewer, answer, finish_line, release, settings, start_line, start_with,
+    tag,
 };
 use serde_json::json;
 
@@ -399,6 +400,22 @@
     assert_eq!(s.setups_of(2), 1);
 }
 
+#[test]
+fn an_answer_and_its_end_in_one_read_are_both_told() {
+    let mut s = Stage::new(1);
+    let mut viewer = s.viewer();
+    for (id, cause) in [(1, 16), (2, 31), (3, 41)] {
+        viewer.start(id, "open");
+        let setup = s.setup_of(id);
+        // In one write: the session stood, and was over in the same instant.
+        s.write(setup.node, setup.conn, &[answer(id, 200), release(id, cause)].concat());
+        viewer.served(id);
+        assert_eq!(viewer.finished(id), u64::from(cause));
+    }
+    viewer.echo();
+    assert!(s.torn.is_empty(), "{:?}", s.torn);
+}
+
 #[test]
 fn a_connection_that_its_node_closed_as_idle_takes_no_setup() {
     let mut s = Stage::new(1);
--- a/crates/kelpdoord/tests/platform/mod.rs
+++ b/crates/kelpdoord/tests/platform/mod.rs
@@ -26,7 +26,7 @@
     m.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Sessions from here on are answered by nodes without being told.
+/// Sessions from here on are answered by nodes without being told; those of fences from twice as far.
 pub const FENCE: u64 = 1 << 40;
 
 /// What a node's connection did.
@@ -430,10 +430,7 @@
 
     /// The session has come to its end.
     pub fn ends(&self, s: &Setup) {
-        let release = Request::new(Method::Teardown, "rtsp://media/over", 2)
-            .with("Session", tag(s.id))
-            .with("Reason", "cause=16");
-        self.write(s.node, s.conn, &bytes(release));
+        self.write(s.node, s.conn, &release(s.id, 16));
     }
 
     /// A node closes a connection, with a reset or with an end.
@@ -477,7 +474,7 @@
         let mut viewer = self.viewer();
         for _ in 0..200 {
             self.fences += 1;
-            let id = FENCE + self.fences;
+            let id = 2 * FENCE + self.fences;
             viewer.start_anywhere(id, "open", self.nodes.len());
             let v = viewer.about(id).expect("an answer");
             if v["verb"] == "STARTED" {
@@ -615,6 +612,12 @@
     out
 }
 
+/// A node's release of a session.
+pub fn release(id: u64, cause: u32) -> Vec<u8> {
+    let release = Request::new(Method::Teardown, "rtsp://media/over", 2);
+    bytes(release.with("Session", tag(id)).with("Reason", format!("cause={cause}")))
+}
+
 /// A node's answer to a SETUP.
 pub fn answer(id: u64, status: u16) -> Vec<u8> {
     let mut r = Response::new(status, 1).with("Session", tag(id));
