--- a/crates/kelpdoor-lab/src/platform.rs
+++ b/crates/kelpdoor-lab/src/platform.rs
@@ -174,7 +174,7 @@
     boot: u32,
     child: Option<Child>,
     port: u16,
-    /// Told to end: nothing is sent to it any more.
+    /// Not there yet, or told to end: nothing is sent to it.
     ending: bool,
 }
 
@@ -293,10 +293,12 @@
             let of = &mut s.directors[d as usize];
             of.boot += 1;
             of.child = Some(child);
-            of.ending = false;
+            // Viewers come once it has passed a test.
+            of.ending = true;
             (of.boot, of.port)
         };
         viewers::ready(port).await.with_context(|| format!("director {d} is not ready"))?;
+        self.lock().directors[d as usize].ending = false;
         self.recorder.put(What::Director { director: d, boot, event: "started".into() });
         // What the configuration told it.
         let nodes =
