--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -260,7 +260,7 @@
     ids: HashMap<String, NodeId>,
     /// Who has an address now.
     by_address: HashMap<SocketAddr, NodeId>,
-    /// And by when their answers have come or never will.
+    /// SETUPs given up, and by when their answers have come or never will.
     given_up: BTreeMap<(SessId, NodeId), f64>,
     untold: VecDeque<(SessId, u32)>,
     open: usize,
@@ -399,6 +399,11 @@
         due.into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
 
+    /// Whether a time-out is due, after which something may be sent; a round that only lets time go by sends nothing new.
+    pub fn times_out(&self, now: f64) -> bool {
+        self.hands.timers.next().is_some_and(|due| due <= now)
+    }
+
     pub fn counts(&self) -> Counts {
         let h = &self.hands;
         Counts {
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -569,6 +569,7 @@
             }
             Input::LinkUp { .. } | Input::ViewerLost { .. } => tracing::debug!("{input:?}"),
             Input::Node { link, message } => tracing::trace!(link, "{message:?}"),
+            Input::Viewer { conn, word } => tracing::trace!(conn, "{word:?}"),
             _ => {}
         }
         self.exchange.take(now, came.elapsed().as_secs_f64(), input);
@@ -592,6 +593,7 @@
         for effect in effects {
             match effect {
                 Effect::Viewer { conn, bytes } => {
+                    tracing::trace!(conn, "{}", String::from_utf8_lossy(&bytes));
                     if let Some(pipe) = self.viewers.borrow().get(&conn) {
                         pipe.write(&bytes);
                     }
@@ -669,8 +671,8 @@
         shut.elapsed() >= LAST_QUIET
     }
 
-    /// Lets readers pass on all that lies in the sockets: whether a viewer is still there is known before anything is done
-    /// for it, and what was taken before the process ends.
+    /// Before a round that may send something: lets readers pass on all that lies in the sockets. Whether a viewer is still
+    /// there is known before anything is done for it, and what was taken before the process ends.
     async fn look(&mut self, input: &mut mpsc::Receiver<Came>, batch: &mut Vec<Came>) {
         let held = |(_, input): &Came| match input {
             Input::Viewer { word: Ok(viewer::Word::Start(_, ask)), .. } => ask.blob.len(),
@@ -748,7 +750,10 @@
                 tracing::warn!(seconds = gap.as_secs_f64(), "stood still; reading what came meanwhile first");
                 self.catch_up(&mut input, std::mem::take(&mut batch)).await;
             }
-            self.look(&mut input, &mut batch).await;
+            let now = self.now();
+            if !batch.is_empty() || ending.is_some() || self.exchange.times_out(now) {
+                self.look(&mut input, &mut batch).await;
+            }
             let now = self.now();
             self.take_all(now, batch);
             last = Instant::now();
@@ -769,10 +774,13 @@
     /// Takes what lies in the sockets after a pause of the process, before any time-out fires on it.
     async fn catch_up(&mut self, input: &mut mpsc::Receiver<Came>, mut first: Vec<Came>) {
         let until = Instant::now() + CATCH_UP;
-        while Instant::now() < until {
+        loop {
             self.look(input, &mut first).await;
             let now = self.now();
             self.take_all(now, std::mem::take(&mut first));
+            if Instant::now() >= until {
+                return;
+            }
             sleep(Duration::from_millis(1)).await;
         }
     }
