--- a/crates/kelpdoor-platform/src/exchange.rs
+++ b/crates/kelpdoor-platform/src/exchange.rs
@@ -399,9 +399,11 @@
         due.into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
 
-    /// Whether a time-out is due, after which something may be sent; a round that only lets time go by sends nothing new.
-    pub fn times_out(&self, now: f64) -> bool {
-        self.hands.timers.next().is_some_and(|due| due <= now)
+    /// Whether a round may send something though nothing came in: a time-out is due, or a sweep while set-ups are open, which
+    /// may take a node for over and its SETUPs for lost. Else a round only lets time go by.
+    pub fn may_send(&self, now: f64) -> bool {
+        let h = &self.hands;
+        h.timers.next().is_some_and(|due| due <= now) || h.open > 0 && h.next_sweep <= now
     }
 
     pub fn counts(&self) -> Counts {
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -747,7 +747,7 @@
                 self.catch_up(&mut input, std::mem::take(&mut batch)).await;
             }
             let now = self.now();
-            if !batch.is_empty() || ending.is_some() || self.exchange.times_out(now) {
+            if !batch.is_empty() || ending.is_some() || self.exchange.may_send(now) {
                 self.look(&mut input, &mut batch).await;
             }
             let now = self.now();
--- a/crates/kelpdoor-platform/tests/exchange.rs
+++ b/crates/kelpdoor-platform/tests/exchange.rs
@@ -845,3 +845,17 @@
     let told = s.told();
     assert!(told.contains("dial") && !told.contains("link 0 < SETUP"), "{told}");
 }
+
+#[test]
+fn a_round_may_send_when_a_time_out_is_due_or_a_sweep_while_set_ups_are_open() {
+    let mut s = Story::new(1, 256);
+    s.open(1);
+    // A sweep comes each 0.1 s: with nothing open it sends nothing.
+    assert!(!s.exchange.may_send(s.now + 0.15));
+    s.ask(1, 5);
+    s.up(0);
+    assert!(!s.exchange.may_send(s.now));
+    assert!(s.exchange.may_send(s.now + 0.15), "a sweep may take its node for over");
+    s.serves(0, 5);
+    assert!(!s.exchange.may_send(s.now + 0.15));
+}
