--- a/crates/kelpdoor-lab/src/lib.rs
+++ b/crates/kelpdoor-lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod record;
 pub mod relay;
 pub mod roster;
+pub mod scale;
 pub mod tickets;
 pub mod trouble;
 pub mod voting;
--- a/crates/kelpdoor-lab/src/main.rs
+++ b/crates/kelpdoor-lab/src/main.rs
@@ -16,6 +16,7 @@
 use kelpdoor_lab::day::{self, Stage};
 use kelpdoor_lab::fleet::{Fold, ODD, World, settings};
 use kelpdoor_lab::record::{self, Recorder};
+use kelpdoor_lab::scale;
 use kelpdoor_lab::trouble::Script;
 use kelpdoor_tokens::{Audience, Claims};
 use tokio::io::AsyncBufReadExt;
@@ -107,6 +108,8 @@
         #[arg(long, default_value_t = 600.0)]
         lasts: f64,
     },
+    /// Measure what each role costs as a fleet grows, and work out a fleet from it.
+    Scale(scale::Scale),
     /// Judge a record again.
     Check { record: PathBuf },
 }
@@ -433,6 +436,10 @@
             println!("{}", issuer.sign(&claims).map_err(|e| anyhow::anyhow!(e))?);
             Ok(true)
         }
+        Act::Scale(of) => {
+            scale::run(of).await?;
+            Ok(true)
+        }
         Act::Check { record } => {
             let lines = record::read(&record).context("reading the record")?;
             if lines.is_empty() {
--- /dev/null
+++ b/crates/kelpdoor-lab/src/scale.rs
@@ -0,0 +1,64 @@
+//! What each role costs as a fleet grows: measured at several sizes, fitted, and worked out for any fleet.
+
+pub mod changes;
+pub mod fit;
+pub mod plan;
+pub mod points;
+pub mod process;
+pub mod sessions;
+pub mod voters;
+
+use std::path::PathBuf;
+
+use anyhow::Result;
+use clap::{Args, Subcommand};
+
+/// `kelpdoor-lab scale`: all that is measured, and what is worked out from it.
+#[derive(Args, Clone, Debug)]
+pub struct Scale {
+    /// Sizes measured at, in directors.
+    #[arg(long, value_delimiter = ',', default_values_t = [300, 1000, 3000, 5800])]
+    pub sizes: Vec<usize>,
+    /// Seeds, from 1 on.
+    #[arg(long, default_value_t = 3)]
+    pub seeds: u64,
+    /// What was measured is written there, with slopes and intervals.
+    #[arg(long, default_value = "docs/capacity.json")]
+    pub json: PathBuf,
+    /// s; what is not measured by then is left out, and the result is marked partial.
+    #[arg(long, default_value_t = 1200.0)]
+    pub within: f64,
+    #[command(subcommand)]
+    pub what: Option<What>,
+}
+
+#[derive(Subcommand, Clone, Debug)]
+pub enum What {
+    /// Real voters under hollow directors: processor time, memory, bytes, time of an answer.
+    Voters(voters::Options),
+    /// Changes of the rules: how much of the time directors may begin sessions, and how fast a change is in force.
+    Changes(changes::Options),
+    /// A real director with many sessions held.
+    Sessions(sessions::Options),
+    /// Works out a fleet's page from what was measured.
+    Plan(plan::Options),
+}
+
+/// # Errors
+/// What could not be measured, or read.
+pub async fn run(of: Scale) -> Result<()> {
+    match &of.what {
+        Some(What::Voters(o)) => points::show(&voters::measure(&of, o).await?),
+        Some(What::Changes(o)) => points::show(&changes::measure(&of, o).await?),
+        Some(What::Sessions(o)) => points::show(&sessions::measure(&of, o).await?),
+        Some(What::Plan(o)) => plan::run(o)?,
+        None => {
+            let mut all = voters::measure(&of, &voters::Options::default()).await?;
+            all.join(changes::measure(&of, &changes::Options::default()).await?);
+            all.join(sessions::measure(&of, &sessions::Options::default()).await?);
+            points::show(&all);
+            fit::write(&of.json, &all)?;
+        }
+    }
+    Ok(())
+}
