--- a/crates/kelpdoor-lab/src/scale.rs
+++ b/crates/kelpdoor-lab/src/scale.rs
@@ -2,10 +2,13 @@
 
 pub mod changes;
 pub mod fit;
+pub mod follow;
+pub mod hollow;
 pub mod plan;
 pub mod points;
 pub mod process;
 pub mod sessions;
+pub mod simulate;
 pub mod voters;
 
 use std::path::PathBuf;
@@ -40,6 +43,9 @@
     Changes(changes::Options),
     /// A real director with many sessions held.
     Sessions(sessions::Options),
+    /// Hollow directors, as `voters` starts them.
+    #[command(hide = true)]
+    Hollow,
     /// Works out a fleet's page from what was measured.
     Plan(plan::Options),
 }
@@ -51,6 +57,7 @@
         Some(What::Voters(o)) => points::show(&voters::measure(&of, o).await?),
         Some(What::Changes(o)) => points::show(&changes::measure(&of, o).await?),
         Some(What::Sessions(o)) => points::show(&sessions::measure(&of, o).await?),
+        Some(What::Hollow) => hollow::work().await?,
         Some(What::Plan(o)) => plan::run(o)?,
         None => {
             let mut all = voters::measure(&of, &voters::Options::default()).await?;
--- /dev/null
+++ b/crates/kelpdoor-lab/src/scale/hollow.rs
@@ -0,0 +1,9 @@
+//! Hollow directors.
+
+use anyhow::Result;
+
+/// # Errors
+/// x
+pub async fn work() -> Result<()> {
+    Ok(())
+}
