Measure real voters under hollow directors, steady and after a restart

Real voter processes, and hollow directors many in a process: the real follower with its own connection to each voter. Processor time, memory, descriptors, bytes and questions a second, times of answers; how long until all are answered again after a voter's restart.

--- a/crates/kelpdoor-lab/src/scale/follow.rs
+++ b/crates/kelpdoor-lab/src/scale/follow.rs
@@ -248,3 +248,8 @@
 pub fn plain(of: &Tell) -> bool {
     matches!(of, Tell::Granted { document: None, .. })
 }
+
+/// What a real director's loop works out each time it looks: which versions it acts on, by number and digest.
+pub fn label(of: &Follower, now: f64) -> Option<String> {
+    of.acting(now).map(|a| a.label())
+}
--- a/crates/kelpdoor-lab/src/scale/simulate.rs
+++ b/crates/kelpdoor-lab/src/scale/simulate.rs
@@ -168,7 +168,7 @@
 }
 
 /// A text of that size in lines such as documents have; `change` sets what is said in one line of it.
-fn pad(bytes: usize) -> String {
+pub fn pad(bytes: usize) -> String {
     let mut text = String::new();
     let mut k = 0;
     while text.len() < bytes {
--- a/crates/kelpdoor-lab/src/scale/voters.rs
+++ b/crates/kelpdoor-lab/src/scale/voters.rs
@@ -1,22 +1,515 @@
-//! Not measured yet.
+//! Real voters under hollow directors: what a voter needs by the number of directors, steady and when all come back after
+//! its restart, and what a director costs on the wire.
 
 use std::io::IsTerminal;
-use std::path::Path;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, bail, ensure};
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
+use kelpdoor_agreement::{Ask, Tell, Value};
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, ChildStdin, ChildStdout, Command};
+use tokio::time::{sleep, timeout};
 
 use super::Scale;
-use super::points::Points;
+use super::follow;
+use super::hollow::{Seen, SeenVoter, Spec, times, together};
+use super::points::{Point, Points};
+use super::process::{load, most_descriptors, usage};
+use crate::daemon::Daemon;
 
-#[derive(Args, Clone, Debug, Default)]
-pub struct Options {}
+pub const FLEET: &str = "scale";
+/// Directors of a process at most: a thread of a shared machine keeps up with so many at 20 questions a second each.
+const SHARE: usize = 1500;
+/// Descriptors of a process that are not directors' connections: its own, and those of other voters.
+const SPARE: usize = 500;
+/// Connections a second that directors of a process make at their start.
+const START: f64 = 4000.0;
+/// s; all have a lease by then, or a limit is met.
+const COME: f64 = 15.0;
+/// s; between a start or a mark and what is measured.
+const SETTLE: f64 = 2.0;
+/// s; all are answered again by then after a voter's restart, or it is told how many are.
+const BACK: f64 = 15.0;
+/// An answer of a process or a voter comes within this.
+const ANSWER: Duration = Duration::from_secs(10);
+/// Times that addresses are looked for: one that was free may be taken a moment later.
+const TRIES: u32 = 5;
+/// What is left out.
+pub const HOLLOW: &str =
+    "hollow directors: the real follower and words, no desk, a document's first line read";
+
+#[derive(Args, Clone, Debug)]
+pub struct Options {
+    /// Voters.
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 5])]
+    pub voters: Vec<usize>,
+    /// s; longest contradictions that the document states; all but the first under the most voters alone.
+    #[arg(long, value_delimiter = ',', default_values_t = [2.0, 10.0])]
+    pub contradictions: Vec<f64>,
+    /// s measured; cut into as many windows as there are seeds, so that their spread is seen.
+    #[arg(long, default_value_t = 12.0)]
+    pub span: f64,
+    /// Bytes of the document, about.
+    #[arg(long, default_value_t = 2000)]
+    pub document: usize,
+    /// s; cut off after that, too.
+    #[arg(long, default_value_t = 330.0)]
+    pub most: f64,
+    /// The points alone are written there, as JSON.
+    #[arg(long)]
+    pub points: Option<PathBuf>,
+    /// What is run as voter and as hollow directors; this program where absent.
+    #[arg(long, hide = true)]
+    pub program: Option<PathBuf>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            voters: vec![3, 5],
+            contradictions: vec![2.0, 10.0],
+            span: 12.0,
+            document: 2000,
+            most: 330.0,
+            points: None,
+            program: None,
+        }
+    }
+}
 
 /// # Errors
 /// What could not be measured.
-pub async fn measure(_all: &Scale, _of: &Options) -> Result<Points> {
-    Ok(Points { partial: vec!["not measured yet".into()], ..Points::default() })
+pub async fn measure(all: &Scale, of: &Options) -> Result<Points> {
+    ensure!(of.voters.iter().all(|v| matches!(v, 3 | 5)), "--voters: 3 or 5");
+    ensure!(of.contradictions.iter().all(|c| (0.5..=60.0).contains(c)), "--contradictions: 0.5 to 60 s");
+    ensure!((0.5..=3600.0).contains(&of.span), "--span: 0.5 s to an hour");
+    ensure!(of.document <= 250_000, "--document: 250,000 bytes at most");
+    let until = Instant::now() + Duration::from_secs_f64(all.within.min(of.most).clamp(0.0, 1e6));
+    let program = of.program.clone().map_or_else(std::env::current_exe, Ok)?;
+    let most = of.voters.iter().copied().max();
+    let mut cells = Vec::new();
+    for (k, &contradiction) in of.contradictions.iter().enumerate() {
+        for &voters in of.voters.iter().filter(|v| k == 0 || Some(**v) == most) {
+            cells.extend(all.sizes.iter().map(|&directors| Cell { voters, directors, contradiction }));
+        }
+    }
+    let bar = bar(cells.len() as u64, "fleets of voters");
+    let mut points = Points::default();
+    for cell in cells {
+        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
+        if left < of.span + 2.0 * SETTLE {
+            points.partial.push(format!("voters not measured, no time was left: {cell:?}"));
+            continue;
+        }
+        match timeout(Duration::from_secs_f64(left + ANSWER.as_secs_f64()), cell.measure(all, of, &program))
+            .await
+        {
+            Ok(done) => points.join(done.with_context(|| format!("{cell:?}"))?),
+            Err(_) => points.partial.push(format!("voters cut short by time: {cell:?}")),
+        }
+        bar.inc(1);
+    }
+    bar.finish_and_clear();
+    write(of.points.as_deref(), &points)?;
+    Ok(points)
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Cell {
+    voters: usize,
+    directors: usize,
+    contradiction: f64,
+}
+
+impl Cell {
+    fn point(&self, role: &str, what: &str, unit: &str, y: f64, seed: u64, at: &str, hollow: &str) -> Point {
+        Point {
+            role: role.into(),
+            what: what.into(),
+            unit: unit.into(),
+            by: "directors".into(),
+            x: self.directors as f64,
+            y,
+            seed,
+            at: format!("{} voters, {at}, contradiction {} s", self.voters, self.contradiction),
+            hollow: hollow.into(),
+        }
+    }
+
+    async fn measure(&self, all: &Scale, of: &Options, program: &Path) -> Result<Points> {
+        let mut points = Points::default();
+        let limit = most_descriptors()? as usize;
+        if self.directors + SPARE > limit {
+            let why =
+                format!("{self:?} not measured: a voter would hold more than {limit} descriptors, the limit");
+            points.partial.push(why);
+            return Ok(points);
+        }
+        let loaded = load()?;
+        let mut voters = Voters::start(program, self.voters).await?;
+        voters.agree_first(of.document, self.contradiction).await?;
+        let share = SHARE.min((limit - SPARE) / self.voters);
+        let mut hollows = Hollows::start(program, &voters.at, self.directors, share).await?;
+        let came = hollows.until(COME, |s| s.begin == s.directors).await?;
+        if came.begin < came.directors {
+            points
+                .partial
+                .push(format!("{self:?} not taken into the figures, a limit is met: {}", why(&came)));
+            return Ok(points);
+        }
+        sleep(Duration::from_secs_f64(SETTLE)).await;
+        points.points.push(self.point("machine", "load before", "processes", loaded, 0, "steady", ""));
+        self.steady(all, of, &voters, &mut hollows, &mut points).await?;
+        self.restart(&mut voters, &mut hollows, &mut points).await?;
+        Ok(points)
+    }
+
+    async fn steady(
+        &self, all: &Scale, of: &Options, voters: &Voters, hollows: &mut Hollows, points: &mut Points,
+    ) -> Result<()> {
+        let windows = all.seeds.max(1);
+        for window in 1..=windows {
+            hollows.ask("mark").await?;
+            let before = voters.usage()?;
+            let hollow_before = hollows.usage()?;
+            sleep(Duration::from_secs_f64(of.span / windows as f64)).await;
+            let (after, hollow_after) = (voters.usage()?, hollows.usage()?);
+            let seen = hollows.ask("look").await?;
+            let mut put = |role: &str, what: &str, unit: &str, y: f64, hollow: &str| {
+                points.points.push(self.point(role, what, unit, y, window, "steady", hollow));
+            };
+            let (n, d, s) = (self.voters as f64, self.directors as f64, seen.seconds);
+            let mean =
+                |of: &dyn Fn(&SeenVoter) -> u64| seen.voters.iter().map(of).sum::<u64>() as f64 / n / s;
+            let core = |of: &[super::process::Use]| of.iter().map(|u| u.core).sum::<f64>();
+            let memory = |of: &[super::process::Use]| of.iter().map(|u| u.memory).sum::<f64>();
+            put("voter", "processor time", "core", (core(&after) - core(&before)) / n / s, HOLLOW);
+            put("voter", "memory", "B", memory(&after) / n, HOLLOW);
+            put(
+                "voter",
+                "descriptors",
+                "descriptors",
+                after.iter().map(|u| u.descriptors).sum::<f64>() / n,
+                HOLLOW,
+            );
+            put("voter", "questions", "1/s", mean(&|v| v.asked), HOLLOW);
+            put("voter", "bytes in", "B/s", mean(&|v| v.bytes.0), HOLLOW);
+            put("voter", "bytes out", "B/s", mean(&|v| v.bytes.1), HOLLOW);
+            let answers = merged(seen.voters.iter().flat_map(|v| &v.answers));
+            for (name, q) in [("p50", 0.5), ("p99", 0.99), ("most", 1.0)] {
+                put(
+                    "voter",
+                    &format!("answer, {name}"),
+                    "s",
+                    answers.value_at_quantile(q) as f64 / 1e6,
+                    HOLLOW,
+                );
+            }
+            put("director", "control bytes", "B/s", mean(&|v| v.bytes.0 + v.bytes.1) * n / d, HOLLOW);
+            put("director", "control messages", "1/s", mean(&|v| v.words.0 + v.words.1) * n / d, HOLLOW);
+            let spent = core(&hollow_after) - core(&hollow_before);
+            // Of all together: what each adds is the slope, without what a process needs of itself.
+            put("directors", "processor time of followers and lines", "core", spent / s, HOLLOW);
+            put("directors", "memory of followers and lines", "B", memory(&hollow_after), HOLLOW);
+            put("fleet", "directors that may begin", "of 1", seen.begin as f64 / d, HOLLOW);
+            let refused: u64 = seen.voters.iter().map(|v| v.refused).sum();
+            if refused > 0 {
+                points.partial.push(format!("{self:?}: {refused} questions refused: {:?}", seen.refused));
+            }
+        }
+        Ok(())
+    }
+
+    /// One voter is killed and started again at once: all its directors come back together.
+    async fn restart(&self, voters: &mut Voters, hollows: &mut Hollows, points: &mut Points) -> Result<()> {
+        voters.kill(0).await?;
+        // What it had said before is read by then.
+        sleep(Duration::from_millis(100)).await;
+        hollows.ask("mark").await?;
+        let began = Instant::now();
+        voters.again(0).await?;
+        let listens = began.elapsed().as_secs_f64();
+        let mut least = self.directors;
+        let answered = |s: &Seen| s.voters.first().map_or(0, |v| v.firsts.iter().map(|f| f.1).sum::<u64>());
+        let seen = hollows
+            .until(BACK, |s| {
+                least = least.min(s.begin);
+                answered(s) >= s.directors as u64
+            })
+            .await?;
+        let spent = voters.usage()?[0].core;
+        let back = answered(&seen);
+        if back < self.directors as u64 {
+            points.partial.push(format!(
+                "{self:?}: after a voter's restart {back} directors were answered within {BACK} s: {}",
+                why(&seen)
+            ));
+        }
+        let firsts = merged(seen.voters.first().iter().flat_map(|v| &v.firsts));
+        let mut put = |role: &str, what: &str, unit: &str, y: f64| {
+            points.points.push(self.point(role, what, unit, y, 1, "a voter restarted", HOLLOW));
+        };
+        for (name, q) in [("half", 0.5), ("99 in 100", 0.99), ("all", 1.0)] {
+            // From when it listens; its directors try again from time to time.
+            let after = (firsts.value_at_quantile(q) as f64 / 1e6 - listens).max(0.0);
+            if q < 1.0 || back == self.directors as u64 {
+                put("voter", &format!("answered again, {name}"), "s", after);
+            }
+        }
+        put("voter", "processor time until then", "core s", spent);
+        put("fleet", "directors that may begin, least", "of 1", least as f64 / self.directors as f64);
+        Ok(())
+    }
+}
+
+fn merged<'a>(all: impl Iterator<Item = &'a (u64, u64)>) -> hdrhistogram::Histogram<u64> {
+    let mut sum = times();
+    all.for_each(|(value, count)| sum.saturating_record_n(*value, *count));
+    sum
+}
+
+/// Why not all may begin, as far as it is seen.
+fn why(of: &Seen) -> String {
+    let lines: Vec<String> = of.voters.iter().map(|v| v.connected.to_string()).collect();
+    let ended: u64 = of.voters.iter().map(|v| v.ended).sum();
+    format!(
+        "{} of {} directors may begin; connections to each voter: {}; {ended} ended in {:.0} s; refused: {:?}",
+        of.begin,
+        of.directors,
+        lines.join(", "),
+        of.seconds,
+        of.refused
+    )
+}
+
+/// Voters as processes of their own.
+pub struct Voters {
+    program: PathBuf,
+    dir: TempDir,
+    pub at: Vec<SocketAddr>,
+    running: Vec<Option<Daemon>>,
+}
+
+impl Voters {
+    /// Founds a fleet of them.
+    ///
+    /// # Errors
+    /// Where they do not start.
+    pub async fn start(program: &Path, n: usize) -> Result<Voters> {
+        let mut last = None;
+        for _ in 0..TRIES {
+            match Voters::found(program, n).await {
+                Ok(voters) => return Ok(voters),
+                Err(e) => last = Some(e),
+            }
+        }
+        Err(last.context("no try")?)
+    }
+
+    async fn found(program: &Path, n: usize) -> Result<Voters> {
+        let mut held = Vec::new();
+        for _ in 0..n {
+            held.push(TcpListener::bind("127.0.0.1:0").await?);
+        }
+        let at = held.iter().map(TcpListener::local_addr).collect::<std::io::Result<Vec<_>>>()?;
+        drop(held);
+        let (program, dir) = (program.to_owned(), tempfile::tempdir()?);
+        let mut voters = Voters { program, dir, at, running: (0..n).map(|_| None).collect() };
+        for v in 0..n {
+            voters.run(v, true).await?;
+        }
+        Ok(voters)
+    }
+
+    fn list(&self) -> String {
+        let all: Vec<String> =
+            self.at.iter().enumerate().map(|(v, at)| format!("\"{v}\": \"{at}\"")).collect();
+        format!("{{{}}}", all.join(", "))
+    }
+
+    async fn run(&mut self, v: usize, found: bool) -> Result<()> {
+        let folder = self.dir.path().join(v.to_string());
+        std::fs::create_dir_all(&folder)?;
+        let (store, list, listen) = (folder.join("store").display().to_string(), self.list(), self.at[v]);
+        let script = format!(
+            "voter(me = {v}, voters = {list}, listen = \"{listen}\", fleet = \"{FLEET}\", store = {store:?})\n"
+        );
+        let config = folder.join("voter.star");
+        std::fs::write(&config, script)?;
+        let mut arguments = vec!["keeper".to_owned(), "--config".to_owned(), config.display().to_string()];
+        if found {
+            arguments.push("--found".to_owned());
+        }
+        let daemon = Daemon::start(&self.program, &arguments, &folder.join("log")).await;
+        self.running[v] = Some(daemon.with_context(|| format!("voter {v}"))?);
+        Ok(())
+    }
+
+    /// # Errors
+    /// Where it does not start.
+    pub async fn again(&mut self, v: usize) -> Result<()> {
+        self.run(v, false).await
+    }
+
+    /// # Errors
+    /// Where it does not end.
+    pub async fn kill(&mut self, v: usize) -> Result<()> {
+        match self.running[v].take() {
+            Some(mut daemon) => Ok(daemon.child.kill().await?),
+            None => Ok(()),
+        }
+    }
+
+    /// What each uses, the ended left out.
+    ///
+    /// # Errors
+    /// Where one has ended by itself.
+    pub fn usage(&self) -> Result<Vec<super::process::Use>> {
+        let ids = self.running.iter().flatten().map(|d| d.child.id());
+        ids.map(|id| usage(id.context("a voter has ended")?)).collect()
+    }
+
+    /// A document as real voters read it, of that size, about; changes differ in a key that is not switched.
+    pub fn document(&self, bytes: usize, contradiction: f64, change: u64) -> String {
+        let head = follow::head(contradiction, self.at.len());
+        let base = format!(
+            "ladder(rates = [120, 221], utility = [0.2, 0.42])\n\
+             group(\"story\", utility = 1, start_target = 1, floor = 0, top = 1)\n\
+             fleet(zones = [\"east\"], kinds = {{\"box\": 26}}, cells = 60, racks = 2, link_unit = 2600, \
+             seen_after = 0.6, told_every = 2, cold_from = 0.4, warm_within = 8, tip_multiple = 4, fall_window = 2, \
+             drain_grace = 1)\n\
+             further(free = 4, per_taken = 0.25, span = {})\n\
+             directors(names = [\"a\", \"b\", \"c\"], max_setups = 3, contradiction = {contradiction})\n\
+             voters(at = {})\n",
+            10 + change % 7,
+            self.list(),
+        );
+        let pad = super::simulate::pad(bytes.saturating_sub(head.len() + base.len()));
+        format!("{head}{base}{pad}# change {change}\n")
+    }
+
+    /// Has the first version agreed.
+    ///
+    /// # Errors
+    /// Where it is refused, or not agreed in time.
+    pub async fn agree_first(&self, bytes: usize, contradiction: f64) -> Result<()> {
+        let text = self.document(bytes, contradiction, 0);
+        let until = Instant::now() + ANSWER;
+        let mut operator = Operator::to(self.at[0]).await?;
+        loop {
+            match operator.propose(0, fastrand::u64(..), &text).await? {
+                Tell::Agreed { .. } => return Ok(()),
+                // The voters have not found each other yet.
+                Tell::NotTaken { .. } | Tell::Unknown { .. } if Instant::now() < until => {
+                    sleep(Duration::from_millis(50)).await;
+                }
+                other => bail!("the first document: {other:?}"),
+            }
+        }
+    }
+}
+
+/// Who proposes, at one voter.
+pub struct Operator(BufReader<TcpStream>);
+
+impl Operator {
+    /// # Errors
+    /// Where no voter is there.
+    pub async fn to(at: SocketAddr) -> Result<Operator> {
+        let mut operator = Operator(BufReader::new(TcpStream::connect(at).await?));
+        match operator.ask(&Ask::Hello { fleet: FLEET.to_owned() }).await? {
+            Tell::Welcome { .. } => Ok(operator),
+            other => bail!("no welcome: {other:?}"),
+        }
+    }
+
+    async fn ask(&mut self, ask: &Ask) -> Result<Tell> {
+        let mut text = serde_json::to_vec(ask)?;
+        text.push(b'\n');
+        let mut line = String::new();
+        let said = async {
+            self.0.get_mut().write_all(&text).await?;
+            self.0.read_line(&mut line).await
+        };
+        timeout(ANSWER, said).await.context("a voter does not answer")??;
+        Ok(serde_json::from_str(&line)?)
+    }
+
+    /// # Errors
+    /// Where the voter does not answer.
+    pub async fn propose(&mut self, after: u64, id: u64, text: &str) -> Result<Tell> {
+        let value = Value { id, text: text.to_owned() };
+        self.ask(&Ask::Propose { after, value, sure: false }).await
+    }
+}
+
+/// Processes of hollow directors.
+struct Hollows(Vec<(Child, ChildStdin, Lines<BufReader<ChildStdout>>)>);
+
+impl Hollows {
+    async fn start(program: &Path, voters: &[SocketAddr], directors: usize, share: usize) -> Result<Hollows> {
+        let mut all = Vec::new();
+        for first in (0..directors).step_by(share) {
+            let n = share.min(directors - first);
+            let within = (n * voters.len()) as f64 / START;
+            let spec = Spec {
+                fleet: FLEET.to_owned(),
+                voters: voters.to_vec(),
+                first,
+                directors: n,
+                within: within.max(1.0),
+            };
+            let mut child = Command::new(program)
+                .args(["scale", "hollow"])
+                .stdin(Stdio::piped())
+                .stdout(Stdio::piped())
+                .kill_on_drop(true)
+                .spawn()
+                .context("starting hollow directors")?;
+            let mut input = child.stdin.take().context("its input")?;
+            let output = BufReader::new(child.stdout.take().context("its output")?).lines();
+            input.write_all(format!("{}\n", serde_json::to_string(&spec)?).as_bytes()).await?;
+            all.push((child, input, output));
+        }
+        Ok(Hollows(all))
+    }
+
+    /// `look`, or `mark` to count anew after it.
+    async fn ask(&mut self, wish: &str) -> Result<Seen> {
+        for (_, input, _) in &mut self.0 {
+            input.write_all(format!("{wish}\n").as_bytes()).await?;
+        }
+        let mut all = Vec::new();
+        for (_, _, output) in &mut self.0 {
+            let line =
+                timeout(ANSWER, output.next_line()).await.context("hollow directors do not answer")??;
+            all.push(serde_json::from_str(&line.context("hollow directors have ended")?)?);
+        }
+        Ok(together(&all))
+    }
+
+    /// Looks until it is so, or for so many seconds; what was seen last.
+    async fn until(&mut self, most: f64, mut so: impl FnMut(&Seen) -> bool) -> Result<Seen> {
+        let until = Instant::now() + Duration::from_secs_f64(most);
+        loop {
+            let seen = self.ask("look").await?;
+            if so(&seen) || Instant::now() >= until {
+                return Ok(seen);
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    fn usage(&self) -> Result<Vec<super::process::Use>> {
+        self.0.iter().map(|(child, ..)| usage(child.id().context("hollow directors have ended")?)).collect()
+    }
 }
 
 /// A bar for whoever watches.
