Work a fleet's page out from measured series: lines, targets, order of limits

A target file in the settings' language gives a fleet's figures, budgets and faults; scale plan makes the tables of docs/CAPACITY.md from it and docs/capacity.json, limits in the code among the measured ones, those that break first at the top. Constants that bound a fleet's size are public, so that the table reads them instead of a copy.

--- a/crates/kelpdoor-agreement/src/follower.rs
+++ b/crates/kelpdoor-agreement/src/follower.rs
@@ -6,14 +6,14 @@
 use crate::words::{Ask, Chosen, MOST, Reading, Tell, VoterId};
 
 /// Renewals within a lease: three may be lost.
-const RENEWALS: f64 = 4.0;
+pub const RENEWALS: f64 = 4.0;
 /// Of a lease; a question without an answer counts as lost, and the voter is asked again.
 const LOST: f64 = 1.0;
 /// s; the lease asked for before any version is known.
 const FIRST_LEASE: f64 = 1.0;
 /// Versions stood beside a newer one at most, when they follow each other fast. Over it the director waits as if it had
 /// missed one.
-const TOGETHER: usize = 4;
+pub const TOGETHER: usize = 4;
 
 /// What one voter said last.
 #[derive(Clone, Copy, Debug)]
--- a/crates/kelpdoor-agreement/src/lib.rs
+++ b/crates/kelpdoor-agreement/src/lib.rs
@@ -14,8 +14,8 @@
 mod voter;
 mod words;
 
-pub use follower::{Acting, Follower};
-pub use voter::{Durable, Out, Voter};
+pub use follower::{Acting, Follower, RENEWALS, TOGETHER};
+pub use voter::{Durable, NAMES, Out, Voter};
 pub use words::{
     Ask, Ballot, Chosen, DirectorStanding, MAX_DOCUMENT, MAX_LINE, Reading, Tell, Value, VoterId, Word,
 };
--- a/crates/kelpdoor-agreement/src/voter.rs
+++ b/crates/kelpdoor-agreement/src/voter.rs
@@ -28,7 +28,7 @@
 /// Voters known of at most; more are not remembered.
 const PEERS: usize = 64;
 /// Directors known by name at most; more are refused by name until others have been silent for their lease.
-const NAMES: usize = 2048;
+pub const NAMES: usize = 2048;
 /// Bytes of a director's name, and of the versions that it says it acts on, at most.
 const LONG: (usize, usize) = (64, 512);
 /// s; a director is listed for so long after its last word.
--- a/crates/kelpdoor-director/src/lib.rs
+++ b/crates/kelpdoor-director/src/lib.rs
@@ -22,6 +22,9 @@
 pub use gate::{Gate, Pass};
 pub use keeping::{keeper_options, pools};
 pub use kelpdoor_clock::{Clock, Slew};
-pub use roster::{FromRoster, MAX_LINE, Phase, RosterFault, RosterList, RosterNode, RosterTitle, ToRoster};
+pub use roster::{
+    FromRoster, MAX_LINE, MAX_NODES, MAX_TITLES, Phase, RosterFault, RosterList, RosterNode, RosterTitle,
+    ToRoster,
+};
 pub use shell::{Running, ServeOptions, serve};
 pub use store::{StoreFault, load_list, save_list};
--- a/crates/kelpdoor-director/src/roster.rs
+++ b/crates/kelpdoor-director/src/roster.rs
@@ -9,8 +9,8 @@
 
 /// Bytes of a line at most.
 pub const MAX_LINE: usize = 16 << 20;
-const MAX_NODES: usize = 10_000;
-const MAX_TITLES: usize = 200_000;
+pub const MAX_NODES: usize = 10_000;
+pub const MAX_TITLES: usize = 200_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/kelpdoor-keeper/src/lib.rs
+++ b/crates/kelpdoor-keeper/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub use line::{Heard, Lines};
 pub use log::{Log, LogFault, Opened};
-pub use serve::{Agreed, KeeperOptions, RunningKeeper, Sold, start};
+pub use serve::{Agreed, DIRECTORS, KeeperOptions, RunningKeeper, Sold, start};
+pub use sockets::CONNS;
 pub use voter::{READING, RunningVoter, VoterOptions, addresses, start as start_voter};
 pub use wire::{Ask, MAX_LINE, SchoolStanding, Tell};
--- a/crates/kelpdoor-keeper/src/serve.rs
+++ b/crates/kelpdoor-keeper/src/serve.rs
@@ -18,7 +18,7 @@
 use crate::wire::{Ask, MAX_LINE, SchoolStanding, Tell};
 
 /// Directors with a connection at most; words of more are not answered.
-const DIRECTORS: usize = 20_000;
+pub const DIRECTORS: usize = 20_000;
 /// Lines waiting for the loop at most; readers wait beyond it.
 const ASKS: usize = 4096;
 /// Lines written down together at most.
--- a/crates/kelpdoor-keeper/src/sockets.rs
+++ b/crates/kelpdoor-keeper/src/sockets.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 /// Connections at most; more are closed at once, and directors come again.
-const CONNS: usize = 1024;
+pub const CONNS: usize = 1024;
 /// Answers waiting for one connection at most; beyond it the connection is closed.
 const ANSWERS: usize = 8192;
 
--- a/crates/kelpdoor-lab/src/scale.rs
+++ b/crates/kelpdoor-lab/src/scale.rs
@@ -6,6 +6,7 @@
 pub mod points;
 pub mod process;
 pub mod sessions;
+pub mod target;
 pub mod voters;
 
 use std::path::PathBuf;
@@ -25,6 +26,12 @@
     /// What was measured is written there, with slopes and intervals.
     #[arg(long, default_value = "docs/capacity.json")]
     pub json: PathBuf,
+    /// Written beside the figures, e.g. the commit and what ran beside them.
+    #[arg(long, default_value = "")]
+    pub note: String,
+    /// What one measurement alone brings is put into that file, too, and stands for what it had of the same name.
+    #[arg(long)]
+    pub keep: bool,
     /// s; what is not measured by then is left out, and the result is marked partial.
     #[arg(long, default_value_t = 1200.0)]
     pub within: f64,
@@ -47,18 +54,19 @@
 /// # Errors
 /// What could not be measured, or read.
 pub async fn run(of: Scale) -> Result<()> {
-    match &of.what {
-        Some(What::Voters(o)) => points::show(&voters::measure(&of, o).await?),
-        Some(What::Changes(o)) => points::show(&changes::measure(&of, o).await?),
-        Some(What::Sessions(o)) => points::show(&sessions::measure(&of, o).await?),
-        Some(What::Plan(o)) => plan::run(o)?,
+    let part = match &of.what {
+        Some(What::Voters(o)) => voters::measure(&of, o).await?,
+        Some(What::Changes(o)) => changes::measure(&of, o).await?,
+        Some(What::Sessions(o)) => sessions::measure(&of, o).await?,
+        Some(What::Plan(o)) => return plan::run(o),
         None => {
             let mut all = voters::measure(&of, &voters::Options::default()).await?;
             all.join(changes::measure(&of, &changes::Options::default()).await?);
             all.join(sessions::measure(&of, &sessions::Options::default()).await?);
             points::show(&all);
-            fit::write(&of.json, &all)?;
+            return fit::write(&of.json, &all, &of.note);
         }
-    }
-    Ok(())
+    };
+    points::show(&part);
+    if of.keep { fit::add(&of.json, &part, &of.note) } else { Ok(()) }
 }
--- /dev/null
+++ b/crates/kelpdoor-lab/src/scale/plan/limits.rs
@@ -0,0 +1,167 @@
+//! The order in which things break: each limit, and how much of the target is left below it.
+
+use kelpdoor_agreement::{MAX_DOCUMENT, NAMES};
+use kelpdoor_director::{MAX_LINE, MAX_NODES, MAX_TITLES, Phase, RosterNode};
+use kelpdoor_keeper::{CONNS, DIRECTORS};
+use kelpdoor_script::{CONTRADICTION, MAX_DIRECTORS, MAX_NAMES, MAX_ZONES, Players};
+
+use super::roles::{ROWS, named};
+use super::show::{figure, number, table as show};
+use super::upper;
+use crate::scale::fit::{Book, Series};
+use crate::scale::target::Aim;
+
+/// One limit.
+pub struct Limit {
+    pub what: String,
+    /// In the unit of what grows; `None`: it is not met however far that grows.
+    pub met: Option<f64>,
+    pub target: f64,
+    pub by: String,
+    pub how: String,
+}
+
+impl Limit {
+    /// Of the target; at 1 or more it holds there.
+    fn part(&self) -> f64 {
+        self.met.map_or(f64::INFINITY, |m| m / self.target)
+    }
+}
+
+/// Bytes of a node in the roster's feed.
+fn node_bytes() -> f64 {
+    let node = RosterNode {
+        id: 100_000,
+        address: ([192, 0, 2, 100], 10_554).into(),
+        zone: "region-1-zone-1".into(),
+        kind: "box-16c".into(),
+        cell: 1000,
+        phase: Phase::Ready,
+        size: 1.0,
+        up_since: 1_700_000_000.25,
+    };
+    serde_json::to_string(&node).map_or(0, |t| t.len() + 1) as f64
+}
+
+fn in_code(aim: &Aim) -> Vec<Limit> {
+    let t = &aim.target;
+    let players = Players::default();
+    let of = |what: &str, met: f64, target: f64, by: &str, how: &str| Limit {
+        what: what.to_owned(),
+        met: Some(met),
+        target,
+        by: by.to_owned(),
+        how: how.to_owned(),
+    };
+    let code = "limit in the code";
+    let setting = "a setting's default";
+    let line = MAX_LINE as f64 / node_bytes();
+    let bytes = format!("limit in the code ({MAX_LINE} B a line), worked out at {} B a node", node_bytes());
+    vec![
+        of("names of directors in an agreed document", MAX_NAMES as f64, t.directors, "directors", code),
+        of("connections to a voter", CONNS as f64, t.directors, "directors", code),
+        of("connections to the keeper of seats", CONNS as f64, t.directors, "directors", code),
+        of("directors that a voter knows by name", NAMES as f64, t.directors, "directors", code),
+        of("directors by number", f64::from(MAX_DIRECTORS), t.directors, "directors", code),
+        of("directors at the keeper of seats", DIRECTORS as f64, t.directors, "directors", code),
+        of(
+            "longest contradiction that a document may state",
+            CONTRADICTION.1,
+            aim.assume.contradiction,
+            "s",
+            code,
+        ),
+        of("an agreed document", MAX_DOCUMENT as f64, aim.assume.document, "B", code),
+        of("nodes in the roster's feed", MAX_NODES as f64, aim.nodes(), "nodes", code),
+        of("the roster's whole list in one line", line, aim.nodes(), "nodes", &bytes),
+        of(
+            "titles in the roster's feed, if each shard is another title",
+            MAX_TITLES as f64,
+            t.shards,
+            "titles",
+            code,
+        ),
+        of("zones", MAX_ZONES as f64, t.zones, "zones", code),
+        of("sockets of a director", players.sockets as f64, aim.held(), "connections a director", setting),
+        of("sessions of a director", players.sessions as f64, aim.held(), "connections a director", setting),
+    ]
+}
+
+/// Where a series meets a bound, and how that is known. `most`: it has to stay under it.
+pub fn meets(s: &Series, bound: f64, most: bool) -> (Option<f64>, String) {
+    let over = |y: f64| if most { y > bound } else { y < bound };
+    let sizes = s.medians();
+    let (Some(first), Some(last)) = (sizes.first(), sizes.last()) else {
+        return (None, "not measured".into());
+    };
+    if over(first.1) {
+        return (Some(first.0), "measured; over it already at the least size".into());
+    }
+    if let Some(pair) = sizes.windows(2).find(|p| over(p[1].1)) {
+        let part = (bound - pair[0].1) / (pair[1].1 - pair[0].1);
+        let x = pair[0].0 + part * (pair[1].0 - pair[0].0);
+        return (Some(x), format!("measured, between {} and {}", number(pair[0].0), number(pair[1].0)));
+    }
+    let Some(whole) = &s.line else { return (None, "not met at the one size".into()) };
+    let bends = whole.bends.is_some();
+    let line = if bends { upper(s).unwrap_or_else(|| whole.clone()) } else { whole.clone() };
+    let x = (bound - line.a) / line.b;
+    let grows = if most { line.b > 0.0 } else { line.b < 0.0 };
+    if !grows || !x.is_finite() {
+        return (None, format!("not met up to {} {}, and it does not grow", number(last.0), s.by));
+    }
+    let why = match (bends, whole.too_few) {
+        (true, _) => ", from the upper half of the sizes, as the line bends",
+        (_, true) => ", too few sizes to see a bend",
+        _ => "",
+    };
+    // A line that lies over its points may cross before the last of them, which did not.
+    (
+        Some(x.max(last.0)),
+        format!("worked out, {} times the largest size{why}", number(x.max(last.0) / last.0)),
+    )
+}
+
+fn measured(aim: &Aim, book: &Book) -> Vec<Limit> {
+    let mut all = Vec::new();
+    for row in ROWS {
+        let Some((bound, most)) = row.against.bound(aim, book) else { continue };
+        for s in book.series.iter().filter(|s| row.shows(s)) {
+            let Some(target) = aim.size(&s.by) else { continue };
+            let (met, how) = meets(s, bound, most);
+            let sign = if most { "at most" } else { "at least" };
+            let what = format!("{}: {}, {sign} {}", row.role, named(s), figure(bound, &s.unit));
+            all.push(Limit { what, met, target, by: s.by.clone(), how });
+        }
+    }
+    all
+}
+
+/// All limits, the first to break at the top; those that no size meets at the end.
+pub fn order(aim: &Aim, book: &Book) -> Vec<Limit> {
+    let mut all = in_code(aim);
+    all.extend(measured(aim, book));
+    all.sort_by(|a, b| a.part().total_cmp(&b.part()).then_with(|| a.what.cmp(&b.what)));
+    all
+}
+
+pub fn table(aim: &Aim, book: &Book) -> String {
+    let mut rows: Vec<Vec<String>> = order(aim, book)
+        .into_iter()
+        .map(|l| {
+            let met = l.met.map_or("-".into(), |m| format!("{} {}", number(m), l.by));
+            let part = l.met.map_or("-".into(), |_| number(l.part()));
+            let holds = if l.part() < 1.0 { "breaks" } else { "holds" };
+            vec![l.what.clone(), met, number(l.target), part, holds.to_owned(), l.how]
+        })
+        .collect();
+    for row in ROWS {
+        let bound = row.against.bound(aim, book);
+        if bound.is_some() && !book.series.iter().any(|s| row.shows(s)) {
+            let what = format!("{}: {}", row.role, row.what);
+            let none = || "-".to_owned();
+            rows.push(vec![what, none(), none(), none(), none(), "not measured".into()]);
+        }
+    }
+    show(&["limit", "met at", "target", "met at / target", "at the target", "known how"], &rows)
+}
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -10,6 +10,15 @@
 
 use crate::run::{Call, Fault, Place};
 
+/// Directors' names in an agreed document at most.
+pub const MAX_NAMES: usize = 1000;
+/// Directors of a fleet at most, by number.
+pub const MAX_DIRECTORS: u32 = 10_000;
+/// Zones of a fleet at most.
+pub const MAX_ZONES: usize = 1000;
+/// s; the longest contradiction that a document may state lies between these.
+pub const CONTRADICTION: (f64, f64) = (0.5, 10.0);
+
 /// The ladder of rates, kB a second, and what each rung earns.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -798,7 +807,7 @@
         let mut r = Reader { file, calls: &calls, faults: Vec::new() };
         let directors = r.one::<Directors>("directors", true);
         if let Some((d, call)) = &directors {
-            r.check(call, (1..=1000).contains(&d.names.len()), "1 to 1000 names");
+            r.check(call, (1..=MAX_NAMES).contains(&d.names.len()), "1 to 1000 names");
             r.check(
                 call,
                 d.names.iter().all(|n| plain_name(n)),
@@ -806,7 +815,11 @@
             );
             let distinct: std::collections::BTreeSet<_> = d.names.iter().collect();
             r.check(call, distinct.len() == d.names.len(), "a name stands twice");
-            r.check(call, (0.5..=10.0).contains(&d.contradiction), "contradiction from 0.5 to 10 s");
+            r.check(
+                call,
+                (CONTRADICTION.0..=CONTRADICTION.1).contains(&d.contradiction),
+                "contradiction from 0.5 to 10 s",
+            );
         }
         let voters = r.one::<Voters>("voters", true);
         if let Some((v, call)) = &voters {
@@ -921,7 +934,11 @@
         if let Some((f, call)) = &fleet {
             r.check(call, f.cells > 0 && f.racks > 0 && f.racks <= f.cells, "1 <= racks <= cells");
             r.check(call, !f.zones.is_empty() && !f.kinds.is_empty(), "one zone and one kind at least");
-            r.check(call, f.kinds.len() <= 255 && f.zones.len() <= 1000, "255 kinds, 1000 zones at most");
+            r.check(
+                call,
+                f.kinds.len() <= 255 && f.zones.len() <= MAX_ZONES,
+                "255 kinds, 1000 zones at most",
+            );
             r.check(
                 call,
                 f.warm_within > 0.0 && f.fall_window > 0.0 && f.link_unit > 0.0,
@@ -940,7 +957,7 @@
         }
         let director = r.one::<Director>("director", true);
         if let Some((d, call)) = &director {
-            r.check(call, d.me < d.of && d.of <= 10_000, "me is under of, of is 10,000 at most");
+            r.check(call, d.me < d.of && d.of <= MAX_DIRECTORS, "me is under of, of is 10,000 at most");
             r.check(call, (1..=100).contains(&d.max_setups), "max_setups from 1 to 100");
             r.check(call, sane(&[d.come_back.unwrap_or(0.0)]), "come_back of at least 0");
             if let Some((f, _)) = &fleet {
--- a/crates/kelpdoor-script/src/lib.rs
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -11,6 +11,7 @@
     KeeperBook, Ladder, Lists, NodeLinks, Own, Players, RepeatWord, Roster, School, Shared, Tokens, Voter,
     Voters,
 };
+pub use deployment::{CONTRADICTION, MAX_DIRECTORS, MAX_NAMES, MAX_ZONES};
 pub use run::{Call, Fault, Place, read, run};
 
 /// Words of a deployment's settings.
@@ -66,6 +67,9 @@
 /// Words of a keeper's settings.
 pub const KEEPER: &[&str] = &["keeper", "school", "voter", "agreement"];
 
+/// Words of a target: a fleet as it is to be.
+pub const TARGET: &[&str] = &["target", "budget", "faults", "assume"];
+
 /// Words of a trouble script.
 pub const TROUBLE: &[&str] = &[
     "day",
--- a/crates/kelpdoor-script/src/run.rs
+++ b/crates/kelpdoor-script/src/run.rs
@@ -114,7 +114,8 @@
 words!(ladder group fleet director further roster players node_links tokens keeper school directors agreement voter voters node title
     day crash vanish slow neighbour rack_sag ageing deploy discovery_stale report_late balancer_roll
     balancer_stall zone_loss hot_key preempt drain keeper_roll keeper_stall new_key cut late
-    trickle line_reset voter_roll voter_stall voter_disk voter_full propose voter_list wall_step);
+    trickle line_reset voter_roll voter_stall voter_disk voter_full propose voter_list wall_step
+    target budget faults assume);
 
 fn place(span: &starlark::codemap::ResolvedSpan) -> Place {
     Place { line: span.begin.line + 1, column: span.begin.column + 1 }
