Measure a real director with sessions held, messages to viewers and listed nodes

Hollow viewers are real connections with real sessions; messages come as answers to pings, timed from when each was due, since a director tells a standing session hardly anything by itself. Bytes are counted at the viewers' sockets, processor time, memory and descriptors by the system.

--- a/crates/kelpdoor-lab/src/fleet.rs
+++ b/crates/kelpdoor-lab/src/fleet.rs
@@ -122,9 +122,16 @@
 
 impl World {
     pub async fn start(size: &Size, shared: &str, recorder: Recorder) -> Result<World> {
+        World::with_titles(size, shared, recorder, titles(size)).await
+    }
+
+    /// With other titles than the usual forty.
+    pub async fn with_titles(
+        size: &Size, shared: &str, recorder: Recorder, titles: Vec<RosterTitle>,
+    ) -> Result<World> {
         let mut rng = Rng::with_seed(size.seed);
         let (listener, roster_at) = Roster::bind().await?;
-        let roster = Roster::new(titles(size), size.roster_lag, recorder.clone());
+        let roster = Roster::new(titles, size.roster_lag, recorder.clone());
         // The settings as the checker reads them; the director's own lines do not matter there.
         let any = director_script(shared, size, 0, roster_at, Path::new("list"));
         let book = Deployment::run("settings", &any)
--- a/crates/kelpdoor-lab/src/node.rs
+++ b/crates/kelpdoor-lab/src/node.rs
@@ -101,6 +101,11 @@
         act(&mut self.lock().telling);
     }
 
+    /// Nodes to which a connection stands.
+    pub fn linked(&self) -> usize {
+        self.lock().processes.values().filter(|p| !p.conns.is_empty()).count()
+    }
+
     /// Starts a node's process, cold unless `warm`, and lists it.
     pub async fn start(&self, build: &Build, warm: bool) -> Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
--- a/crates/kelpdoor-lab/src/scale/sessions.rs
+++ b/crates/kelpdoor-lab/src/scale/sessions.rs
@@ -1,16 +1,407 @@
-//! Not measured yet.
+//! A real director, as a process of its own, with sessions held by hollow viewers, and with many listed nodes.
+//!
+//! A hollow viewer is a real connection with a real session. What it leaves out: it plays nothing, and its messages
+//! come as answers to pings, for of its own accord a director tells a viewer whose session stands only of another rung,
+//! of a token that runs out and of the end. So a message here has a reading beside the writing, and its time is that of
+//! both ways: more than a delivery takes.
 
-use anyhow::Result;
+mod viewer;
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail, ensure};
 use clap::Args;
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+use kelpdoor_director::{RosterTitle, ToRoster};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
 
 use super::Scale;
-use super::points::Points;
+use super::points::{Point, Points};
+use super::process::{Use, most_descriptors, usage};
+use crate::daemon::Daemon;
+use crate::fleet::{World, director_script, settings};
+use crate::record::Recorder;
+use crate::trouble::Size;
+use viewer::{Tally, viewer};
+
+/// s; a director takes all nodes for just started for so long, and some more.
+const SETTLE: f64 = 6.0;
+/// New sessions a second while viewers come; a director bears some times that.
+const COMING: f64 = 700.0;
+/// s; beyond what coming takes at that pace, until all sessions play or all links stand.
+const PATIENCE: f64 = 30.0;
+/// Of the messages that were to come; with fewer the rate was not reached.
+const REACHED: f64 = 0.98;
+/// Descriptors that the lab needs besides viewers and nodes.
+const OWN: u64 = 200;
+/// Threads of the lab for viewers, nodes and roster.
+const THREADS: usize = 4;
+
+#[derive(Args, Clone, Debug)]
+pub struct Options {
+    /// Sessions held at one director.
+    #[arg(long, value_delimiter = ',', default_values_t = [1000, 2500, 5000, 10_000, 19_000])]
+    pub held: Vec<usize>,
+    /// Messages to viewers a second, in all; at the most sessions and at the third-most.
+    #[arg(long, value_delimiter = ',', default_values_t = [1000.0, 3300.0, 6500.0, 13_100.0, 20_000.0])]
+    pub messages: Vec<f64>,
+    /// Sessions of one title.
+    #[arg(long, default_value_t = 87)]
+    pub listeners: usize,
+    /// Nodes while sessions are counted.
+    #[arg(long, default_value_t = 40)]
+    pub nodes: u32,
+    /// Listed nodes, each with its link, and few sessions.
+    #[arg(long, value_delimiter = ',', default_values_t = [40, 300, 1000, 2500, 5000])]
+    pub listed: Vec<u32>,
+    /// s; each figure is measured over so long.
+    #[arg(long, default_value_t = 5.0)]
+    pub over: f64,
+    /// s; of these measurements alone.
+    #[arg(long, default_value_t = 420.0)]
+    pub for_sessions: f64,
+    /// What is run as the director; this very program where absent.
+    #[arg(long, hide = true)]
+    pub program: Option<PathBuf>,
+}
 
-#[derive(Args, Clone, Debug, Default)]
-pub struct Options {}
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            held: vec![1000, 2500, 5000, 10_000, 19_000],
+            messages: vec![1000.0, 3300.0, 6500.0, 13_100.0, 20_000.0],
+            listeners: 87,
+            nodes: 40,
+            listed: vec![40, 300, 1000, 2500, 5000],
+            over: 5.0,
+            for_sessions: 420.0,
+            program: None,
+        }
+    }
+}
 
 /// # Errors
-/// What could not be measured.
-pub async fn measure(_all: &Scale, _of: &Options) -> Result<Points> {
-    Ok(Points { partial: vec!["not measured yet".into()], ..Points::default() })
+/// Where a process cannot be started; what takes too long or fails later is left out, and told.
+pub async fn measure(all: &Scale, of: &Options) -> Result<Points> {
+    let program = match &of.program {
+        Some(program) => program.clone(),
+        None => std::env::current_exe()?,
+    };
+    let run = Run {
+        of: of.clone(),
+        program,
+        until: Instant::now() + Duration::from_secs_f64(of.for_sessions.min(all.within)),
+    };
+    let steps = all.seeds * (of.held.len() + of.listed.len()) as u64;
+    let bar = ProgressBar::with_draw_target(Some(steps), ProgressDrawTarget::stderr());
+    bar.set_style(ProgressStyle::with_template("{bar:40} {pos}/{len} {elapsed_precise} {msg}")?);
+    let mut points = Points::default();
+    for seed in 1..=all.seeds {
+        for listed in [false, true] {
+            let sizes: Vec<u32> = if listed { of.listed.clone() } else { vec![of.nodes] };
+            for nodes in sizes {
+                let (run, bar) = (run.clone(), bar.clone());
+                let what = if listed { format!("{nodes} listed nodes") } else { "sessions".to_owned() };
+                if run.over() {
+                    points.partial.push(format!("{what}, seed {seed}: no time was left"));
+                    continue;
+                }
+                bar.set_message(format!("{what}, seed {seed}"));
+                // A runtime of its own ends with all that runs in it.
+                let part = tokio::task::spawn_blocking(move || -> Result<Points> {
+                    let runtime = Builder::new_multi_thread().worker_threads(THREADS).enable_all().build()?;
+                    let part = runtime.block_on(async {
+                        if listed {
+                            run.links(nodes, seed, &bar).await
+                        } else {
+                            run.sessions(seed, &bar).await
+                        }
+                    });
+                    runtime.shutdown_timeout(Duration::from_secs(2));
+                    Ok(part)
+                });
+                points.join(part.await??);
+            }
+        }
+    }
+    bar.finish_and_clear();
+    Ok(points)
+}
+
+/// A director and all it is linked with.
+struct Stage {
+    world: World,
+    daemon: Daemon,
+    pid: u32,
+    address: std::net::SocketAddr,
+    _dir: tempfile::TempDir,
+}
+
+#[derive(Clone)]
+struct Run {
+    of: Options,
+    program: PathBuf,
+    until: Instant,
+}
+
+/// Settings under which nothing is short but what is measured.
+fn ample(size: &Size, sessions: usize) -> String {
+    let each = (sessions as f64 / f64::from(size.nodes) * 3.0).ceil().max(50.0);
+    let shared = settings(size, "")
+        .replace("{\"box-2c\": 26, \"box-3c\": 39}", &format!("{{\"box-2c\": {each}, \"box-3c\": {each}}}"))
+        .replace("link_unit = 2600", &format!("link_unit = {}", each * 800.0))
+        .replace(
+            "players(resume_for = 5, remember = 20)",
+            "players(remember = 5, messages_a_second = 1000, sessions = 200000, sockets = 200000)",
+        );
+    let (before, rest) = shared.split_once("rack_uplink = ").unwrap_or((&shared, ""));
+    let after = rest.split_once(',').map_or("", |r| r.1);
+    format!("{before}rack_uplink = {},{after}", each * 800.0 * f64::from(size.nodes))
+}
+
+impl Stage {
+    async fn start(
+        program: &Path, nodes: u32, sessions: usize, listeners: usize, seed: u64,
+    ) -> Result<Stage> {
+        let racks = (nodes.min(4)) as u16;
+        let size = Size { nodes, racks, directors: 1, roster_lag: 0.0, seed, ..Size::default() };
+        let shared = ample(&size, sessions);
+        let cells = nodes as u16;
+        let titles = (0..sessions.div_ceil(listeners.max(1)).max(1))
+            .map(|k| RosterTitle {
+                name: format!("title-{k}"),
+                first_cell: (k * 3 % usize::from(cells)) as u16,
+                cells: 5.min(cells),
+            })
+            .collect();
+        let world = World::with_titles(&size, &shared, Recorder::none(), titles).await?;
+        let each = (sessions as f64 / f64::from(nodes) * 3.0).ceil().max(50.0);
+        world.nodes.with_fleet(|f| {
+            for n in f.nodes.values_mut() {
+                (n.setup_factor, n.places, n.link_kb) = (0.0, each, each * 800.0);
+            }
+        });
+        let dir = tempfile::tempdir()?;
+        let script = dir.path().join("director.star");
+        std::fs::write(
+            &script,
+            director_script(&shared, &size, 0, world.roster_at, &dir.path().join("list")),
+        )?;
+        let arguments = ["serve", "--log-filter", "warn", "--config"].map(std::ffi::OsString::from);
+        let arguments: Vec<_> = arguments.into_iter().chain([script.into_os_string()]).collect();
+        let daemon = Daemon::start(program, &arguments, &dir.path().join("director.log")).await?;
+        let pid = daemon.child.id().context("the director ended")?;
+        let address = daemon.address.parse().with_context(|| daemon.address.clone())?;
+        Ok(Stage { world, daemon, pid, address, _dir: dir })
+    }
+
+    /// Of the process while nothing is asked of it: of a core, and what it holds at the end.
+    async fn rest(&self, over: f64) -> Result<(f64, Use)> {
+        let (before, at) = (usage(self.pid)?, Instant::now());
+        sleep(Duration::from_secs_f64(over)).await;
+        let after = usage(self.pid)?;
+        Ok(((after.core - before.core) / at.elapsed().as_secs_f64(), after))
+    }
+
+    async fn end(mut self) {
+        let _ = self.daemon.child.kill().await;
+    }
+
+    /// Bytes of the roster's whole list, as the director is told it.
+    async fn list_bytes(&self) -> Result<f64> {
+        let mut stream = TcpStream::connect(self.world.roster_at).await?;
+        let mut hello = serde_json::to_string(&ToRoster::Hello { director: 9999 })?;
+        hello.push('\n');
+        stream.write_all(hello.as_bytes()).await?;
+        let mut line = Vec::new();
+        timeout(Duration::from_secs(10), BufReader::new(stream).read_until(b'\n', &mut line)).await??;
+        Ok(line.len() as f64)
+    }
+}
+
+/// Viewers of one director.
+struct Viewers {
+    tally: Arc<Tally>,
+    pace: watch::Sender<f64>,
+    tasks: JoinSet<()>,
+}
+
+impl Viewers {
+    fn new() -> Result<Viewers> {
+        Ok(Viewers { tally: Arc::new(Tally::new()?), pace: watch::channel(0.0).0, tasks: JoinSet::new() })
+    }
+
+    /// Has viewers come until so many sessions are held.
+    async fn come(&mut self, stage: &Stage, to: usize, listeners: usize, seed: u64) -> Result<()> {
+        let mut every = tokio::time::interval(Duration::from_secs_f64(1.0 / COMING));
+        let new = to.saturating_sub(self.tasks.len());
+        for me in self.tasks.len()..to {
+            every.tick().await;
+            let (tally, pace) = (self.tally.clone(), self.pace.subscribe());
+            let title = format!("title-{}", me / listeners.max(1));
+            self.tasks.spawn(viewer(me, stage.address, title, tally, pace, seed));
+        }
+        let until = Instant::now() + Duration::from_secs_f64(PATIENCE + new as f64 / COMING);
+        while self.tally.held.load(Relaxed) < to as u64 {
+            if Instant::now() > until {
+                let (held, failed) = (self.tally.held.load(Relaxed), self.tally.failed.load(Relaxed));
+                bail!("{held} of {to} sessions came to play, {failed} tries did not");
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+}
+
+impl Run {
+    fn over(&self) -> bool {
+        Instant::now() >= self.until
+    }
+
+    /// Sessions held, from the fewest up, at one director, and messages at two of the sizes.
+    async fn sessions(&self, seed: u64, bar: &ProgressBar) -> Points {
+        let mut points = Points::default();
+        if let Err(e) = self.sessions_into(seed, bar, &mut points).await {
+            points.partial.push(format!("sessions, seed {seed}: {e:#}"));
+        }
+        points
+    }
+
+    async fn sessions_into(&self, seed: u64, bar: &ProgressBar, to: &mut Points) -> Result<()> {
+        let of = &self.of;
+        let room = most_descriptors()?.saturating_sub(2 * u64::from(of.nodes) + OWN) as usize;
+        let (mut held, over): (Vec<usize>, Vec<usize>) = of.held.iter().partition(|n| **n <= room);
+        held.sort_unstable();
+        for n in over {
+            to.partial.push(format!("{n} sessions, seed {seed}: descriptors for {room} at most"));
+        }
+        let Some(&most) = held.last() else { return Ok(()) };
+        let stage = Stage::start(&self.program, of.nodes, most, of.listeners, seed).await?;
+        sleep(Duration::from_secs_f64(SETTLE)).await;
+        let mut viewers = Viewers::new()?;
+        let at = format!("{} nodes, {} sessions a title, one process filled", of.nodes, of.listeners);
+        let (mut last, mut before) = (0, usage(stage.pid)?);
+        for (k, &n) in held.iter().enumerate() {
+            if self.over() {
+                to.partial.push(format!("{n} sessions and more, seed {seed}: no time was left"));
+                break;
+            }
+            let mut put = |what: &str, unit: &str, by: &str, at: &str, x: f64, y: f64| {
+                to.points.push(point([what, unit, by, at], x, y, seed));
+            };
+            viewers.come(&stage, n, of.listeners, seed).await?;
+            let came = usage(stage.pid)?;
+            let x = n as f64;
+            let begun = (came.core - before.core) / (n - last).max(1) as f64;
+            put("time of a core for each session begun", "s", "sessions", &at, x, begun);
+            let (core, holds) = stage.rest(of.over).await?;
+            put("memory", "B", "sessions", &at, x, holds.memory);
+            put("descriptors", "descriptors", "sessions", &at, x, holds.descriptors);
+            put("processor time, no messages", "core", "sessions", &at, x, core);
+            if k + 1 == held.len() || k + 3 == held.len() {
+                let at = format!("{n} sessions, {at}");
+                for &rate in &of.messages {
+                    if self.over() {
+                        to.partial
+                            .push(format!("{rate} messages a second at {n}, seed {seed}: no time was left"));
+                        continue;
+                    }
+                    if let Err(e) = self.messages(&stage, &viewers, rate, &at, seed, to).await {
+                        to.partial.push(format!("{rate} messages a second at {n}, seed {seed}: {e:#}"));
+                    }
+                }
+                viewers.pace.send_replace(0.0);
+            }
+            (last, before) = (n, usage(stage.pid)?);
+            bar.inc(1);
+        }
+        stage.end().await;
+        Ok(())
+    }
+
+    async fn messages(
+        &self, stage: &Stage, viewers: &Viewers, rate: f64, at: &str, seed: u64, to: &mut Points,
+    ) -> Result<()> {
+        let tally = &viewers.tally;
+        viewers.pace.send_replace(rate / viewers.tasks.len().max(1) as f64);
+        // Until the pace before has run out, and this one runs evenly.
+        sleep(Duration::from_secs(1)).await;
+        let (core, bytes, began) = (usage(stage.pid)?.core, tally.bytes(), Instant::now());
+        tally.begin()?;
+        sleep(Duration::from_secs_f64(self.of.over)).await;
+        let seen = tally.end().context("nothing was counted")?;
+        let lasted = began.elapsed().as_secs_f64();
+        let (core, all) = (usage(stage.pid)?.core - core, tally.bytes());
+        let came = seen.times.len() as f64 / lasted;
+        ensure!(
+            came >= REACHED * rate,
+            "{came:.0} a second came, {} pings were held back behind eight without an answer",
+            seen.held_back
+        );
+        let mut put = |what: &str, unit: &str, y: f64| {
+            to.points.push(point([what, unit, "messages/s", at], rate, y, seed));
+        };
+        put("processor time", "core", core / lasted);
+        put("bytes to viewers", "B/s", (all.0 - bytes.0) as f64 / lasted);
+        put("bytes from viewers", "B/s", (all.1 - bytes.1) as f64 / lasted);
+        let s = |q: f64| seen.times.value_at_quantile(q) as f64 / 1e6;
+        put("time of a delivery, p99 of both ways", "s", s(0.99));
+        put("time of a delivery, median of both ways", "s", s(0.5));
+        put("messages of its own accord", "1/s", seen.unasked as f64 / lasted);
+        Ok(())
+    }
+
+    /// Listed nodes, each with its link, and no session.
+    async fn links(&self, nodes: u32, seed: u64, bar: &ProgressBar) -> Points {
+        let mut points = Points::default();
+        if let Err(e) = self.links_into(nodes, seed, &mut points).await {
+            points.partial.push(format!("{nodes} listed nodes, seed {seed}: {e:#}"));
+        }
+        bar.inc(1);
+        points
+    }
+
+    async fn links_into(&self, nodes: u32, seed: u64, to: &mut Points) -> Result<()> {
+        let room = most_descriptors()?.saturating_sub(OWN) / 2;
+        ensure!(u64::from(nodes) <= room, "descriptors for {room} at most");
+        let stage = Stage::start(&self.program, nodes, 1, 1, seed).await?;
+        let (at, began) = ("no sessions, a link to each", Instant::now());
+        let until = began + Duration::from_secs_f64(PATIENCE);
+        while stage.world.nodes.linked() < nodes as usize {
+            if Instant::now() > until {
+                bail!("{} links after {PATIENCE} s", stage.world.nodes.linked());
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        let linked = began.elapsed().as_secs_f64();
+        let dialled = usage(stage.pid)?.core;
+        // What starting left to do is done by then.
+        sleep(Duration::from_secs_f64(self.of.over.min(SETTLE))).await;
+        let (core, holds) = stage.rest(self.of.over).await?;
+        let list = stage.list_bytes().await?;
+        let mut put = |what: &str, unit: &str, y: f64| {
+            to.points.push(point([what, unit, "nodes", at], f64::from(nodes), y, seed));
+        };
+        put("memory", "B", holds.memory);
+        put("descriptors", "descriptors", holds.descriptors);
+        put("processor time, idle links", "core", core);
+        put("time of a core from its start until all links stand", "s", dialled);
+        put("time until all links stand", "s", linked);
+        put("roster's list", "B", list);
+        stage.end().await;
+        Ok(())
+    }
+}
+
+fn point([what, unit, by, at]: [&str; 4], x: f64, y: f64, seed: u64) -> Point {
+    let [what, unit, by, at] = [what, unit, by, at].map(str::to_owned);
+    Point { role: "director".into(), what, unit, by, x, y, seed, at, hollow: String::new() }
 }
