--- a/crates/kelpdoor-agreement/src/follower.rs
+++ b/crates/kelpdoor-agreement/src/follower.rs
@@ -10,7 +10,7 @@
 use crate::words::{Ask, Chosen, LOG, MOST, Tell, VoterId, Wants};
 
 /// Renewals within a lease: three may be lost.
-const RENEWALS: f64 = 4.0;
+pub const RENEWALS: f64 = 4.0;
 /// Of a lease; a question without an answer counts as lost, and the voter is asked again.
 const LOST: f64 = 1.0;
 /// s; the lease asked for before any version is known.
--- a/crates/kelpdoor-agreement/src/lib.rs
+++ b/crates/kelpdoor-agreement/src/lib.rs
@@ -16,8 +16,8 @@
 mod words;
 
 pub use delta::{Delta, Edit};
-pub use follower::{Acting, Follower, Rules, Span};
-pub use voter::{Durable, Out, Voter};
+pub use follower::{Acting, Follower, RENEWALS, Rules, Span};
+pub use voter::{Durable, NAMES, Out, Voter};
 pub use words::{
     Ask, Ballot, Chosen, DirectorStanding, LOG, MAX_DOCUMENT, MAX_LINE, Reading, Tell, Value, VoterId, Wants,
     Word,
--- a/crates/kelpdoor-lab/src/scale/follow.rs
+++ b/crates/kelpdoor-lab/src/scale/follow.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use kelpdoor_agreement::{Follower, Reading, Tell, VoterId, lease_of};
+use kelpdoor_agreement::{Reading, Rules, Tell, VoterId, lease_of};
 
 /// Versions that a board counts at most; a run has some thousands.
 const VERSIONS: u64 = 100_000;
@@ -26,9 +26,40 @@
     format!("# contradiction {contradiction} by {}\n", by.join(" "))
 }
 
+/// What a hollow director reads of a document, and all that it merges.
+#[derive(Clone, Debug)]
+pub struct FirstLine {
+    contradiction: f64,
+    voters: Vec<VoterId>,
+}
+
+impl Rules for FirstLine {
+    type Own = ();
+
+    fn read((): &(), text: &str) -> Result<Self, String> {
+        let (contradiction, voters) = first_line(text).ok_or("its first line names no voters")?;
+        Ok(FirstLine { contradiction, voters })
+    }
+
+    fn lease(&self) -> f64 {
+        lease_of(self.contradiction)
+    }
+
+    fn voters(&self) -> Vec<VoterId> {
+        self.voters.clone()
+    }
+
+    fn beside(_: &Self, newer: &Self) -> Self {
+        newer.clone()
+    }
+}
+
+/// The real follower, of documents of which the first line alone is read.
+pub type Follower = kelpdoor_agreement::Follower<FirstLine>;
+
 /// A follower that knows nothing yet.
 pub fn follower(name: &str, boot: u64) -> Follower {
-    Follower::new(name, boot, None, FIRST_LINE)
+    Follower::new(name, boot, None, ())
 }
 
 /// The newest version that it knows; 0: none.
@@ -50,7 +81,7 @@
 pub fn acts(of: &Follower, now: f64) -> Option<Acts> {
     let a = of.acting(now)?;
     let newest = a.version.number;
-    let oldest = a.beside.iter().map(|b| b.number).min().unwrap_or(newest);
+    let oldest = a.oldest();
     Some(Acts { newest, oldest, from: a.from, until: a.until })
 }
 
@@ -246,7 +277,7 @@
 
 /// Whether an answer brings no more than leave to go on: no document, and nothing of one.
 pub fn plain(of: &Tell) -> bool {
-    matches!(of, Tell::Granted { document: None, .. })
+    matches!(of, Tell::Granted { document: None, chain, .. } if chain.is_empty())
 }
 
 /// What a real director's loop works out each time it looks: which versions it acts on, by number and digest.
--- a/crates/kelpdoor-lab/src/scale/hollow.rs
+++ b/crates/kelpdoor-lab/src/scale/hollow.rs
@@ -9,14 +9,14 @@
 
 use anyhow::{Context, Result};
 use hdrhistogram::Histogram;
-use kelpdoor_agreement::{Ask, Follower, MAX_LINE, Tell, VoterId};
+use kelpdoor_agreement::{Ask, MAX_LINE, Tell, VoterId};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
-use super::follow::{self, Board};
+use super::follow::{self, Board, Follower};
 
 // As the lines of a real director have it.
 /// s; wait before a voter is connected again, at first and at most.
--- a/crates/kelpdoor-lab/src/scale/simulate.rs
+++ b/crates/kelpdoor-lab/src/scale/simulate.rs
@@ -5,9 +5,9 @@
 use std::time::Instant;
 
 use fastrand::Rng;
-use kelpdoor_agreement::{Ask, Durable, Follower, Out, Tell, Value, Voter, VoterId, Word};
+use kelpdoor_agreement::{Ask, Durable, Out, Tell, Value, Voter, VoterId, Word};
 
-use super::follow::{self, Board, FIRST_LINE};
+use super::follow::{self, Board, FIRST_LINE, Follower};
 
 /// s; a word between two sites takes from the first to the second, drawn for each.
 const LATE: (f64, f64) = (0.002, 0.022);
