Show the rate of changes and who is behind; prove chains anew

The test of fast changes has one voter answer after the other, so that folds that never end would show.

--- a/crates/kelpdoor-agreement/src/voter.rs
+++ b/crates/kelpdoor-agreement/src/voter.rs
@@ -32,6 +32,8 @@
 pub const NAMES: usize = 16_384;
 /// Bytes of a director's name, and of the versions that it says it acts on, at most.
 const LONG: (usize, usize) = (64, 512);
+/// s; changes are counted over it, for operators.
+const COUNTED: f64 = 60.0;
 /// s; a director is listed for so long after its last word.
 const LISTED: f64 = 3600.0;
 
@@ -170,6 +172,8 @@
     heard: BTreeMap<VoterId, (u64, bool)>,
     peers: BTreeMap<VoterId, Peer>,
     names: BTreeMap<String, Known>,
+    /// When the last versions were learned, since our start; as many as the log has.
+    learned: VecDeque<f64>,
     reading: Reading,
     rng: Rng,
     out: Vec<Out>,
@@ -195,6 +199,7 @@
             heard: BTreeMap::new(),
             peers: BTreeMap::new(),
             names: BTreeMap::new(),
+            learned: VecDeque::new(),
             reading,
             rng,
             out: Vec::new(),
@@ -335,10 +340,13 @@
         self.hear(now, self.me, word);
     }
 
-    fn learn(&mut self, number: u64, value: Value) {
+    fn learn(&mut self, now: f64, number: u64, value: Value) {
         if number <= self.durable.newest() {
             return;
         }
+        self.learned.push_back(now);
+        let over = self.learned.len().saturating_sub(LOG.0);
+        self.learned.drain(..over);
         let d = &mut self.durable;
         d.learned(Chosen { number, value });
         (d.promised, d.accepted) = (Ballot::default(), None);
@@ -451,7 +459,7 @@
                     self.round = self.round.max(promised.round);
                 }
             }
-            Word::Learn { number, id, text } => self.learn(number, Value { id, text }),
+            Word::Learn { number, id, text } => self.learn(now, number, Value { id, text }),
             Word::Behind { have } => {
                 let Some(Chosen { number, value }) = self.durable.chosen.last().cloned() else { return };
                 if have < number {
@@ -560,6 +568,7 @@
                     votes: self.durable.votes(),
                     listed: self.listed(),
                     deciding: self.deciding.iter().copied().collect(),
+                    changes: self.changes(now),
                     directors: self.names.iter().map(of).collect(),
                 };
                 self.tell(client, tell);
@@ -575,6 +584,14 @@
         }
     }
 
+    /// Versions learned a second over the last minute, or over as long as it has been counted.
+    fn changes(&self, now: f64) -> f64 {
+        let counted = self.learned.iter().filter(|at| now - **at <= COUNTED).count();
+        let full = self.learned.len() == LOG.0 && counted == LOG.0;
+        let since = if full { self.learned[0] } else { self.started.max(now - COUNTED) };
+        counted as f64 / (now - since).max(1.0)
+    }
+
     /// Whether a director may go on under its name; `known.until` is the lease it takes.
     fn renew(&mut self, now: f64, name: &str, mut known: Known) -> Result<(), String> {
         if !self.durable.votes() {
--- a/crates/kelpdoor-agreement/src/words.rs
+++ b/crates/kelpdoor-agreement/src/words.rs
@@ -257,6 +257,9 @@
         /// It is one of those who decide the version after the newest, and who they are.
         listed: bool,
         deciding: Vec<VoterId>,
+        /// Versions a second that it has learned over the last minute.
+        #[serde(default)]
+        changes: f64,
         directors: Vec<DirectorStanding>,
     },
     Content {
--- a/crates/kelpdoor-agreement/tests/chains.rs
+++ b/crates/kelpdoor-agreement/tests/chains.rs
@@ -17,7 +17,7 @@
 }
 
 fn text(number: u64) -> String {
-    format!("one\ntwo\nnumber {number}\nfour by 0 1 2")
+    format!("one\ntwo\nnumber {number}\nfour by 0 1 2 3 4")
 }
 
 /// The chain between two versions whose text is `text`.
@@ -68,9 +68,9 @@
     }
     assert!(f.acting(2.5).unwrap().from <= 2.5, "it went on");
     expect![[r#"
-        2.5: 4/1db0b70d2ce5ba27 beside 3/fbd8dce47d8fe825 to 1/fe90e6a3fcbde323: number 1, number 2, number 3, number 4; without a stricter side: number 1
-        3.5: 4/1db0b70d2ce5ba27 beside 3/fbd8dce47d8fe825 to 1/fe90e6a3fcbde323: number 1, number 2, number 3, number 4; without a stricter side: number 1
-        3.53: 4/1db0b70d2ce5ba27: number 4; without a stricter side: number 4
+        2.5: 4/be2b2dfa1f58398f beside 3/fee6c9bdb4b64ff9 to 1/7c8fe81b31d5c874: number 1, number 2, number 3, number 4; without a stricter side: number 1
+        3.5: 4/be2b2dfa1f58398f beside 3/fee6c9bdb4b64ff9 to 1/7c8fe81b31d5c874: number 1, number 2, number 3, number 4; without a stricter side: number 1
+        3.53: 4/be2b2dfa1f58398f: number 4; without a stricter side: number 4
     "#]]
     .assert_eq(&told);
 }
@@ -140,9 +140,9 @@
     expect![[r#"
         a hole: voter 0: a delta makes version 4, version 2 is known
         twice: voter 0: a delta makes version 2, version 2 is known
-        another base: voter 0: a delta to version 2 is from 0123456789abcdef, known is 1/fe90e6a3fcbde323
-        another fleet's: voter 0: a delta to version 2 is from d9298a10d1b07358, known is 1/fe90e6a3fcbde323
-        garbled: voter 0: a delta to version 3 makes 90dc4194ca4abc0a, it says fbd8dce47d8fe825
+        another base: voter 0: a delta to version 2 is from 0123456789abcdef, known is 1/7c8fe81b31d5c874
+        another fleet's: voter 0: a delta to version 2 is from d9298a10d1b07358, known is 1/7c8fe81b31d5c874
+        garbled: voter 0: a delta to version 3 makes 502a2e4dd3da6e45, it says fee6c9bdb4b64ff9
         past the end: voter 0: a delta to version 2: its edit at byte 18446744073709551615 does not fit
         cuts past the end: voter 0: a delta to version 2: its edit at byte 15 does not fit
         falling: voter 0: a delta to version 2: its edit at byte 0 does not fit
@@ -159,11 +159,16 @@
 fn however_fast_versions_come_few_folds_are_held_and_the_old_ones_leave() {
     for rate in [0.58, 5.8, 100.0] {
         let mut f = following();
-        let (mut number, mut t, mut most, mut oldest_since) = (1, 2.5, 0, 0.0f64);
+        let (mut number, mut most, mut oldest_since) = (1, 0, 0.0f64);
         let mut learned = vec![0.0; 2];
-        while t < 22.0 {
+        // One voter after the other answers, so that what is learned comes far faster than a fold is wide.
+        for step in 0..400u32 {
+            let t = 2.5 + 0.0502 * f64::from(step);
             let next = 1 + ((t - 2.25) * rate) as u64;
-            say(&mut f, t, next, &chain(number, next)).unwrap();
+            let voter = VoterId((step % 5) as u8);
+            if let Some(Ask::Renew { seq, .. }) = f.ask(t, voter) {
+                f.heard(t, voter, tell(seq, next, None, chain(number, next))).unwrap();
+            }
             number = f.known().unwrap().number;
             learned.resize(number as usize + 1, t);
             let a = f.acting(t).unwrap();
@@ -178,7 +183,6 @@
                 oldest_since = oldest_since.max(t - learned[a.oldest() as usize + 1]);
             }
             assert!(a.label().len() < 512);
-            t += 0.05;
         }
         let hold = lease_of(2.0) * (1.0 + 2.0 * RATE_ERROR);
         assert!(most <= 11 && number > 10, "{most} folds at {rate} a second");
@@ -238,6 +242,25 @@
     assert_eq!(answer(&mut again, 7, Wants::Either), (None, vec![8]));
 }
 
+#[test]
+fn a_voter_counts_changes_a_second_for_operators() {
+    let (mut v, _) = learned(1..=30, text);
+    let mut changes = |now: f64| {
+        v.ask(now, 1, Ask::Standing);
+        match v.take_out().1.pop() {
+            Some(Out::Tell(_, Tell::Standing { changes, .. })) => changes,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!([changes(0.0), changes(10.0), changes(60.0), changes(60.5)], [30.0, 3.0, 0.5, 0.0]);
+    let (mut fast, _) = learned(1..=1000, text);
+    fast.ask(20.0, 1, Ask::Standing);
+    let told = fast.take_out().1.pop();
+    assert!(
+        matches!(told, Some(Out::Tell(_, Tell::Standing { changes, .. })) if changes == LOG.0 as f64 / 20.0)
+    );
+}
+
 #[test]
 fn the_log_is_bounded_in_versions_and_in_bytes() {
     let (v, _) = learned(1..=400, text);
--- a/crates/kelpdoord/src/agreed.rs
+++ b/crates/kelpdoord/src/agreed.rs
@@ -213,13 +213,14 @@
     pub fn show(&self, json: bool) -> Result<()> {
         let mut voters = Vec::new();
         let mut directors: BTreeMap<String, DirectorStanding> = BTreeMap::new();
-        let mut newest = 0;
+        let (mut newest, mut rate) = (0, 0.0f64);
         for k in self.at.keys() {
             let answer = self.ask(*k, &Ask::Standing);
             let k = k.0;
             voters.push(match answer {
-                Ok(Tell::Standing { newest: n, digest, pending, votes, listed, directors: of, .. }) => {
+                Ok(Tell::Standing { newest: n, digest, pending, votes, listed, changes, directors: of, .. }) => {
                     newest = newest.max(n);
+                    rate = rate.max(changes);
                     for d in of {
                         let known = directors.get(&d.name).is_none_or(|o| o.heard > d.heard);
                         if known {
@@ -240,11 +241,14 @@
             let directors: Vec<_> = directors.values().map(of).collect();
             println!(
                 "{}",
-                json!({ "fleet": self.own.fleet, "newest": newest, "voters": voters, "directors": directors })
+                json!({ "fleet": self.own.fleet, "newest": newest, "changes_a_second": rate, "voters": voters, "directors": directors })
             );
             return Ok(());
         }
-        println!("fleet {}, newest version {newest}", self.own.fleet);
+        println!(
+            "fleet {}, newest version {newest}, {rate:.2} changes a second over the last minute",
+            self.own.fleet
+        );
         for v in &voters {
             let k = &v["voter"];
             match v["fault"].as_str() {
@@ -267,7 +271,11 @@
         for d in directors.values() {
             let cut = if d.heard > CUT_OFF { ", cut off" } else { "" };
             let acts = if d.acts.is_empty() { "nothing" } else { &d.acts };
-            println!("director {}: acts on {acts}, heard {:.1} s ago{cut}", d.name, d.heard);
+            let behind = match newest.saturating_sub(d.have) {
+                0 => String::new(),
+                n => format!(", {n} versions behind"),
+            };
+            println!("director {}: acts on {acts}{behind}, heard {:.1} s ago{cut}", d.name, d.heard);
         }
         Ok(())
     }
