--- a/crates/kelpdoor-keeper/src/sockets.rs
+++ b/crates/kelpdoor-keeper/src/sockets.rs
@@ -12,8 +12,9 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-/// Connections at most; more are closed at once, and directors come again.
-pub const CONNS: usize = 1024;
+/// Connections at most; more are closed at once, and directors come again. One of each director that a document may name, and
+/// operators, voters and connections that end.
+pub const CONNS: usize = 10_000;
 /// Answers waiting for one connection at most; beyond it the connection is closed.
 const ANSWERS: usize = 8192;
 
--- a/crates/kelpdoor/src/decide.rs
+++ b/crates/kelpdoor/src/decide.rs
@@ -155,7 +155,8 @@
         }
     }
 
-    /// Goes by other terms from now on. Groups, rungs, racks and spans are those of before: what stands is counted by them.
+    /// Goes by other terms from now on. Groups, rungs, racks and spans are those of before: what stands is
+    /// counted by them.
     pub fn go_by(&mut self, terms: &Terms) {
         self.figures = Figures::new(terms);
     }
@@ -535,9 +536,9 @@
                     self.heard(now, i);
                     let (n, error) = (&mut self.nodes, e.how == Ending::Erred);
                     let times = n.turned_away[i] - i32::from(error);
-                    // A request that no node can use errs at each and would have all of them shunned: an error
-                    // counts against a node from the second in a row, and only at its request's first SETUP.
-                    // Harm: a node that fails all costs a SETUP more.
+                    // A request that no node can use errs at each and would have all of them shunned: an
+                    // error counts against a node from the second in a row, and only at its request's first
+                    // SETUP. Harm: a node that fails all costs a SETUP more.
                     let first_error = self.sess.get(&e.sess).is_none_or(|s| s.tried.is_empty());
                     if !error || (first_error && times >= 0) {
                         let first = if error { BAR.0 } else { BAR_FULL };
@@ -552,8 +553,8 @@
                 }
                 Ending::Unreachable => self.failed(now, i),
                 Ending::TimedOut => {
-                    // A node that spoke since the SETUP was sent is not silent: only this answer was lost or late.
-                    // Harm: one too slow for its set-ups, but not for its notes, gets more of them.
+                    // A node that spoke since the SETUP was sent is not silent: only this answer was lost or
+                    // late. Harm: one too slow for its set-ups, but not for its notes, gets more of them.
                     let sent = self.sess.get(&e.sess).map_or(now, |s| s.changed_at);
                     if self.nodes.heard_at[i] <= sent {
                         self.failed(now, i);
@@ -643,10 +644,11 @@
         mine && (last / slot).floor() != turn
     }
 
-    /// Whether our part of what nodes in doubt bear allows another SETUP to any of them. Against a fleet that restarts into
-    /// a crowd, on nodes that started with it: each takes the others to be as loaded as itself. A part of a window is ours
-    /// at once, the rest comes with time, and fractions of a SETUP go round the fleet by our number. Harm: while sessions
-    /// come back by the crowd after a restart of ours alone, some are refused for a second or two.
+    /// Whether our part of what nodes in doubt bear allows another SETUP to any of them. Against a fleet that
+    /// restarts into a crowd, on nodes that started with it: each takes the others to be as loaded as itself.
+    /// A part of a window is ours at once, the rest comes with time, and fractions of a SETUP go round the
+    /// fleet by our number. Harm: while sessions come back by the crowd after a restart of ours alone, some
+    /// are refused for a second or two.
     fn doubt_allows(&self, now: f64) -> bool {
         let (n, f) = (&self.nodes, &self.figures);
         let bear = |&i: &usize| f.cold_budget * n.places[i] * self.warmth(now, i);
@@ -773,9 +775,9 @@
             offers.retain(|o| self.nodes.zone[o.0] == self.figures.zone);
         }
         if group.join < 1.0 {
-            // Viewers of a live title share its stream where they meet: all directors draw by the title's and the
-            // nodes' ids in place of chance, each node by its share, and so mostly the same node. Harm: a title's
-            // viewers end together where that node dies.
+            // Viewers of a live title share its stream where they meet: all directors draw by the title's and
+            // the nodes' ids in place of chance, each node by its share, and so mostly the same node. Harm: a
+            // title's viewers end together where that node dies.
             let title = s.ask.title.0;
             let far = |i: usize| {
                 let id = u64::from(self.nodes.id[i].0);
