--- a/crates/kelpdoor-lab/src/scale/target.rs
+++ b/crates/kelpdoor-lab/src/scale/target.rs
@@ -222,7 +222,7 @@
             "messages/s" | "deliveries/s" => Some(self.deliveries()),
             "shards" | "titles" => Some(self.shards()),
             "voters" => Some(self.assume.voters),
-            "document" | "B of the document" => Some(self.assume.document),
+            "document bytes" => Some(self.assume.document),
             _ => None,
         }
     }
--- a/crates/kelpdoor-lab/tests/sessions.rs
+++ b/crates/kelpdoor-lab/tests/sessions.rs
@@ -18,6 +18,7 @@
         listeners: 8,
         nodes: 4,
         listed: vec![6, 12],
+        most_seeds: 1,
         over: 0.5,
         for_sessions: 60.0,
         program: Some(env!("CARGO_BIN_EXE_kelpdoor-lab").into()),
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -10,14 +10,12 @@
 
 use crate::run::{Call, Fault, Place};
 
-/// Directors' names in an agreed document at most.
-pub const MAX_NAMES: usize = 1000;
-/// Directors of a fleet at most, by number.
-pub const MAX_DIRECTORS: u32 = 10_000;
+/// Directors of a fleet at most where each has a number of its own.
+pub const MOST_BY_NUMBER: u32 = 10_000;
 /// Zones of a fleet at most.
 pub const MAX_ZONES: usize = 1000;
 /// s; the longest contradiction that a document may state lies between these.
-pub const CONTRADICTION: (f64, f64) = (0.5, 10.0);
+pub const CONTRADICTION: (f64, f64) = (0.5, 20.0);
 
 /// The ladder of rates, kB a second, and what each rung earns.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -789,6 +787,9 @@
     }
 }
 
+/// Directors that a document names at most: a fleet of 5,800 and what it grows by.
+pub const MOST_DIRECTORS: usize = 8000;
+
 /// How faults name an agreed document.
 const DOCUMENT: &str = "the document";
 
@@ -807,7 +808,7 @@
         let mut r = Reader { file, calls: &calls, faults: Vec::new() };
         let directors = r.one::<Directors>("directors", true);
         if let Some((d, call)) = &directors {
-            r.check(call, (1..=MAX_NAMES).contains(&d.names.len()), "1 to 1000 names");
+            r.check(call, (1..=MOST_DIRECTORS).contains(&d.names.len()), "1 to 8000 names");
             r.check(
                 call,
                 d.names.iter().all(|n| plain_name(n)),
@@ -818,7 +819,7 @@
             r.check(
                 call,
                 (CONTRADICTION.0..=CONTRADICTION.1).contains(&d.contradiction),
-                "contradiction from 0.5 to 10 s",
+                "contradiction from 0.5 to 20 s",
             );
         }
         let voters = r.one::<Voters>("voters", true);
@@ -957,7 +958,7 @@
         }
         let director = r.one::<Director>("director", true);
         if let Some((d, call)) = &director {
-            r.check(call, d.me < d.of && d.of <= MAX_DIRECTORS, "me is under of, of is 10,000 at most");
+            r.check(call, d.me < d.of && d.of <= MOST_BY_NUMBER, "me is under of, of is 10,000 at most");
             r.check(call, (1..=100).contains(&d.max_setups), "max_setups from 1 to 100");
             r.check(call, sane(&[d.come_back.unwrap_or(0.0)]), "come_back of at least 0");
             if let Some((f, _)) = &fleet {
