--- a/crates/kelpdoor-lab/src/scale/plan/show.rs
+++ b/crates/kelpdoor-lab/src/scale/plan/show.rs
@@ -21,6 +21,9 @@
 
 /// Without the digits that say nothing.
 fn trim(x: f64) -> String {
+    // Rounded first: a step up may need a digit less.
+    let last = 10f64.powi(x.abs().log10().floor() as i32 - 2);
+    let x = if x.abs() < 1000.0 { (x / last).round() * last } else { x };
     let size = x.abs();
     if size >= 1000.0 {
         let keep = 10f64.powi(size.log10().floor() as i32 - 2);
--- a/crates/kelpdoor-script/src/deployment.rs
+++ b/crates/kelpdoor-script/src/deployment.rs
@@ -10,10 +10,10 @@
 
 use crate::run::{Call, Fault, Place};
 
-/// Directors' names in an agreed document at most.
-pub const MAX_NAMES: usize = 8000;
-/// Directors of a fleet at most, by number.
-pub const MAX_DIRECTORS: u32 = 10_000;
+/// Directors' names in an agreed document at most: a fleet of 5,800 and what it grows by.
+pub const MOST_DIRECTORS: usize = 8000;
+/// Directors of a fleet at most where each has a number of its own.
+pub const MOST_BY_NUMBER: u32 = 10_000;
 /// Zones of a fleet at most.
 pub const MAX_ZONES: usize = 1000;
 /// s; the longest contradiction that a document may state lies between these.
@@ -807,7 +807,7 @@
         let mut r = Reader { file, calls: &calls, faults: Vec::new() };
         let directors = r.one::<Directors>("directors", true);
         if let Some((d, call)) = &directors {
-            r.check(call, (1..=MAX_NAMES).contains(&d.names.len()), "1 to 8000 names");
+            r.check(call, (1..=MOST_DIRECTORS).contains(&d.names.len()), "1 to 8000 names");
             r.check(
                 call,
                 d.names.iter().all(|n| plain_name(n)),
@@ -957,7 +957,7 @@
         }
         let director = r.one::<Director>("director", true);
         if let Some((d, call)) = &director {
-            r.check(call, d.me < d.of && d.of <= MAX_DIRECTORS, "me is under of, of is 10,000 at most");
+            r.check(call, d.me < d.of && d.of <= MOST_BY_NUMBER, "me is under of, of is 10,000 at most");
             r.check(call, (1..=100).contains(&d.max_setups), "max_setups from 1 to 100");
             r.check(call, sane(&[d.come_back.unwrap_or(0.0)]), "come_back of at least 0");
             if let Some((f, _)) = &fleet {
--- a/crates/kelpdoor-script/src/lib.rs
+++ b/crates/kelpdoor-script/src/lib.rs
@@ -11,7 +11,7 @@
     KeeperBook, Ladder, Lists, NodeLinks, Own, Players, RepeatWord, Roster, School, Shared, Tokens, Voter,
     Voters,
 };
-pub use deployment::{CONTRADICTION, MAX_DIRECTORS, MAX_NAMES, MAX_ZONES};
+pub use deployment::{CONTRADICTION, MAX_ZONES, MOST_BY_NUMBER, MOST_DIRECTORS};
 pub use run::{Call, Fault, Place, read, run};
 
 /// Words of a deployment's settings.
