--- a/crates/kelpdoor-lab/src/scale/voters.rs
+++ b/crates/kelpdoor-lab/src/scale/voters.rs
@@ -129,7 +129,7 @@
 }
 
 impl Cell {
-    fn point(&self, role: &str, what: &str, unit: &str, y: f64, seed: u64, at: &str, hollow: &str) -> Point {
+    fn point(&self, role: &str, what: &str, unit: &str, y: f64, seed: u64, at: &str) -> Point {
         Point {
             role: role.into(),
             what: what.into(),
@@ -139,7 +139,7 @@
             y,
             seed,
             at: format!("{} voters, {at}, contradiction {} s", self.voters, self.contradiction),
-            hollow: hollow.into(),
+            hollow: if role == "machine" { String::new() } else { HOLLOW.into() },
         }
     }
 
@@ -165,7 +165,7 @@
             return Ok(points);
         }
         sleep(Duration::from_secs_f64(SETTLE)).await;
-        points.points.push(self.point("machine", "load before", "processes", loaded, 0, "steady", ""));
+        points.points.push(self.point("machine", "load before", "processes", loaded, 0, "steady"));
         self.steady(all, of, &voters, &mut hollows, &mut points).await?;
         self.restart(&mut voters, &mut hollows, &mut points).await?;
         Ok(points)
@@ -182,43 +182,31 @@
             sleep(Duration::from_secs_f64(of.span / windows as f64)).await;
             let (after, hollow_after) = (voters.usage()?, hollows.usage()?);
             let seen = hollows.ask("look").await?;
-            let mut put = |role: &str, what: &str, unit: &str, y: f64, hollow: &str| {
-                points.points.push(self.point(role, what, unit, y, window, "steady", hollow));
+            let mut put = |role: &str, what: &str, unit: &str, y: f64| {
+                points.points.push(self.point(role, what, unit, y, window, "steady"));
             };
             let (n, d, s) = (self.voters as f64, self.directors as f64, seen.seconds);
             let mean =
                 |of: &dyn Fn(&SeenVoter) -> u64| seen.voters.iter().map(of).sum::<u64>() as f64 / n / s;
             let core = |of: &[super::process::Use]| of.iter().map(|u| u.core).sum::<f64>();
             let memory = |of: &[super::process::Use]| of.iter().map(|u| u.memory).sum::<f64>();
-            put("voter", "processor time", "core", (core(&after) - core(&before)) / n / s, HOLLOW);
-            put("voter", "memory", "B", memory(&after) / n, HOLLOW);
-            put(
-                "voter",
-                "descriptors",
-                "descriptors",
-                after.iter().map(|u| u.descriptors).sum::<f64>() / n,
-                HOLLOW,
-            );
-            put("voter", "questions", "1/s", mean(&|v| v.asked), HOLLOW);
-            put("voter", "bytes in", "B/s", mean(&|v| v.bytes.0), HOLLOW);
-            put("voter", "bytes out", "B/s", mean(&|v| v.bytes.1), HOLLOW);
+            put("voter", "processor time", "core", (core(&after) - core(&before)) / n / s);
+            put("voter", "memory", "B", memory(&after) / n);
+            put("voter", "descriptors", "descriptors", after.iter().map(|u| u.descriptors).sum::<f64>() / n);
+            put("voter", "questions", "1/s", mean(&|v| v.asked));
+            put("voter", "bytes in", "B/s", mean(&|v| v.bytes.0));
+            put("voter", "bytes out", "B/s", mean(&|v| v.bytes.1));
             let answers = merged(seen.voters.iter().flat_map(|v| &v.answers));
             for (name, q) in [("p50", 0.5), ("p99", 0.99), ("most", 1.0)] {
-                put(
-                    "voter",
-                    &format!("answer, {name}"),
-                    "s",
-                    answers.value_at_quantile(q) as f64 / 1e6,
-                    HOLLOW,
-                );
+                put("voter", &format!("answer, {name}"), "s", answers.value_at_quantile(q) as f64 / 1e6);
             }
-            put("director", "control bytes", "B/s", mean(&|v| v.bytes.0 + v.bytes.1) * n / d, HOLLOW);
-            put("director", "control messages", "1/s", mean(&|v| v.words.0 + v.words.1) * n / d, HOLLOW);
+            put("director", "control bytes", "B/s", mean(&|v| v.bytes.0 + v.bytes.1) * n / d);
+            put("director", "control messages", "1/s", mean(&|v| v.words.0 + v.words.1) * n / d);
             let spent = core(&hollow_after) - core(&hollow_before);
             // Of all together: what each adds is the slope, without what a process needs of itself.
-            put("directors", "processor time of followers and lines", "core", spent / s, HOLLOW);
-            put("directors", "memory of followers and lines", "B", memory(&hollow_after), HOLLOW);
-            put("fleet", "directors that may begin", "of 1", seen.begin as f64 / d, HOLLOW);
+            put("directors", "processor time of followers and lines", "core", spent / s);
+            put("directors", "memory of followers and lines", "B", memory(&hollow_after));
+            put("fleet", "directors that may begin", "of 1", seen.begin as f64 / d);
             let refused: u64 = seen.voters.iter().map(|v| v.refused).sum();
             if refused > 0 {
                 points.partial.push(format!("{self:?}: {refused} questions refused: {:?}", seen.refused));
@@ -254,7 +242,7 @@
         }
         let firsts = merged(seen.voters.first().iter().flat_map(|v| &v.firsts));
         let mut put = |role: &str, what: &str, unit: &str, y: f64| {
-            points.points.push(self.point(role, what, unit, y, 1, "a voter restarted", HOLLOW));
+            points.points.push(self.point(role, what, unit, y, 1, "a voter restarted"));
         };
         for (name, q) in [("half", 0.5), ("99 in 100", 0.99), ("all", 1.0)] {
             // From when it listens; its directors try again from time to time.
