Measure changes on processes too, and test the small form of scale

Three real voters under 40 hollow directors with changes at 0.58 and 5.8 a second check virtual time. The processor time of a director's loop by the size of the document is measured as it stands. A cell that meets a limit says who has no time left. Tests look at counts, bounds and properties alone.

--- a/crates/kelpdoor-lab/src/scale/changes.rs
+++ b/crates/kelpdoor-lab/src/scale/changes.rs
@@ -1,18 +1,25 @@
 //! Changes of the rules at a rate: how much of the time directors may begin sessions, how fast a change is in force, what it
 //! costs on the wire. In virtual time with the very cores, and on processes at small size.
 
-use std::path::PathBuf;
+use std::cell::{Cell, RefCell};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use anyhow::{Result, ensure};
 use clap::Args;
+use fastrand::Rng;
+use kelpdoor_agreement::Tell;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use super::Scale;
+use super::hollow::{self, Spec};
 use super::points::{Point, Points};
-use super::simulate::{Outcome, Plan, simulate};
-use super::voters::{bar, write};
+use super::simulate::{Outcome, Plan, loop_cost, simulate};
+use super::voters::{FLEET, HOLLOW, Operator, Voters, bar, write};
 
 /// Voters in virtual time: one in each region of the target.
 const VOTERS: usize = 5;
@@ -22,6 +29,17 @@
 const CUT: (usize, f64) = (50, 3600.0);
 /// Changes of a burst, and s in which they are to be in force.
 const BURST: (u32, f64) = (50, 30.0);
+/// Leases over which a director's loop is timed.
+const COST: f64 = 10.0;
+/// On processes: voters, hollow directors, s measured, changes a second, and bytes of the document.
+const PROCESSES: (usize, usize, f64) = (3, 40, 30.0);
+const PROCESS_RATES: [f64; 2] = [0.58, 5.8];
+const PROCESS_DOCUMENT: usize = 2000;
+/// All hollow directors have a lease by then; what comes about is looked for so often.
+const COME: Duration = Duration::from_secs(15);
+const LOOK: Duration = Duration::from_millis(50);
+/// Times that an operator proposes one change; then it is given up.
+const TRIES: u32 = 60;
 /// Questions of one simulation at most: ten minutes of 300 directors that ask five voters for leases of 1 s.
 const QUESTIONS: f64 = 3.6e6;
 /// What virtual time leaves out.
@@ -53,6 +71,9 @@
     /// The points alone are written there, as JSON.
     #[arg(long)]
     pub points: Option<PathBuf>,
+    /// What is run as voters; this program where absent.
+    #[arg(long, hide = true)]
+    pub program: Option<PathBuf>,
     /// Leave out what is measured on processes.
     #[arg(long)]
     pub no_processes: bool,
@@ -72,6 +93,7 @@
             at_once: 4,
             most: 330.0,
             points: None,
+            program: None,
             no_processes: false,
             no_virtual: false,
         }
@@ -87,15 +109,39 @@
     ensure!((1.0..=86_400.0).contains(&of.span), "--span: 1 s to a day");
     let until = Instant::now() + Duration::from_secs_f64(all.within.min(of.most).clamp(0.0, 1e6));
     let mut points = Points::default();
+    if !of.no_processes {
+        on_processes(of, until, &mut points).await?;
+    }
     if !of.no_virtual {
         let (plans, at_once) = (plans(all, of), of.at_once);
         let done = tokio::task::spawn_blocking(move || play(plans, at_once, until)).await?;
         done.into_iter().for_each(|(cell, o)| cell.points(&o, &mut points));
+        costs(all, of, &mut points);
     }
     write(of.points.as_deref(), &points)?;
     Ok(points)
 }
 
+/// What a director's loop costs, by the size of the document.
+fn costs(all: &Scale, of: &Options, to: &mut Points) {
+    for &contradiction in &of.contradictions {
+        for (seed, &document) in (1..=all.seeds).flat_map(|s| of.documents.iter().map(move |d| (s, d))) {
+            let lease = kelpdoor_agreement::lease_of(contradiction);
+            to.points.push(Point {
+                role: "director".into(),
+                what: "processor time of following, steady".into(),
+                unit: "core".into(),
+                by: "document bytes".into(),
+                x: document as f64,
+                y: loop_cost(VOTERS, contradiction, document, COST * lease),
+                seed,
+                at: format!("{VOTERS} voters, contradiction {contradiction} s"),
+                hollow: "a director's loop alone: no reading, no connections, no JSON".into(),
+            });
+        }
+    }
+}
+
 /// What of an outcome becomes points.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Kind {
@@ -103,11 +149,12 @@
     Burst,
     Document,
     Cut,
+    Processes,
 }
 
 /// One run, and what it is for.
 #[derive(Clone, Debug)]
-pub struct Cell {
+struct Run {
     kind: Kind,
     plan: Plan,
 }
@@ -120,18 +167,8 @@
 }
 
 /// All runs, those first that matter most: short of time the last are left out.
-fn plans(all: &Scale, of: &Options) -> Vec<Cell> {
-    let plan = Plan {
-        seed: 0,
-        directors: 0,
-        voters: VOTERS,
-        contradiction: 0.0,
-        rate: 0.0,
-        span: 0.0,
-        document: 0,
-        burst: 0,
-        cut: false,
-    };
+fn plans(all: &Scale, of: &Options) -> Vec<Run> {
+    let plan = Plan { voters: VOTERS, ..Plan::default() };
     let mut cells = Vec::new();
     let least = all.sizes.iter().copied().min().unwrap_or(0);
     for seed in 1..=all.seeds {
@@ -142,22 +179,22 @@
                 let span = span(of, directors, contradiction);
                 let (burst, within) = BURST;
                 let of_burst = Plan { directors, burst, span: within, ..plan.clone() };
-                cells.push(Cell { kind: Kind::Burst, plan: of_burst });
+                cells.push(Run { kind: Kind::Burst, plan: of_burst });
                 let at = |rate: &f64| Plan { directors, rate: *rate, span, ..plan.clone() };
-                cells.extend(of.rates.iter().map(at).map(|plan| Cell { kind: Kind::Rate, plan }));
+                cells.extend(of.rates.iter().map(at).map(|plan| Run { kind: Kind::Rate, plan }));
             }
             let (directors, rate, span) = TOLD;
             let told = |document: &usize| Plan { directors, rate, span, document: *document, ..plan.clone() };
-            cells.extend(of.documents.iter().map(told).map(|plan| Cell { kind: Kind::Document, plan }));
+            cells.extend(of.documents.iter().map(told).map(|plan| Run { kind: Kind::Document, plan }));
             let (directors, span) = CUT;
-            cells.push(Cell { kind: Kind::Cut, plan: Plan { directors, rate, span, cut: true, ..plan } });
+            cells.push(Run { kind: Kind::Cut, plan: Plan { directors, rate, span, cut: true, ..plan } });
         }
     }
     cells
 }
 
 /// Plays all, some at a time; what could be played until then.
-fn play(cells: Vec<Cell>, at_once: usize, until: Instant) -> Vec<(Cell, Outcome)> {
+fn play(cells: Vec<Run>, at_once: usize, until: Instant) -> Vec<(Run, Outcome)> {
     let bar = bar(cells.len() as u64, "simulations");
     let next = AtomicUsize::new(0);
     let done = Arc::new(Mutex::new(Vec::new()));
@@ -180,7 +217,7 @@
     });
     bar.finish_and_clear();
     let mut all = done.lock().map(|mut d| std::mem::take(&mut *d)).unwrap_or_default();
-    let order = |c: &Cell| (c.plan.contradiction, c.plan.directors as f64, c.plan.rate, c.plan.seed as f64);
+    let order = |c: &Run| (c.plan.contradiction, c.plan.directors as f64, c.plan.rate, c.plan.seed as f64);
     all.sort_by(|(a, _), (b, _)| order(a).partial_cmp(&order(b)).unwrap_or(std::cmp::Ordering::Equal));
     all
 }
@@ -198,7 +235,7 @@
     of.iter().copied().min_by(f64::total_cmp)
 }
 
-impl Cell {
+impl Run {
     fn points(&self, o: &Outcome, to: &mut Points) {
         let p = &self.plan;
         let what = format!(
@@ -224,13 +261,15 @@
             Kind::Rate => ("changes/s", p.rate, format!("{} directors", p.directors)),
             Kind::Burst => ("directors", p.directors as f64, format!("burst of {}", p.burst)),
             Kind::Document => ("document bytes", p.document as f64, format!("{} changes/s", p.rate)),
+            Kind::Processes => ("changes/s", p.rate, format!("{} directors, on processes", p.directors)),
             Kind::Cut => ("directors", p.directors as f64, format!("a region cut off, {} changes/s", p.rate)),
         };
         let at = format!("{} voters, {at}, contradiction {} s, {:.0} s", p.voters, p.contradiction, p.span);
+        let hollow = if self.kind == Kind::Processes { HOLLOW } else { VIRTUAL };
         let mut put = |role: &str, what: &str, unit: &str, y: Option<f64>| {
             let Some(y) = y else { return };
             let (role, what, unit, by) = (role.into(), what.into(), unit.into(), by.into());
-            let (seed, at, hollow) = (p.seed, at.clone(), VIRTUAL.into());
+            let (seed, at, hollow) = (p.seed, at.clone(), hollow.into());
             to.points.push(Point { role, what, unit, by, x, y, seed, at, hollow });
         };
         put("safety", "an older version acted on alone after a newer one", "s", Some(o.older_alone));
@@ -255,7 +294,12 @@
         put("operator", "changes given up", "changes", Some(o.given_up as f64));
         put("operator", "decided, median", "s", quantile(&o.decided, 0.5));
         put("operator", "decided, most", "s", quantile(&o.decided, 1.0));
-        put("director", "control bytes, documents of 100 B", "B/s", Some(o.bytes));
+        put(
+            "director",
+            &format!("control bytes, documents of {} B", p.document.max(100)),
+            "B/s",
+            Some(o.bytes),
+        );
         put("director", "control messages", "1/s", Some(o.words));
         put("voter", "questions", "1/s", Some(o.questions));
         if self.kind == Kind::Cut {
@@ -269,3 +313,127 @@
         }
     }
 }
+
+/// Changes on real voters under hollow directors of this process: the check of virtual time.
+async fn on_processes(of: &Options, until: Instant, to: &mut Points) -> Result<()> {
+    let (voters, directors, span) = PROCESSES;
+    let program = of.program.clone().map_or_else(std::env::current_exe, Ok)?;
+    let contradiction = of.contradictions.first().copied().unwrap_or(2.0);
+    for rate in PROCESS_RATES {
+        let document = PROCESS_DOCUMENT;
+        let span = span.min(of.span);
+        let plan =
+            Plan { seed: 1, directors, voters, contradiction, rate, span, document, ..Plan::default() };
+        let cell = Run { kind: Kind::Processes, plan: plan.clone() };
+        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
+        let outcome = if left < 2.0 * span { Outcome::default() } else { on_process(plan, &program).await? };
+        cell.points(&outcome, to);
+    }
+    Ok(())
+}
+
+/// What operators know of each other's proposals, and what came of them.
+struct Desk {
+    voters: Voters,
+    hollows: hollow::Hollows,
+    newest: Cell<u64>,
+    out: RefCell<Outcome>,
+    plan: Plan,
+}
+
+async fn on_process(plan: Plan, program: &Path) -> Result<Outcome> {
+    let voters = Voters::start(program, plan.voters).await?;
+    voters.agree_first(plan.document, plan.contradiction).await?;
+    hollow::on_thread(move || async move {
+        let spec = Spec {
+            fleet: FLEET.to_owned(),
+            voters: voters.at.clone(),
+            first: 0,
+            directors: plan.directors,
+            within: kelpdoor_agreement::lease_of(plan.contradiction),
+        };
+        let hollows = hollow::start(spec);
+        let come = Instant::now() + COME;
+        while hollows.look().begin < plan.directors && Instant::now() < come {
+            sleep(LOOK).await;
+        }
+        let out = RefCell::new(Outcome::default());
+        let desk = Rc::new(Desk { voters, hollows, newest: Cell::new(1), out, plan });
+        let plan = &desk.plan;
+        let from = desk.hollows.now();
+        let to = from + plan.span;
+        desk.hollows.board(|b| b.span(from, to));
+        desk.hollows.mark();
+        let mut rng = Rng::with_seed(plan.seed);
+        let mut operators = JoinSet::new();
+        let mut change = 0;
+        loop {
+            let wait = -(1.0 - rng.f64()).ln() / plan.rate;
+            let left = to - desk.hollows.now();
+            sleep(Duration::from_secs_f64(wait.min(left).max(0.0))).await;
+            if wait >= left {
+                break;
+            }
+            change += 1;
+            operators.spawn_local(operate(desk.clone(), change));
+        }
+        let seen = desk.hollows.look();
+        let measured = desk.hollows.now() - from;
+        let parts = desk.hollows.board(|b| b.parts(to, |_| true));
+        while operators.join_next().await.is_some() {}
+        // The last change comes to be in force.
+        let calm = Instant::now() + Duration::from_secs_f64(2.0 * plan.contradiction + 2.0);
+        let all_in_force = || desk.hollows.board(|b| b.proposed(from, to).all(|v| v.force_at.is_some()));
+        while !all_in_force() && Instant::now() < calm {
+            sleep(LOOK).await;
+        }
+        let mut out = desk.out.take();
+        let n = plan.directors as f64;
+        out.events = 1;
+        (out.measured, out.parts) = (measured, parts);
+        let bytes: u64 = seen.voters.iter().map(|v| v.bytes.0 + v.bytes.1).sum();
+        let words: u64 = seen.voters.iter().map(|v| v.words.0 + v.words.1).sum();
+        let asked: u64 = seen.voters.iter().map(|v| v.asked).sum();
+        (out.bytes, out.words) = (bytes as f64 / n / seen.seconds, words as f64 / n / seen.seconds);
+        out.questions = asked as f64 / plan.voters as f64 / seen.seconds;
+        out.refused = seen.refused;
+        desk.hollows.board(|b| {
+            out.versions(b, from, to);
+        });
+        Ok(out)
+    })
+    .await
+}
+
+/// An operator with one change, as the daemon's own command proposes it: to each voter in turn until one takes it.
+async fn operate(desk: Rc<Desk>, change: u64) {
+    let first = desk.hollows.now();
+    let text = desk.voters.document(desk.plan.document, desk.plan.contradiction, change);
+    let (mut after, mut id, mut at) = (desk.newest.get(), fastrand::u64(..), 0);
+    for _ in 0..TRIES {
+        desk.out.borrow_mut().proposals += 1;
+        let told = async { Operator::to(desk.voters.at[at]).await?.propose(after, id, &text).await };
+        match told.await {
+            Ok(Tell::Agreed { number }) => {
+                desk.newest.set(desk.newest.get().max(number));
+                let now = desk.hollows.now();
+                desk.out.borrow_mut().decided.push(now - first);
+                desk.hollows.board(|b| b.agreed(number, first, now));
+                return;
+            }
+            Ok(Tell::Lost { newest, .. }) => {
+                desk.out.borrow_mut().lost += 1;
+                desk.newest.set(desk.newest.get().max(newest));
+                (after, id, at) = (newest, fastrand::u64(..), 0);
+            }
+            _ => {
+                desk.out.borrow_mut().busy += 1;
+                at = (at + 1) % desk.plan.voters;
+                if at == 0 {
+                    sleep(LOOK.mul_f64(1.0 + fastrand::f64())).await;
+                }
+            }
+        }
+    }
+    desk.out.borrow_mut().given_up += 1;
+}
--- a/crates/kelpdoor-lab/src/scale/follow.rs
+++ b/crates/kelpdoor-lab/src/scale/follow.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use kelpdoor_agreement::{Follower, Reading, Tell, VoterId, lease_of};
+use kelpdoor_agreement::{Ask, Follower, Reading, Tell, VoterId, lease_of};
 
 /// Versions that a board counts at most; a run has some thousands.
 const VERSIONS: u64 = 100_000;
@@ -249,7 +249,18 @@
     matches!(of, Tell::Granted { document: None, .. })
 }
 
-/// What a real director's loop works out each time it looks: which versions it acts on, by number and digest.
-pub fn label(of: &Follower, now: f64) -> Option<String> {
-    of.acting(now).map(|a| a.label())
+/// The questions that are due: asked for only then, as each call names what is acted on, with its sums.
+pub fn asks(of: &mut Follower, now: f64, voters: usize) -> Vec<(VoterId, Ask)> {
+    let at = of.ask_at();
+    if at > now && at < f64::INFINITY {
+        return Vec::new();
+    }
+    (0..voters as u8).map(VoterId).filter_map(|v| Some((v, of.ask(now, v)?))).collect()
+}
+
+/// What a real director's loop does of this each time it looks at its voters.
+pub fn as_a_director(of: &mut Follower, now: f64, voters: usize) -> Vec<(VoterId, Ask)> {
+    let all = (0..voters as u8).map(VoterId).filter_map(|v| Some((v, of.ask(now, v)?))).collect();
+    std::hint::black_box(of.acting(now).map(|a| a.label()));
+    all
 }
--- a/crates/kelpdoor-lab/src/scale/hollow.rs
+++ b/crates/kelpdoor-lab/src/scale/hollow.rs
@@ -247,6 +247,7 @@
             self.step();
             self.ping();
             let now = self.group.now();
+            // A moment after it is due.
             let due = {
                 let f = self.follower.borrow();
                 f.ask_at().min(f.changes_at(now)).min(now + LOOK)
@@ -258,12 +259,9 @@
     fn step(&self) {
         let now = self.group.now();
         let mut f = self.follower.borrow_mut();
-        for v in 0..self.group.spec.voters.len() {
-            if let Some(ask) = f.ask(now, VoterId(v as u8)) {
-                self.send(v, &ask);
-            }
+        for (voter, ask) in follow::asks(&mut f, now, self.group.spec.voters.len()) {
+            self.send(usize::from(voter.0), &ask);
         }
-        std::hint::black_box(follow::label(&f, now));
         self.group.board.borrow_mut().look(now, self.place, &f, now, |own| own);
     }
 
--- a/crates/kelpdoor-lab/src/scale/simulate.rs
+++ b/crates/kelpdoor-lab/src/scale/simulate.rs
@@ -35,7 +35,7 @@
 const WAITING: usize = 4_000_000;
 
 /// What is simulated.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Plan {
     pub seed: u64,
     pub directors: usize,
@@ -96,6 +96,22 @@
     pub events: u64,
 }
 
+impl Outcome {
+    /// What became of the versions that were proposed from here to there.
+    pub fn versions(&mut self, board: &Board, from: f64, to: f64) {
+        for v in board.proposed(from, to) {
+            let Some(proposed) = v.proposed else { continue };
+            self.known.extend(v.known_at.map(|at| at - proposed));
+            self.force.extend(v.force_at.map(|at| at - proposed));
+            self.never += usize::from(v.force_at.is_none());
+        }
+        (self.older_alone, self.mixed) = (board.older_alone, board.mixed);
+        for all in [&mut self.known, &mut self.force, &mut self.decided] {
+            all.sort_by(f64::total_cmp);
+        }
+    }
+}
+
 #[derive(Debug)]
 enum Event {
     Word(usize, VoterId, Word),
@@ -328,15 +344,11 @@
     fn work(&mut self, f: usize) {
         let site = self.plan.voters + f;
         let (now, rate) = (self.local(site), self.rates[site]);
-        // Asked for only when one is due: each call names what is acted on, with its sums, whether it is due or not.
-        let ask_at = self.followers[f].ask_at();
-        let due = ask_at <= now || ask_at == f64::INFINITY;
-        for k in (0..self.plan.voters).filter(|_| due) {
-            if let Some(ask) = self.followers[f].ask(now, VoterId(k as u8)) {
-                self.count(f, &ask, false);
-                self.asked += u64::from(self.span.0 <= self.t && self.t < self.span.1);
-                self.carry(self.t, site, k, Event::Asked(k, f as u64, ask));
-            }
+        for (voter, ask) in follow::asks(&mut self.followers[f], now, self.plan.voters) {
+            let k = usize::from(voter.0);
+            self.count(f, &ask, false);
+            self.asked += u64::from(self.span.0 <= self.t && self.t < self.span.1);
+            self.carry(self.t, site, k, Event::Asked(k, f as u64, ask));
         }
         self.board.look(self.t, f, &self.followers[f], now, |local| local / rate);
         let due = self.followers[f].ask_at().min(self.followers[f].changes_at(now)) / rate;
@@ -555,12 +567,7 @@
         }
         let (from, to) = self.span;
         let mut of = std::mem::take(&mut self.out);
-        for v in self.board.proposed(from, to) {
-            let Some(proposed) = v.proposed else { continue };
-            of.known.extend(v.known_at.map(|at| at - proposed));
-            of.force.extend(v.force_at.map(|at| at - proposed));
-            of.never += usize::from(v.force_at.is_none());
-        }
+        of.versions(&self.board, from, to);
         let regions = self.plan.voters;
         if self.plan.cut {
             of.again = self.board.again(|d| d % regions == 0);
@@ -575,14 +582,51 @@
             };
             (of.healing, of.beside) = (mean(true), mean(false));
         }
-        (of.older_alone, of.mixed) = (self.board.older_alone, self.board.mixed);
-        for all in [&mut of.known, &mut of.force, &mut of.decided, &mut of.again] {
-            all.sort_by(f64::total_cmp);
-        }
+        of.again.sort_by(f64::total_cmp);
         of
     }
 }
 
+/// s of a core that a director's loop spends a second on following, steady, as a real one does: a look at all voters for
+/// each answer, with documents of that size; without reading, connections and JSON. Over so many seconds of virtual time.
+pub fn loop_cost(voters: usize, contradiction: f64, document: usize, seconds: f64) -> f64 {
+    let plan = Plan { voters, contradiction, document, ..Plan::default() };
+    let mut sim = Sim::new(&plan);
+    let ids: Vec<VoterId> = (0..voters as u8).map(VoterId).collect();
+    let text = sim.text();
+    let mut follower = follow::follower("director", 1);
+    let lease = kelpdoor_agreement::lease_of(contradiction);
+    let (mut spent, mut now) = (0.0, 0.0);
+    for v in &mut sim.voters {
+        let word = Word::Learn { number: 1, id: 1, text: text.clone() };
+        v.hear(0.0, ids[0], word);
+        v.take_out();
+    }
+    while now < 2.0 * lease + seconds {
+        let began = Instant::now();
+        let asks = follow::as_a_director(&mut follower, now, voters);
+        let mut took = began.elapsed();
+        for (id, ask) in asks {
+            let voter = &mut sim.voters[usize::from(id.0)];
+            voter.ask(now, 1, ask);
+            for out in voter.take_out().1 {
+                if let Out::Tell(_, tell) = out {
+                    let began = Instant::now();
+                    // An answer that does not count costs the same.
+                    let _ = follower.heard(now, id, tell);
+                    follow::as_a_director(&mut follower, now, voters);
+                    took += began.elapsed();
+                }
+            }
+        }
+        if now >= 2.0 * lease {
+            spent += took.as_secs_f64();
+        }
+        now = follower.ask_at().max(now + 1e-3);
+    }
+    spent / seconds
+}
+
 /// Plays a plan; cut short at `until`.
 pub fn simulate(plan: &Plan, until: Instant) -> Outcome {
     Sim::new(plan).run(until)
--- a/crates/kelpdoor-lab/src/scale/voters.rs
+++ b/crates/kelpdoor-lab/src/scale/voters.rs
@@ -21,12 +21,12 @@
 use super::follow;
 use super::hollow::{Seen, SeenVoter, Spec, times, together};
 use super::points::{Point, Points};
-use super::process::{load, most_descriptors, usage};
+use super::process::{Use, load, most_descriptors, usage};
 use crate::daemon::Daemon;
 
 pub const FLEET: &str = "scale";
-/// Directors of a process at most: a thread of a shared machine keeps up with so many at 20 questions a second each.
-const SHARE: usize = 1500;
+/// Directors of a process at most: a thread of a shared machine keeps up with twice as many at 20 questions a second each.
+const SHARE: usize = 750;
 /// Descriptors of a process that are not directors' connections: its own, and those of other voters.
 const SPARE: usize = 500;
 /// Connections a second that directors of a process make at their start.
@@ -188,8 +188,8 @@
             let (n, d, s) = (self.voters as f64, self.directors as f64, seen.seconds);
             let mean =
                 |of: &dyn Fn(&SeenVoter) -> u64| seen.voters.iter().map(of).sum::<u64>() as f64 / n / s;
-            let core = |of: &[super::process::Use]| of.iter().map(|u| u.core).sum::<f64>();
-            let memory = |of: &[super::process::Use]| of.iter().map(|u| u.memory).sum::<f64>();
+            let core = |of: &[Use]| of.iter().map(|u| u.core).sum::<f64>();
+            let memory = |of: &[Use]| of.iter().map(|u| u.memory).sum::<f64>();
             put("voter", "processor time", "core", (core(&after) - core(&before)) / n / s);
             put("voter", "memory", "B", memory(&after) / n);
             put("voter", "descriptors", "descriptors", after.iter().map(|u| u.descriptors).sum::<f64>() / n);
@@ -359,7 +359,7 @@
     ///
     /// # Errors
     /// Where one has ended by itself.
-    pub fn usage(&self) -> Result<Vec<super::process::Use>> {
+    pub fn usage(&self) -> Result<Vec<Use>> {
         let ids = self.running.iter().flatten().map(|d| d.child.id());
         ids.map(|id| usage(id.context("a voter has ended")?)).collect()
     }
@@ -495,7 +495,7 @@
         }
     }
 
-    fn usage(&self) -> Result<Vec<super::process::Use>> {
+    fn usage(&self) -> Result<Vec<Use>> {
         self.0.iter().map(|(child, ..)| usage(child.id().context("hollow directors have ended")?)).collect()
     }
 }
--- /dev/null
+++ b/crates/kelpdoor-lab/tests/scale.rs
@@ -0,0 +1,159 @@
+//! The small form of `scale`: counts, bounds and properties of what it measures, no verdict by timing.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use kelpdoor_lab::scale::points::Points;
+use kelpdoor_lab::scale::simulate::{Outcome, Plan, loop_cost, simulate};
+use kelpdoor_lab::scale::{Scale, changes, process, voters};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_kelpdoor-lab");
+
+fn plan() -> Plan {
+    let (directors, voters, contradiction, rate) = (12, 5, 2.0, 0.58);
+    Plan { seed: 1, directors, voters, contradiction, rate, span: 30.0, ..Plan::default() }
+}
+
+/// Virtual time is bounded by the plan; this is for what would never end.
+fn play(plan: &Plan) -> Outcome {
+    let o = simulate(plan, Instant::now() + Duration::from_secs(120));
+    assert!(!o.cut_short, "{plan:?}");
+    o
+}
+
+fn scale(sizes: Vec<usize>) -> Scale {
+    Scale { sizes, seeds: 1, json: PathBuf::new(), within: 100.0, what: None }
+}
+
+fn values<'a>(of: &'a Points, role: &'a str, what: &'a str) -> impl Iterator<Item = f64> + 'a {
+    of.points.iter().filter(move |p| p.role == role && p.what == what).map(|p| p.y)
+}
+
+#[test]
+fn changes_come_into_force_and_nobody_acts_on_an_older_version_after_a_newer_one() {
+    for plan in [plan(), Plan { contradiction: 8.0, ..plan() }, Plan { rate: 0.0, burst: 10, ..plan() }] {
+        let o = play(&plan);
+        assert_eq!(o.older_alone, 0.0, "{plan:?}");
+        assert!(o.mixed <= plan.contradiction, "{plan:?}: {}", o.mixed);
+        assert_eq!((o.parts.len(), o.never, o.given_up), (12, 0, 0), "{plan:?}");
+        assert!(o.parts.iter().all(|p| (0.0..=1.0).contains(p)), "{plan:?}: {:?}", o.parts);
+        assert!(o.proposals > 0 && o.decided.len() == o.force.len() && o.known.len() == o.force.len());
+        assert!(o.known.iter().zip(&o.force).all(|(k, f)| 0.0 < *k && k <= f), "{plan:?}");
+        assert!(plan.burst == 0 || o.decided.len() == 10);
+        assert!(o.bytes > 0.0 && o.questions > 0.0 && o.words > 0.0 && o.refused.is_empty());
+    }
+}
+
+#[test]
+fn a_simulation_is_the_same_again_with_the_same_seed() {
+    let (a, b) = (play(&plan()), play(&plan()));
+    assert_eq!((a.parts, a.force, a.events), (b.parts, b.force, b.events));
+}
+
+#[test]
+fn who_has_no_change_begins_all_the_time_and_who_is_cut_off_does_not() {
+    let calm = play(&Plan { rate: 0.0, ..plan() });
+    assert!(calm.parts.iter().all(|p| *p > 0.999_999), "{:?}", calm.parts);
+    let cut = play(&Plan { cut: true, directors: 10, span: 60.0, ..plan() });
+    // A lease that was had runs out.
+    assert!(cut.cut.len() == 2 && cut.cut.iter().all(|p| *p <= 1.1 / 60.0), "{:?}", cut.cut);
+    assert!(cut.parts.len() == 8 && cut.parts.iter().all(|p| *p > 0.5), "{:?}", cut.parts);
+    assert_eq!((cut.again.len(), cut.never, cut.older_alone), (2, 0, 0.0));
+    assert!(cut.healing > 0.0 && cut.beside > 0.0);
+}
+
+#[test]
+fn larger_documents_cost_more_bytes_and_a_lease_that_voters_refuse_is_told() {
+    let of = |document| play(&Plan { document, directors: 4, span: 10.0, ..plan() });
+    let (small, large) = (of(2_000), of(20_000));
+    assert!(small.documents < small.bytes && 5.0 * small.documents < large.documents);
+    let refused = play(&Plan { contradiction: 60.0, ..plan() });
+    assert!(refused.parts.iter().all(|p| *p == 0.0));
+    assert!(refused.refused.keys().all(|why| why.contains("a lease of 30 s")) && !refused.refused.is_empty());
+    assert!(loop_cost(3, 2.0, 2_000, 2.0) > 0.0);
+}
+
+#[test]
+fn what_a_process_uses_is_told_and_no_process_is_said() {
+    let u = process::usage(std::process::id()).expect("ours");
+    assert!(u.memory > 1e6 && u.descriptors >= 3.0 && u.core >= 0.0);
+    assert!(process::usage(u32::MAX).is_err());
+    assert!(process::most_descriptors().expect("a limit") >= 64 && process::load().expect("a load") >= 0.0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn real_voters_are_measured_under_hollow_directors() {
+    let of = voters::Options {
+        voters: vec![3],
+        contradictions: vec![2.0],
+        span: 1.0,
+        program: Some(PROGRAM.into()),
+        ..voters::Options::default()
+    };
+    let points = voters::measure(&scale(vec![10, 20]), &of).await.expect("measured");
+    assert_eq!(points.partial, Vec::<String>::new());
+    assert!(points.points.iter().all(|p| p.y.is_finite() && p.y >= 0.0 && p.by == "directors"));
+    assert!(values(&points, "voter", "descriptors").zip([10.0, 20.0]).all(|(y, n)| y > n));
+    for what in ["questions", "bytes in", "bytes out", "memory", "answer, p50", "answered again, all"] {
+        assert_eq!(values(&points, "voter", what).filter(|y| *y >= 0.0).count(), 2, "{what}");
+    }
+    assert!(values(&points, "director", "control bytes").all(|y| y > 0.0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_on_real_voters_come_into_force() {
+    let of = changes::Options {
+        span: 2.0,
+        no_virtual: true,
+        program: Some(PROGRAM.into()),
+        ..changes::Options::default()
+    };
+    let points = changes::measure(&scale(vec![]), &of).await.expect("measured");
+    assert_eq!(points.partial, Vec::<String>::new());
+    assert!(values(&points, "operator", "proposals").sum::<f64>() >= 1.0);
+    assert!(values(&points, "fleet", "changes in force by the end").sum::<f64>() >= 1.0);
+    let older = "an older version acted on alone after a newer one";
+    assert!(values(&points, "safety", older).all(|y| y == 0.0));
+}
+
+#[tokio::test]
+async fn what_cannot_be_measured_is_refused_by_name() {
+    let of = voters::Options { voters: vec![4], ..voters::Options::default() };
+    let why = voters::measure(&scale(vec![10]), &of).await.expect_err("four voters");
+    assert_eq!(why.to_string(), "--voters: 3 or 5");
+    for (of, named) in [
+        (changes::Options { rates: vec![0.0], ..changes::Options::default() }, "--rates: "),
+        (
+            changes::Options { contradictions: vec![f64::NAN], ..changes::Options::default() },
+            "--contradictions: ",
+        ),
+        (changes::Options { documents: vec![1 << 30], ..changes::Options::default() }, "--documents: "),
+        (changes::Options { span: f64::INFINITY, ..changes::Options::default() }, "--span: "),
+    ] {
+        let why = changes::measure(&scale(vec![10]), &of).await.expect_err(named);
+        assert!(why.to_string().starts_with(named), "{why}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn without_time_it_says_what_was_left_out() {
+    let none = Scale { within: 0.0, ..scale(vec![10]) };
+    let of = changes::Options { program: Some(PROGRAM.into()), ..changes::Options::default() };
+    let points = changes::measure(&none, &of).await.expect("nothing to measure");
+    let left_out = points.partial.iter().filter(|w| w.contains("no time was left")).count();
+    assert!(left_out > 0 && left_out == points.partial.len(), "{:?}", points.partial);
+    let points = voters::measure(&none, &voters::Options::default()).await.expect("nothing to measure");
+    assert!(points.points.is_empty() && !points.partial.is_empty());
+}
+
+#[tokio::test]
+async fn documents_of_any_size_are_such_as_voters_take() {
+    let fleet = voters::Voters::start(PROGRAM.as_ref(), 3).await.expect("three voters");
+    for bytes in [0, 2_000, 20_000, 200_000] {
+        for change in 0..3 {
+            let text = fleet.document(bytes, 2.0, change);
+            kelpdoor_script::Shared::run("document", &text).unwrap_or_else(|f| panic!("{}", f[0]));
+            assert!(text.len() >= bytes && text.len() < bytes + 1200, "{bytes}: {}", text.len());
+        }
+    }
+}
