--- a/crates/kelpdoor-lab/src/scale.rs
+++ b/crates/kelpdoor-lab/src/scale.rs
@@ -14,7 +14,7 @@
 
 use std::path::PathBuf;
 
-use anyhow::Result;
+use anyhow::{Context, Result};
 use clap::{Args, Subcommand};
 
 /// `kelpdoor-lab scale`: all that is measured, and what is worked out from it.
@@ -53,6 +53,8 @@
     /// Hollow directors, as `voters` starts them.
     #[command(hide = true)]
     Hollow,
+    /// Adds what a run wrote by its `--points` to what is kept, in place of what is there of the same name.
+    Add { points: PathBuf },
     /// Works out a fleet's page from what was measured.
     Plan(plan::Options),
 }
@@ -65,6 +67,11 @@
         Some(What::Changes(o)) => changes::measure(&of, o).await?,
         Some(What::Sessions(o)) => sessions::measure(&of, o).await?,
         Some(What::Hollow) => return hollow::work().await,
+        Some(What::Add { points }) => {
+            let text = std::fs::read(points).with_context(|| points.display().to_string())?;
+            let points = serde_json::from_slice(&text).with_context(|| points.display().to_string())?;
+            return fit::add(&of.json, &points, &of.note);
+        }
         Some(What::Plan(o)) => return plan::run(o),
         None => {
             let mut all = voters::measure(&of, &voters::Options::default()).await?;
