--- a/crates/kelpdoor-lab/tests/scale.rs
+++ b/crates/kelpdoor-lab/tests/scale.rs
@@ -22,7 +22,15 @@
 }
 
 fn scale(sizes: Vec<usize>) -> Scale {
-    Scale { sizes, seeds: 1, json: PathBuf::new(), within: 100.0, what: None }
+    Scale {
+        sizes,
+        seeds: 1,
+        json: PathBuf::new(),
+        within: 100.0,
+        keep: false,
+        note: String::new(),
+        what: None,
+    }
 }
 
 fn values<'a>(of: &'a Points, role: &'a str, what: &'a str) -> impl Iterator<Item = f64> + 'a {
