--- a/crates/kelpdoor-lab/src/scale/fit.rs
+++ b/crates/kelpdoor-lab/src/scale/fit.rs
@@ -176,7 +176,14 @@
     pub fn medians(&self) -> Vec<(f64, f64)> {
         let mut all: Vec<(f64, f64)> = self.points.iter().map(|p| (p.0, p.1)).collect();
         all.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        all.chunk_by(|a, b| a.0 == b.0).map(|of| of[of.len() / 2]).collect()
+        let middle = |of: &[(f64, f64)]| (of[of.len() / 2].1 + of[(of.len() - 1) / 2].1) / 2.0;
+        all.chunk_by(|a, b| a.0 == b.0).map(|of| (of[0].0, middle(of))).collect()
+    }
+
+    /// The least and the most of the seeds at a size.
+    pub fn spread(&self, x: f64) -> (f64, f64) {
+        let at = self.points.iter().filter(|p| p.0 == x);
+        at.fold((f64::INFINITY, f64::NEG_INFINITY), |(low, high), p| (low.min(p.1), high.max(p.1)))
     }
 }
 
--- a/crates/kelpdoor-lab/src/scale/plan.rs
+++ b/crates/kelpdoor-lab/src/scale/plan.rs
@@ -13,6 +13,7 @@
 
 use super::fit::{Book, Line, Series};
 use super::target::Aim;
+pub use limits::meets;
 
 /// Before what a page has from here, with its name, and after it.
 const BEGINS: &str = "<!-- worked out by kelpdoor-lab scale plan: ";
@@ -109,8 +110,16 @@
 fn worked(of: &Series, x: f64) -> Option<Worked> {
     let sizes = of.medians();
     let last = sizes.last()?.0;
-    if let Some((_, y)) = sizes.iter().find(|s| (s.0 - x).abs() <= 0.005 * x) {
-        return Some(Worked { y: *y, within: None, how: "measured".into() });
+    if let Some((at, y)) = sizes.iter().find(|s| (s.0 - x).abs() <= 0.005 * x) {
+        let (low, high) = of.spread(*at);
+        let seeds = of.points.iter().filter(|p| p.0 == *at).count();
+        let within = (low < high).then_some((low, high));
+        let how = if seeds > 1 {
+            format!("measured, median and range of {seeds} seeds")
+        } else {
+            "measured".into()
+        };
+        return Some(Worked { y: *y, within, how });
     }
     let line = of.line.as_ref()?;
     let is_line = line.bends.is_none() && !line.too_few;
--- a/crates/kelpdoor-lab/src/scale/plan/limits.rs
+++ b/crates/kelpdoor-lab/src/scale/plan/limits.rs
@@ -72,15 +72,9 @@
             code,
         ),
         of("an agreed document", MAX_DOCUMENT as f64, aim.assume.document, "B", code),
-        of("nodes in the roster's feed", MAX_NODES as f64, aim.nodes(), "nodes", code),
-        of("the roster's whole list in one line", line, aim.nodes(), "nodes", &bytes),
-        of(
-            "titles in the roster's feed, if each shard is another title",
-            MAX_TITLES as f64,
-            t.shards,
-            "titles",
-            code,
-        ),
+        of("nodes in the roster's feed (assumed)", MAX_NODES as f64, aim.nodes(), "nodes", code),
+        of("the roster's whole list in one line (nodes assumed)", line, aim.nodes(), "nodes", &bytes),
+        of("titles in the roster\'s feed (assumed)", MAX_TITLES as f64, aim.assume.titles, "titles", code),
         of("zones", MAX_ZONES as f64, t.zones, "zones", code),
         of("sockets of a director", players.sockets as f64, aim.held(), "connections a director", setting),
         of("sessions of a director", players.sessions as f64, aim.held(), "connections a director", setting),
@@ -94,13 +88,21 @@
     let (Some(first), Some(last)) = (sizes.first(), sizes.last()) else {
         return (None, "not measured".into());
     };
+    // Where some seeds keep the bound and others do not, the median alone says too little.
+    let both = sizes.iter().map(|p| (p.0, s.spread(p.0))).filter(|(_, of)| over(of.0) != over(of.1));
+    let both: Vec<String> = both.map(|(x, _)| number(x)).collect();
+    let seeds =
+        if both.is_empty() { String::new() } else { format!("; seeds on both sides at {}", both.join("; ")) };
     if over(first.1) {
-        return (Some(first.0), "measured; over it already at the least size".into());
+        return (Some(first.0), format!("measured; over it already at the least size{seeds}"));
     }
     if let Some(pair) = sizes.windows(2).find(|p| over(p[1].1)) {
         let part = (bound - pair[0].1) / (pair[1].1 - pair[0].1);
         let x = pair[0].0 + part * (pair[1].0 - pair[0].0);
-        return (Some(x), format!("measured, between {} and {}", number(pair[0].0), number(pair[1].0)));
+        return (
+            Some(x),
+            format!("measured, between {} and {}{seeds}", number(pair[0].0), number(pair[1].0)),
+        );
     }
     let Some(whole) = &s.line else { return (None, "not met at the one size".into()) };
     let bends = whole.bends.is_some();
@@ -108,7 +110,7 @@
     let x = (bound - line.a) / line.b;
     let grows = if most { line.b > 0.0 } else { line.b < 0.0 };
     if !grows || !x.is_finite() {
-        return (None, format!("not met up to {} {}, and it does not grow", number(last.0), s.by));
+        return (None, format!("not met up to {} {}, and it does not grow{seeds}", number(last.0), s.by));
     }
     let why = match (bends, whole.too_few) {
         (true, _) => ", from the upper half of the sizes, as the line bends",
@@ -118,7 +120,7 @@
     // A line that lies over its points may cross before the last of them, which did not.
     (
         Some(x.max(last.0)),
-        format!("worked out, {} times the largest size{why}", number(x.max(last.0) / last.0)),
+        format!("worked out, {} times the largest size{why}{seeds}", number(x.max(last.0) / last.0)),
     )
 }
 
--- a/crates/kelpdoor-lab/src/scale/plan/roles.rs
+++ b/crates/kelpdoor-lab/src/scale/plan/roles.rs
@@ -147,6 +147,14 @@
         "one loop, and a task for each connection",
         IN_CODE,
     ),
+    row(
+        "director: messages to viewers",
+        "messages that came",
+        ("director", "messages that came", MESSAGES),
+        Nothing,
+        "one loop, and a task for each connection",
+        IN_CODE,
+    ),
     row(
         "director: messages to viewers",
         "bytes",
--- a/crates/kelpdoor-lab/src/scale/plan/show.rs
+++ b/crates/kelpdoor-lab/src/scale/plan/show.rs
@@ -58,6 +58,7 @@
     match unit {
         "B" => bytes(x, ""),
         "B/s" => bytes(x, "/s"),
+        "s" if x.abs() < 1e-3 && x != 0.0 => format!("{} us", number(x * 1e6)),
         "s" if x.abs() < 1.0 && x != 0.0 => format!("{} ms", number(x * 1e3)),
         "s" if x >= 172_800.0 => format!("{} days", number(x / 86_400.0)),
         "s" if x >= 7200.0 => format!("{} h", number(x / 3600.0)),
--- a/crates/kelpdoor-lab/src/scale/plan/words.rs
+++ b/crates/kelpdoor-lab/src/scale/plan/words.rs
@@ -1,7 +1,7 @@
 //! From the users' words to ours.
 
 use super::show::{figure, number};
-use crate::scale::target::Aim;
+use crate::scale::target::{Aim, DAY};
 
 fn rows(aim: &Aim) -> Vec<[String; 3]> {
     let t = &aim.target;
@@ -86,9 +86,10 @@
         ),
         row(
             "zone",
-            "what is lost at once every other month",
+            "what is lost at once",
             format!(
-                "{} directors, {} viewers",
+                "one each {}: {} directors, {} viewers",
+                figure(DAY / aim.faults.zones_a_day, "s"),
                 number(t.directors / t.zones),
                 number(t.connections / t.zones)
             ),
--- a/crates/kelpdoor-lab/src/scale/sessions.rs
+++ b/crates/kelpdoor-lab/src/scale/sessions.rs
@@ -354,6 +354,7 @@
         let lasted = began.elapsed().as_secs_f64();
         let (core, all) = (usage(stage.pid)?.core - core, tally.bytes());
         let came = seen.times.len() as f64 / lasted;
+        to.points.push(point(["messages that came", "1/s", "messages/s", at], rate, came, seed));
         ensure!(
             came >= REACHED * rate,
             "{came:.0} a second came, {} pings were held back behind eight without an answer",
--- a/crates/kelpdoor-lab/src/scale/sessions/viewer.rs
+++ b/crates/kelpdoor-lab/src/scale/sessions/viewer.rs
@@ -34,6 +34,8 @@
 const WHYS: usize = 16;
 /// s; a try to connect and come to an answer ends after so long.
 const TRY: f64 = 10.0;
+/// Of pings, so that each has as many digits.
+const FIRST: u64 = 100_000;
 /// us; the longest time told apart.
 const LONGEST: u64 = 60_000_000;
 
@@ -253,7 +255,7 @@
 async fn hold(line: &mut Line, tally: &Tally, pace: &mut watch::Receiver<f64>, rng: &mut Rng) -> Result<()> {
     // When each ping was due, so that one that leaves late counts from then.
     let mut out: VecDeque<(u64, Instant)> = VecDeque::new();
-    let mut n = 0;
+    let mut n = FIRST;
     let mut every = ticks(*pace.borrow_and_update(), rng);
     loop {
         let tick = async {
--- a/crates/kelpdoor-lab/src/scale/target.rs
+++ b/crates/kelpdoor-lab/src/scale/target.rs
@@ -56,6 +56,8 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Assume {
     pub sessions_a_node: f64,
+    /// In the roster's feed.
+    pub titles: f64,
     pub voters: f64,
     /// s; the longest that directors act on different rules.
     pub contradiction: f64,
@@ -70,6 +72,7 @@
     fn default() -> Self {
         Assume {
             sessions_a_node: 2000.0,
+            titles: 10e3,
             voters: 5.0,
             contradiction: 2.0,
             document: 20e3,
@@ -175,7 +178,7 @@
             r.figures(call, f, &[]);
         }
         if let Some((a, call)) = &assume {
-            r.figures(call, a, &["voters", "sessions_a_node", "directors_a_rack"]);
+            r.figures(call, a, &["voters", "titles", "sessions_a_node", "directors_a_rack"]);
             r.check(call, a.voters % 2.0 == 1.0, "an odd number of voters is asked for");
         }
         match (target, budget, faults) {
--- a/crates/kelpdoor-lab/tests/plan.rs
+++ b/crates/kelpdoor-lab/tests/plan.rs
@@ -147,20 +147,20 @@
         | director: follower | processor time of followers and lines; steady | 1,000 us/s a director (1,000 us/s to 1,000 us/s), from 0.01 core | 4 (100; 200; 400; 800), 1 seed | 5.81 core (5.81 core to 5.81 core) at 5,800 directors, worked out, at 7.25 times the largest size | at most 0.019 core for each | in the code: a lease renewed with each voter |
         | director: follower | memory of followers and lines; steady | 70 MB a director (70 MB to 70 MB), from 1 MB | 4 (100; 200; 400; 800), 1 seed | 406 GB (406 GB to 406 GB) at 5,800 directors, worked out, at 7.25 times the largest size | at most 64 MB for each | in the code: a lease renewed with each voter |
         | fleet: changes | part of the time in which directors may begin, mean; contradiction 2 s | no slope is told for a part of 1 | 4 (0.1; 0.58; 2; 5.8), 1 seed | 0.95 at 0.579 changes/s, measured | at least 0.999 | in this landing: chains of versions; those learned together stand beside the newest together |
-        | voter | processor time; 5 voters, steady | 200 us/s a director (200 us/s to 200 us/s), from 0 us/s | 4 (300; 1,000; 3,000; 5,800), 2 seeds | 1.16 core at 5,800 directors, measured | at most 1 core (one thread decides) | in the code: one answer a question, to each director by itself; relays are not there |"#]].assert_eq(&lines(&of("roles"), "seed"));
+        | voter | processor time; 5 voters, steady | 200 us/s a director (200 us/s to 200 us/s), from 0 us/s | 4 (300; 1,000; 3,000; 5,800), 2 seeds | 1.16 core (1.16 core to 1.16 core) at 5,800 directors, measured, median and range of 2 seeds | at most 1 core (one thread decides) | in the code: one answer a question, to each director by itself; relays are not there |"#]].assert_eq(&lines(&of("roles"), "seed"));
     expect![[r#"
         | limit | met at | target | met at / target | at the target | known how |
         | --- | --- | --- | --- | --- | --- |
         | director: follower: memory of followers and lines; steady, at most 64 MB | 100 directors | 5,800 | 0.0172 | breaks | measured; each adds 70 MB, over it at every size |
-        | titles in the roster's feed, if each shard is another title | 200,000 titles | 3 million | 0.0667 | breaks | limit in the code |
-        | nodes in the roster's feed | 10,000 nodes | 130,000 | 0.0769 | breaks | limit in the code |
+        | nodes in the roster's feed (assumed) | 10,000 nodes | 130,000 | 0.0769 | breaks | limit in the code |
         | fleet: changes: part of the time in which directors may begin, mean; contradiction 2 s, at least 0.999 | 0.1 changes/s | 0.579 | 0.173 | breaks | measured; over it already at the least size |
         | connections to a voter | 1,024 directors | 5,800 | 0.177 | breaks | limit in the code |
         | connections to the keeper of seats | 1,024 directors | 5,800 | 0.177 | breaks | limit in the code |
         | sockets of a director | 10,000 connections a director | 44,800 | 0.223 | breaks | a setting's default |
         | sessions of a director | 20,000 connections a director | 44,800 | 0.446 | breaks | a setting's default |
-        | the roster's whole list in one line | 112,000 nodes | 130,000 | 0.86 | breaks | limit in the code (16777216 B a line), worked out at 150 B a node |
-        | voter: processor time; 5 voters, steady, at most 1 core | 4,997 directors | 5,800 | 0.862 | breaks | measured, between 3,000 and 5,800 |"#]].assert_eq(&of("order").lines().take(12).collect::<Vec<_>>().join("\n"));
+        | the roster's whole list in one line (nodes assumed) | 112,000 nodes | 130,000 | 0.86 | breaks | limit in the code (16777216 B a line), worked out at 150 B a node |
+        | voter: processor time; 5 voters, steady, at most 1 core | 5,000 directors | 5,800 | 0.862 | breaks | measured, between 3,000 and 5,800 |
+        | an agreed document | 262,000 B | 200,000 | 1.31 | holds | limit in the code |"#]].assert_eq(&of("order").lines().take(12).collect::<Vec<_>>().join("\n"));
     expect![[r#"
         | director: follower: memory of followers and lines; steady, at most 64 MB | 100 directors | 5,800 | 0.0172 | breaks | measured; each adds 70 MB, over it at every size |
         | director: follower: processor time of followers and lines; steady, at most 0.019 core | - | 5,800 | - | holds | measured; each adds 1,000 us/s, under it at every size |"#]].assert_eq(&lines(&of("order"), "each adds"));
@@ -358,3 +358,19 @@
     assert!(plan::run(&of(Some(page.clone()))).is_err());
     assert_eq!(std::fs::read_to_string(&page).expect("read"), "nothing");
 }
+
+#[test]
+fn seeds_on_both_sides_of_a_bound_are_told() {
+    let named = ["director", "time of a delivery, p99 of both ways", "s", "messages/s", ""];
+    let figures = [(1000.0, [0.01, 0.02, 0.015]), (5000.0, [0.02, 1.5, 0.05]), (9000.0, [0.5, 0.6, 0.1])];
+    let points = figures.iter().flat_map(|(x, ys)| ys.iter().zip(1..).map(|(y, k)| point(named, *x, *y, k)));
+    let series = fit::series(&points.collect::<Vec<_>>(), "", "");
+    assert_eq!(series[0].medians(), [(1000.0, 0.015), (5000.0, 0.05), (9000.0, 0.5)]);
+    assert_eq!(series[0].spread(5000.0), (0.02, 1.5));
+    let (met, how) = kelpdoor_lab::scale::plan::meets(&series[0], 0.23, true);
+    near(met.expect("met"), 6600.0);
+    expect!["measured, between 5,000 and 9,000; seeds on both sides at 5,000; 9,000"].assert_eq(&how);
+    assert_eq!(kelpdoor_lab::scale::plan::meets(&series[0], 0.001, true).0, Some(1000.0));
+    let two = [point(named, 1.0, 1.0, 1), point(named, 1.0, 3.0, 2)];
+    assert_eq!(fit::series(&two, "", "")[0].medians(), [(1.0, 2.0)]);
+}
--- a/deploy/targets/fleet-5800.star
+++ b/deploy/targets/fleet-5800.star
@@ -27,6 +27,7 @@
 # Not told by the users.
 assume(
     sessions_a_node = 2000,   # a 10 Gbit/s link at some 5 Mbit/s each
+    titles = 100e3,           # each at 30 directors on average
     voters = 5,               # one a region
     contradiction = 14,       # s
     document = 200e3,         # B
