--- a/crates/kelpdoor-lab/src/scale/plan.rs
+++ b/crates/kelpdoor-lab/src/scale/plan.rs
@@ -13,7 +13,7 @@
 
 use super::fit::{Book, Line, Series};
 use super::target::Aim;
-pub use limits::meets;
+pub use limits::{doubt, meets};
 
 /// Before what a page has from here, with its name, and after it.
 const BEGINS: &str = "<!-- worked out by kelpdoor-lab scale plan: ";
--- a/crates/kelpdoor-lab/src/scale/plan/limits.rs
+++ b/crates/kelpdoor-lab/src/scale/plan/limits.rs
@@ -19,6 +19,8 @@
     pub target: f64,
     pub by: String,
     pub how: String,
+    /// The seeds do not settle whether it holds at the target.
+    pub open: bool,
 }
 
 impl Limit {
@@ -52,6 +54,7 @@
         target,
         by: by.to_owned(),
         how: how.to_owned(),
+        open: false,
     };
     let code = "limit in the code";
     let setting = "a setting's default";
@@ -81,6 +84,29 @@
     ]
 }
 
+/// Why a series does not settle whether the bound is kept at a size and below: some seeds keep it and others do not, or
+/// some brought no figure. The median alone would say too little.
+pub fn doubt(s: &Series, bound: f64, most: bool, at: f64) -> Option<String> {
+    let over = |y: f64| if most { y > bound } else { y < bound };
+    let sizes = s.medians();
+    let upto = at * 1.005;
+    let list = |of: &dyn Fn(f64) -> bool| {
+        let all: Vec<String> =
+            sizes.iter().map(|p| p.0).filter(|x| *x <= upto && of(*x)).map(number).collect();
+        all.join("; ")
+    };
+    let seeds = |x: f64| s.points.iter().filter(|p| p.0 == x).count();
+    let all = sizes.iter().map(|p| seeds(p.0)).max().unwrap_or(0);
+    let both = list(&|x| over(s.spread(x).0) != over(s.spread(x).1));
+    let fewer = list(&|x| seeds(x) < all);
+    let told: Vec<String> = [("seeds on both sides at ", both), ("no figure of some seeds at ", fewer)]
+        .into_iter()
+        .filter(|(_, sizes)| !sizes.is_empty())
+        .map(|(why, sizes)| format!("{why}{sizes}"))
+        .collect();
+    (!told.is_empty()).then(|| told.join(", "))
+}
+
 /// Where a series meets a bound, and how that is known. `most`: it has to stay under it.
 pub fn meets(s: &Series, bound: f64, most: bool) -> (Option<f64>, String) {
     let over = |y: f64| if most { y > bound } else { y < bound };
@@ -88,21 +114,13 @@
     let (Some(first), Some(last)) = (sizes.first(), sizes.last()) else {
         return (None, "not measured".into());
     };
-    // Where some seeds keep the bound and others do not, the median alone says too little.
-    let both = sizes.iter().map(|p| (p.0, s.spread(p.0))).filter(|(_, of)| over(of.0) != over(of.1));
-    let both: Vec<String> = both.map(|(x, _)| number(x)).collect();
-    let seeds =
-        if both.is_empty() { String::new() } else { format!("; seeds on both sides at {}", both.join("; ")) };
     if over(first.1) {
-        return (Some(first.0), format!("measured; over it already at the least size{seeds}"));
+        return (Some(first.0), "measured; over it already at the least size".into());
     }
     if let Some(pair) = sizes.windows(2).find(|p| over(p[1].1)) {
         let part = (bound - pair[0].1) / (pair[1].1 - pair[0].1);
         let x = pair[0].0 + part * (pair[1].0 - pair[0].0);
-        return (
-            Some(x),
-            format!("measured, between {} and {}{seeds}", number(pair[0].0), number(pair[1].0)),
-        );
+        return (Some(x), format!("measured, between {} and {}", number(pair[0].0), number(pair[1].0)));
     }
     let Some(whole) = &s.line else { return (None, "not met at the one size".into()) };
     let bends = whole.bends.is_some();
@@ -110,7 +128,7 @@
     let x = (bound - line.a) / line.b;
     let grows = if most { line.b > 0.0 } else { line.b < 0.0 };
     if !grows || !x.is_finite() {
-        return (None, format!("not met up to {} {}, and it does not grow{seeds}", number(last.0), s.by));
+        return (None, format!("not met up to {} {}, and it does not grow", number(last.0), s.by));
     }
     let why = match (bends, whole.too_few) {
         (true, _) => ", from the upper half of the sizes, as the line bends",
@@ -120,7 +138,7 @@
     // A line that lies over its points may cross before the last of them, which did not.
     (
         Some(x.max(last.0)),
-        format!("worked out, {} times the largest size{why}{seeds}", number(x.max(last.0) / last.0)),
+        format!("worked out, {} times the largest size{why}", number(x.max(last.0) / last.0)),
     )
 }
 
@@ -142,9 +160,11 @@
             let Some((bound, most)) = row.against.bound(aim, book, &s.unit) else { continue };
             let Some(target) = aim.size(&s.by) else { continue };
             let (met, how) = if row.against.each() { each(s, bound) } else { meets(s, bound, most) };
+            let doubt = doubt(s, bound, most, target).filter(|_| !row.against.each());
+            let how = doubt.iter().fold(how, |how, doubt| format!("{how}; {doubt}"));
             let sign = if most { "at most" } else { "at least" };
             let what = format!("{}: {}, {sign} {}", row.role, named(s), figure(bound, &s.unit));
-            all.push(Limit { what, met, target, by: s.by.clone(), how });
+            all.push(Limit { what, met, target, by: s.by.clone(), how, open: doubt.is_some() });
         }
     }
     all
@@ -164,7 +184,11 @@
         .map(|l| {
             let met = l.met.map_or("-".into(), |m| format!("{} {}", number(m), l.by));
             let part = l.met.map_or("-".into(), |_| number(l.part()));
-            let holds = if l.part() < 1.0 { "breaks" } else { "holds" };
+            let holds = match (l.part() < 1.0, l.open) {
+                (true, _) => "breaks",
+                (false, true) => "open",
+                (false, false) => "holds",
+            };
             vec![l.what.clone(), met, number(l.target), part, holds.to_owned(), l.how]
         })
         .collect();
--- a/crates/kelpdoor-lab/tests/plan.rs
+++ b/crates/kelpdoor-lab/tests/plan.rs
@@ -369,7 +369,15 @@
     assert_eq!(series[0].spread(5000.0), (0.02, 1.5));
     let (met, how) = kelpdoor_lab::scale::plan::meets(&series[0], 0.23, true);
     near(met.expect("met"), 6600.0);
-    expect!["measured, between 5,000 and 9,000; seeds on both sides at 5,000; 9,000"].assert_eq(&how);
+    assert_eq!(how, "measured, between 5,000 and 9,000");
+    let doubt = |at: f64| kelpdoor_lab::scale::plan::doubt(&series[0], 0.23, true, at);
+    assert_eq!(doubt(4000.0), None);
+    assert_eq!(doubt(5000.0).as_deref(), Some("seeds on both sides at 5,000"));
+    assert_eq!(doubt(1e9).as_deref(), Some("seeds on both sides at 5,000; 9,000"));
+    let mut fewer = series[0].clone();
+    fewer.points.retain(|p| p.0 != 1000.0 || p.2 == 1);
+    let doubt = kelpdoor_lab::scale::plan::doubt(&fewer, 10.0, true, 1000.0);
+    assert_eq!(doubt.as_deref(), Some("no figure of some seeds at 1,000"));
     assert_eq!(kelpdoor_lab::scale::plan::meets(&series[0], 0.001, true).0, Some(1000.0));
     let two = [point(named, 1.0, 1.0, 1), point(named, 1.0, 3.0, 2)];
     assert_eq!(fit::series(&two, "", "")[0].medians(), [(1.0, 2.0)]);
