--- a/crates/kelpdoor-lab/src/scale/plan/limits.rs
+++ b/crates/kelpdoor-lab/src/scale/plan/limits.rs
@@ -19,6 +19,8 @@
     pub target: f64,
     pub by: String,
     pub how: String,
+    /// The seeds do not settle whether it holds at the target.
+    pub open: bool,
 }
 
 impl Limit {
@@ -52,6 +54,7 @@
         target,
         by: by.to_owned(),
         how: how.to_owned(),
+        open: false,
     };
     let code = "limit in the code";
     let setting = "a setting's default";
@@ -72,21 +75,38 @@
             code,
         ),
         of("an agreed document", MAX_DOCUMENT as f64, aim.assume.document, "B", code),
-        of("nodes in the roster's feed", MAX_NODES as f64, aim.nodes(), "nodes", code),
-        of("the roster's whole list in one line", line, aim.nodes(), "nodes", &bytes),
-        of(
-            "titles in the roster's feed, if each shard is another title",
-            MAX_TITLES as f64,
-            t.shards,
-            "titles",
-            code,
-        ),
+        of("nodes in the roster's feed (assumed)", MAX_NODES as f64, aim.nodes(), "nodes", code),
+        of("the roster's whole list in one line (nodes assumed)", line, aim.nodes(), "nodes", &bytes),
+        of("titles in the roster\'s feed (assumed)", MAX_TITLES as f64, aim.assume.titles, "titles", code),
         of("zones", MAX_ZONES as f64, t.zones, "zones", code),
         of("sockets of a director", players.sockets as f64, aim.held(), "connections a director", setting),
         of("sessions of a director", players.sessions as f64, aim.held(), "connections a director", setting),
     ]
 }
 
+/// Why a series does not settle whether the bound is kept at a size and below: some seeds keep it and others do not, or
+/// some brought no figure. The median alone would say too little.
+pub fn doubt(s: &Series, bound: f64, most: bool, at: f64) -> Option<String> {
+    let over = |y: f64| if most { y > bound } else { y < bound };
+    let sizes = s.medians();
+    let upto = at * 1.005;
+    let list = |of: &dyn Fn(f64) -> bool| {
+        let all: Vec<String> =
+            sizes.iter().map(|p| p.0).filter(|x| *x <= upto && of(*x)).map(number).collect();
+        all.join("; ")
+    };
+    let seeds = |x: f64| s.points.iter().filter(|p| p.0 == x).count();
+    let all = sizes.iter().map(|p| seeds(p.0)).max().unwrap_or(0);
+    let both = list(&|x| over(s.spread(x).0) != over(s.spread(x).1));
+    let fewer = list(&|x| seeds(x) < all);
+    let told: Vec<String> = [("seeds on both sides at ", both), ("no figure of some seeds at ", fewer)]
+        .into_iter()
+        .filter(|(_, sizes)| !sizes.is_empty())
+        .map(|(why, sizes)| format!("{why}{sizes}"))
+        .collect();
+    (!told.is_empty()).then(|| told.join(", "))
+}
+
 /// Where a series meets a bound, and how that is known. `most`: it has to stay under it.
 pub fn meets(s: &Series, bound: f64, most: bool) -> (Option<f64>, String) {
     let over = |y: f64| if most { y > bound } else { y < bound };
@@ -140,9 +160,11 @@
             let Some((bound, most)) = row.against.bound(aim, book, &s.unit) else { continue };
             let Some(target) = aim.size(&s.by) else { continue };
             let (met, how) = if row.against.each() { each(s, bound) } else { meets(s, bound, most) };
+            let doubt = doubt(s, bound, most, target).filter(|_| !row.against.each());
+            let how = doubt.iter().fold(how, |how, doubt| format!("{how}; {doubt}"));
             let sign = if most { "at most" } else { "at least" };
             let what = format!("{}: {}, {sign} {}", row.role, named(s), figure(bound, &s.unit));
-            all.push(Limit { what, met, target, by: s.by.clone(), how });
+            all.push(Limit { what, met, target, by: s.by.clone(), how, open: doubt.is_some() });
         }
     }
     all
@@ -162,7 +184,11 @@
         .map(|l| {
             let met = l.met.map_or("-".into(), |m| format!("{} {}", number(m), l.by));
             let part = l.met.map_or("-".into(), |_| number(l.part()));
-            let holds = if l.part() < 1.0 { "breaks" } else { "holds" };
+            let holds = match (l.part() < 1.0, l.open) {
+                (true, _) => "breaks",
+                (false, true) => "open",
+                (false, false) => "holds",
+            };
             vec![l.what.clone(), met, number(l.target), part, holds.to_owned(), l.how]
         })
         .collect();
