Have changes on processes be such as voters take, and say why one is given up

A document changed a key that is fixed, so all but every seventh change was refused and directors seemed to begin all the time. Operators now say what a voter answered to the change they gave up, and a test holds it at none.

--- a/crates/kelpdoor-lab/src/scale/changes.rs
+++ b/crates/kelpdoor-lab/src/scale/changes.rs
@@ -256,6 +256,13 @@
             let all = o.questions * o.measured * p.voters as f64;
             to.partial.push(format!("{:?}: {n} of {all:.0} questions refused, {why:?}: {what}", self.kind));
         }
+        if !o.why_given_up.is_empty() {
+            let n = o.given_up;
+            to.partial.push(format!(
+                "{:?}: {n} changes given up, the last for {}: {what}",
+                self.kind, o.why_given_up
+            ));
+        }
         let least_part = least(&o.parts);
         let (by, x, at) = match self.kind {
             Kind::Rate => ("changes/s", p.rate, format!("{} directors", p.directors)),
@@ -397,9 +404,7 @@
         (out.bytes, out.words) = (bytes as f64 / n / seen.seconds, words as f64 / n / seen.seconds);
         out.questions = asked as f64 / plan.voters as f64 / seen.seconds;
         out.refused = seen.refused;
-        desk.hollows.board(|b| {
-            out.versions(b, from, to);
-        });
+        desk.hollows.board(|b| out.versions(b, from, to));
         Ok(out)
     })
     .await
@@ -410,6 +415,7 @@
     let first = desk.hollows.now();
     let text = desk.voters.document(desk.plan.document, desk.plan.contradiction, change);
     let (mut after, mut id, mut at) = (desk.newest.get(), fastrand::u64(..), 0);
+    let mut why = String::new();
     for _ in 0..TRIES {
         desk.out.borrow_mut().proposals += 1;
         let told = async { Operator::to(desk.voters.at[at]).await?.propose(after, id, &text).await };
@@ -426,8 +432,12 @@
                 desk.newest.set(desk.newest.get().max(newest));
                 (after, id, at) = (newest, fastrand::u64(..), 0);
             }
-            _ => {
+            other => {
                 desk.out.borrow_mut().busy += 1;
+                why = match other {
+                    Ok(tell) => format!("{tell:?}"),
+                    Err(e) => format!("{e:#}"),
+                };
                 at = (at + 1) % desk.plan.voters;
                 if at == 0 {
                     sleep(LOOK.mul_f64(1.0 + fastrand::f64())).await;
@@ -435,5 +445,7 @@
             }
         }
     }
-    desk.out.borrow_mut().given_up += 1;
+    let mut out = desk.out.borrow_mut();
+    out.given_up += 1;
+    out.why_given_up = why;
 }
--- a/crates/kelpdoor-lab/src/scale/simulate.rs
+++ b/crates/kelpdoor-lab/src/scale/simulate.rs
@@ -71,6 +71,8 @@
     pub lost: u64,
     pub busy: u64,
     pub given_up: u64,
+    /// The last answer to one that was given up, on processes.
+    pub why_given_up: String,
     /// s from a first proposal until its operator was told of the end, sorted.
     pub decided: Vec<f64>,
     /// B and words a second and director, both ways, in the span.
--- a/crates/kelpdoor-lab/src/scale/voters.rs
+++ b/crates/kelpdoor-lab/src/scale/voters.rs
@@ -373,10 +373,10 @@
              fleet(zones = [\"east\"], kinds = {{\"box\": 26}}, cells = 60, racks = 2, link_unit = 2600, \
              seen_after = 0.6, told_every = 2, cold_from = 0.4, warm_within = 8, tip_multiple = 4, fall_window = 2, \
              drain_grace = 1)\n\
-             further(free = 4, per_taken = 0.25, span = {})\n\
+             further(free = {}, per_taken = 0.25, span = 10)\n\
              directors(names = [\"a\", \"b\", \"c\"], max_setups = 3, contradiction = {contradiction})\n\
              voters(at = {})\n",
-            10 + change % 7,
+            4 + change % 3,
             self.list(),
         );
         let pad = super::simulate::pad(bytes.saturating_sub(head.len() + base.len()));
--- a/crates/kelpdoor-lab/tests/scale.rs
+++ b/crates/kelpdoor-lab/tests/scale.rs
@@ -112,6 +112,8 @@
     assert_eq!(points.partial, Vec::<String>::new());
     assert!(values(&points, "operator", "proposals").sum::<f64>() >= 1.0);
     assert!(values(&points, "fleet", "changes in force by the end").sum::<f64>() >= 1.0);
+    // Each change is one that voters take.
+    assert_eq!(values(&points, "operator", "changes given up").collect::<Vec<_>>(), [0.0, 0.0]);
     let older = "an older version acted on alone after a newer one";
     assert!(values(&points, "safety", older).all(|y| y == 0.0));
 }
