Test that the stricter side of three versions is the same in either order

The proof of chains rests on it: folds are merged once and not again. 60 drawn triples of documents with lists, floors, budgets, names and switched keys, and turns under three numberings.

--- a/crates/kelpdoor-agreement/tests/table.rs
+++ b/crates/kelpdoor-agreement/tests/table.rs
@@ -560,6 +560,36 @@
     assert_eq!((free.len(), free[0].class), (1, Class::Free));
 }
 
+#[test]
+fn what_is_acted_on_of_three_versions_is_the_same_whichever_two_are_taken_first() {
+    let changes = [
+        ("floor = 0, top = 1", "floor = 1, top = 1"),
+        ("seats = 9, repeat = \"never\"", "seats = 4, repeat = \"zone\""),
+        ("free = 4, per_taken = 0.25", "free = 2, per_taken = 0.5"),
+        ("tip_multiple = 4", "tip_multiple = 3"),
+        ("max_setups = 3", "max_setups = 2"),
+        ("[\"a\", \"b\", \"c\"]", "[\"a\", \"c\", \"d\"]"),
+        ("told_every = 2", "told_every = 3"),
+    ];
+    let with = |text: &str, which: u32| {
+        let mut text = text.to_owned();
+        for (k, (old, new)) in changes.iter().enumerate().filter(|(k, _)| which >> k & 1 == 1) {
+            assert!(text.contains(old), "{k} {old}");
+            text = text.replace(old, new);
+        }
+        Shared::run("document", &text).unwrap_or_else(|f| panic!("{f:?}"))
+    };
+    let mut rng = fastrand::Rng::with_seed(3);
+    let listed = format!("{DOCUMENT}{LISTS}");
+    let drained = listed.replace("cell = 1)", "cell = 1, drain = True)").replace("node(3", "node(7");
+    let texts = [DOCUMENT, &listed, &drained];
+    for _ in 0..60 {
+        let mut any = || with(texts[rng.usize(..3)], rng.u32(..128));
+        let (a, b, c) = (any(), any(), any());
+        assert_eq!(both(&both(&a, &b).0, &c).0, both(&a, &both(&b, &c).0).0);
+    }
+}
+
 const LISTS: &str = r#"
 node(1, zone = "east", kind = "box", cell = 0)
 node(2, zone = "east", kind = "box", cell = 1)
@@ -662,6 +692,16 @@
         }
     }
     assert_eq!(numbering(&[(Some(2), 5)]), (2, 5));
+    // Of three it is the same whichever two are taken first.
+    let place = |(me, of): (u32, u32)| (Some(me), of);
+    for (a, b, c) in [(4, 6, 9), (5, 5, 5), (2, 3, 7), (5800, 5799, 5801), (12, 18, 1000)] {
+        for me in 0..2 {
+            let (x, y, z) = ((Some(me), a), (Some(me), b), (Some(me), c));
+            let (left, right) = (place(numbering(&[x, y])), place(numbering(&[y, z])));
+            let all = numbering(&[x, y, z]);
+            assert_eq!((numbering(&[left, z]), numbering(&[x, right])), (all, all), "{me} of {a}, {b}, {c}");
+        }
+    }
     // Who is on one list alone takes no turn while the other may be in use.
     assert_eq!(numbering(&[(None, 5), (Some(5), 6)]).1, 1_000_000_000);
 }
