--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
-use std::io::{BufRead, BufReader, Read as _, Write};
+use std::io::{BufRead, BufReader, Write};
 
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
@@ -335,6 +335,8 @@
     place: usize,
     moved_at: Option<Instant>,
     streams: usize,
+    /// How long it takes for the head of an answer.
+    answer_after: Duration,
 }
 
 #[derive(Clone)]
@@ -370,6 +372,11 @@
         lock(&self.state.0).streams
     }
 
+    /// From now on calls are answered this long after they came.
+    pub fn answer_after(&self, time: Duration) {
+        lock(&self.state.0).answer_after = time;
+    }
+
     pub fn publish(&self, hosts: &[String]) -> usize {
         let n = {
             let mut s = lock(&self.state.0);
@@ -423,7 +430,12 @@
         let request = read_message(&mut BufReader::new(stream.try_clone().ok()?))?;
         let mut from: usize = request.headers.get("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
         note(&format!("change log: asked from {from} at place {place}"));
-        lock(&self.state.0).streams += 1;
+        let slow = {
+            let mut s = lock(&self.state.0);
+            s.streams += 1;
+            s.answer_after
+        };
+        sleep(slow);
         let mut text =
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: hello\n\n".to_owned();
         let mut comment_at = Instant::now() + ms(1000);
