--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -101,7 +101,7 @@
     pub sessions: BTreeMap<String, u64>,
     /// When which SETUP arrived.
     pub setups: Vec<(f64, String)>,
-    /// Releases that have to be sent on the next connection.
+    /// When the node last reported how full its link is.
     pub last_report: f64,
 }
 
@@ -266,7 +266,9 @@
             "OPTIONS" => reply("200 OK", ""),
             _ => return,
         };
-        let _ = stream.write_all(text.as_bytes());
+        let sent = stream.write_all(text.as_bytes());
+        let status = text.lines().next().unwrap_or("");
+        note(&format!("node {} answers {method} {sess}: {status}{}", self.id, if sent.is_ok() { "" } else { " (not sent)" }));
     }
 
     /// The machine vanishes: open connections stay open and quiet, new ones never come up, what it ran is cut. Returns the
@@ -530,6 +532,12 @@
         (&self.stream).write_all(line.as_bytes()).is_ok()
     }
 
+    /// Ends a session.
+    pub fn finish(&self, sess: &str) {
+        note(&format!("viewer sends FINISH {sess}"));
+        self.send(&format!("{{\"verb\":\"FINISH\",\"tag\":\"{sess}\",\"opts\":{{}},\"rc\":16}}\n"));
+    }
+
     pub fn is_open(&self) -> bool {
         self.open.load(Ordering::SeqCst)
     }
