Keep the sessions of a node that was out of reach for 5 s and returns with them

Callers saw: sessions ended on nodes that run them.

Cause: Liveness gave a node up once connections to it had failed for 3.5 s, at the latest 5.8 s after its last sign, where viewers need to be told within 8 s of the end (8.05 s on sockets). The end can be no earlier than the last sign of the node before the first failure.

Change: a node that is out of reach is given up 7.4 s after its last sign, and not before it has failed for 3.5 s, as a last sign may be old after a pause of this process.

--- a/crates/kelpdoor-platform/src/core.rs
+++ b/crates/kelpdoor-platform/src/core.rs
@@ -1058,7 +1058,7 @@
         if first_link {
             n.connected_since = self.now;
         }
-        n.liveness.record_message(self.now);
+        n.liveness.record_contact(self.now);
         let (pending, in_doubt) = (std::mem::take(&mut n.pending), std::mem::take(&mut n.in_doubt));
         waiting.into_iter().for_each(|sess| self.send_setup(sess));
         pending.into_iter().for_each(|(_, message)| self.send_pending(link, message));
@@ -1131,7 +1131,7 @@
         l.last_used = self.now;
         let node = l.node;
         if let Some(n) = self.nodes.get_mut(&node) {
-            n.liveness.record_message(self.now);
+            n.liveness.record_contact(self.now);
         }
         match media::interpret(message, &self.report_fields) {
             media::NodeMessage::SetupAccepted { sess, blob, load: _ } => {
--- a/crates/kelpdoor-platform/src/core/node_loss.rs
+++ b/crates/kelpdoor-platform/src/core/node_loss.rs
@@ -26,7 +26,7 @@
         let keep = usize::from(n.phase != Phase::Gone || needed);
         let connected_count =
             n.links.iter().filter(|l| self.links.get(l).is_some_and(|l| l.connected)).count();
-        let (link_count, lost) = (n.links.len(), needed && n.liveness.is_lost());
+        let (link_count, lost) = (n.links.len(), needed && n.liveness.is_lost(now));
         let in_use = !(n.active_sessions.is_empty() && n.in_doubt.is_empty());
         let should_connect = needed && n.liveness.should_connect(now, connected, in_use);
         if !needed && link_count == 0 && n.phase == Phase::Gone {
@@ -82,7 +82,7 @@
         n.liveness.record_failure(self.now, refused, connected && n.phase != Phase::Gone);
         n.last_connect_error = why;
         // Their link was lost and no other opens: the node died while they were pending.
-        let (in_doubt, lost) = (std::mem::take(&mut n.in_doubt), n.liveness.is_lost());
+        let (in_doubt, lost) = (std::mem::take(&mut n.in_doubt), n.liveness.is_lost(self.now));
         if n.liveness.process_is_gone() {
             // Its sessions ended with the process.
             n.pending.clear();
--- a/crates/kelpdoor-platform/src/liveness.rs
+++ b/crates/kelpdoor-platform/src/liveness.rs
@@ -3,8 +3,8 @@
 //! single connection means neither. The only proof that covers all three is whether a new connection opens,
 //! so one is attempted when there is doubt.
 //!
-//! Decides when to attempt a connection and when to end the node's sessions. It does no I/O; times are
-//! seconds, passed in.
+//! Decides when to attempt a connection and when a node counts as lost. It does no I/O; times are seconds,
+//! passed in.
 
 /// s; a connection to a node that is silent for this long is attempted. Less than half of the interval of the
 /// node's notifications, so that a vanished machine is detected in time.
@@ -15,17 +15,20 @@
 pub const RELEASE_RETRY_INTERVAL: f64 = 2.0;
 /// s; failures further apart are separate: nothing was attempted in between, or this process was paused.
 const MAX_FAILURE_GAP: f64 = 2.5;
-/// s; after failing for this long the node's sessions count as ended. Viewers must be notified within 8 s of
-/// the end, of which QUIET_TIMEOUT and a connect timeout have passed before. A node that is cut off for
-/// longer loses its sessions though it runs.
-const GIVE_UP_AFTER: f64 = 3.5;
+/// s; viewers must be notified within 8 s of the end of their sessions, which may follow the last sign of the
+/// node at once. A node that is cut off for longer loses its sessions though it runs.
+pub const END_DEADLINE: f64 = 7.4;
+/// s; minimum time of failures before a node counts as lost, as the last sign of it may be old after a pause
+/// of this process.
+const MIN_FAILURE_TIME: f64 = 3.5;
 /// Consecutive refusals without an open connection that prove the process gone; a single one may be a full
 /// accept backlog.
 const MIN_REFUSALS: u32 = 2;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Liveness {
-    last_message: f64,
+    /// When the node last sent something or accepted a connection.
+    last_contact: f64,
     last_attempt: f64,
     /// Times of the first and the last of the current consecutive failures.
     failures: Option<(f64, f64)>,
@@ -35,7 +38,7 @@
 impl Liveness {
     pub fn new(now: f64) -> Self {
         Liveness {
-            last_message: now,
+            last_contact: now,
             last_attempt: f64::NEG_INFINITY,
             failures: None,
             consecutive_refusals: 0,
@@ -43,9 +46,9 @@
     }
 
     /// The node sent something, or a connection to it opened.
-    pub fn record_message(&mut self, now: f64) {
+    pub fn record_contact(&mut self, now: f64) {
         *self = Liveness {
-            last_message: now,
+            last_contact: now,
             last_attempt: self.last_attempt,
             failures: None,
             consecutive_refusals: 0,
@@ -58,7 +61,7 @@
 
     /// A connection attempt failed. A refusal while another connection is open may come from a node at its
     /// limit and counts like a timeout: such a node sends something on its open connections within
-    /// GIVE_UP_AFTER, whereas a process that exited and left them open does not.
+    /// END_DEADLINE, whereas a process that exited and left them open does not.
     pub fn record_failure(&mut self, now: f64, refused: bool, connected: bool) {
         let first =
             self.failures.filter(|(_, last)| now - last <= MAX_FAILURE_GAP).map_or(now, |(first, _)| first);
@@ -71,17 +74,20 @@
     pub fn should_connect(&self, now: f64, connected: bool, in_use: bool) -> bool {
         let min_silence = if connected && self.failures.is_none() { QUIET_TIMEOUT } else { 0.0 };
         let retry_interval = if in_use { RETRY_INTERVAL } else { RELEASE_RETRY_INTERVAL };
-        now - self.last_message >= min_silence && now - self.last_attempt >= retry_interval.max(min_silence)
+        now - self.last_contact >= min_silence && now - self.last_attempt >= retry_interval.max(min_silence)
     }
 
-    /// Whether the node's sessions count as ended.
-    pub fn is_lost(&self) -> bool {
-        self.process_is_gone() || self.failures.is_some_and(|(first, last)| last - first >= GIVE_UP_AFTER)
+    /// Whether the node is lost: its process is gone, or it has been out of reach until END_DEADLINE.
+    pub fn is_lost(&self, now: f64) -> bool {
+        let out_of_reach = self
+            .failures
+            .is_some_and(|(first, last)| last - first >= MIN_FAILURE_TIME && now - last <= MAX_FAILURE_GAP);
+        self.process_is_gone() || out_of_reach && now - self.last_contact >= END_DEADLINE
     }
 
     /// Whether the node has sent anything since `then`.
     pub fn heard_since(&self, then: f64) -> bool {
-        self.last_message > then
+        self.last_contact > then
     }
 
     /// Whether the process is known to be gone, and all its sessions with it.
