End the sessions of a node that restarted out of the director's sight

Cause: the director took a connection that opens for the life of the process that ran the sessions. Liveness::record_message was called for it and cleared the failures; after a loss under the 1.5 s of silence there was none to begin with. Nothing else connected a session with the process that runs it: the start that the change log reports (born_ms) was heeded for waiting SETUPs alone.

Change: incarnations.rs tracks which connections and sessions of a node belong to one run of its process. A connection opens an epoch; a message on an earlier connection, or one that names an earlier session, proves that one process spans them. Sessions end (1) when the change log reports a start later than their set-up, and (2) when nothing proves their incarnation in time, if the node was out of reach or the change log is not followed, and if notifications of at least half of the nodes with sessions arrive. Links to the process that was proven last are preferred, and of idle links the earliest is kept, as a message on it proves most. New log lines and a count in the status line tell the cases apart.

Why it works: (1) compares the time of the set-up with the start itself, so it depends on no moment, length or order of the news; (2) is counted from the last proof, which a connection does not reset.

Test: tests/node_restarts.rs steps through 18 lengths, 12 moments and four delays of the news, the same without news, late, early and repeated news, missing notifications, resets and new sessions. One older test expected the earliest of two idle links to be closed: now it is the later one, and the test sends the crossing end on that.

--- a/crates/kelpdoor-platform/src/core.rs
+++ b/crates/kelpdoor-platform/src/core.rs
@@ -28,6 +28,7 @@
 use kelpdoor_terms::{ReportFields, SettingsNames};
 
 use crate::changes::{FleetChange, Host};
+use crate::incarnations::{Epoch, Incarnations};
 use crate::liveness::Liveness;
 use crate::media::{self, NodeNotification};
 use crate::startup::StartupConfig;
@@ -128,6 +129,8 @@
         link: u64,
     },
     Change(FleetChange),
+    /// The change log is being followed from now on, or no longer.
+    ChangeLogFollowed(bool),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -193,11 +196,14 @@
     conn: u64,
     stage: Stage,
     node: NodeId,
+    /// Once active: the epoch in which the node's process is known to have run it.
+    epoch: Epoch,
     link: u64,
     rung: u8,
     answer_deadline: f64,
     /// When the pending SETUP times out.
     setup_deadline: f64,
+    /// Of the pending SETUP, or of the one that made it active; when it arrived, if it was handed over.
     setup_sent_at: f64,
     /// The viewer gave up or disconnected.
     viewer_gone: bool,
@@ -222,6 +228,8 @@
 struct Link {
     node: NodeId,
     connected: bool,
+    connected_at: f64,
+    epoch: Epoch,
     pending_setups: BTreeSet<SessId>,
     last_used: f64,
     /// Takes no further SETUP and is closed once none is pending on it.
@@ -249,6 +257,9 @@
     /// With the time at which each was queued.
     pending: VecDeque<(f64, PendingMessage)>,
     liveness: Liveness,
+    incarnations: Incarnations,
+    /// When it last sent a notification, or its first active session began, whichever is later.
+    last_notification: f64,
     /// Description of the last failed connection attempt.
     last_connect_error: String,
     /// Start of the current period with at least one open link, in which the node is one process.
@@ -264,6 +275,14 @@
 
 struct CoreState {
     now: f64,
+    /// Whatever arrives now was sent after this time, or it would have arrived before.
+    last_round_at: f64,
+    /// The change log, which reports restarts of nodes, is being followed.
+    change_log_followed: bool,
+    /// s; interval of a node's notifications while it runs sessions of this director; 0 means that it sends none.
+    notification_interval: f64,
+    /// s; delay of these notifications.
+    notification_delay: f64,
     director_wake_at: Option<f64>,
     names: SettingsNames,
     report_fields: ReportFields,
@@ -312,6 +331,10 @@
         let room = config.max_sockets.saturating_sub(RESERVED_SOCKETS);
         let state = CoreState {
             now,
+            last_round_at: now,
+            change_log_followed: false,
+            notification_interval: config.terms.told_every,
+            notification_delay: config.terms.seen_after,
             director_wake_at: Some(now),
             names: config.names.clone(),
             report_fields: config.report_fields.clone(),
@@ -373,6 +396,7 @@
             Input::LinkCorrupted { link, why } => state.link_corrupted(link, &why),
             Input::LinkDisconnected { link } => state.link_disconnected(link),
             Input::Change(change) => state.handle_change(&change),
+            Input::ChangeLogFollowed(followed) => state.change_log_followed = followed,
         }
     }
 
@@ -398,6 +422,7 @@
                 break;
             }
         }
+        self.state.last_round_at = self.state.now;
         self.state.effects.drain(..).for_each(emit);
     }
 
@@ -464,8 +489,9 @@
     }
 
     /// Status line: sizes and answer counts, then for each node the first letter of its phase, `!` if
-    /// connection attempts fail, its active sessions, pending SETUPs and links, its share, the estimated and
-    /// the last reported load of its network link, and the estimated load of its rack's uplink.
+    /// connection attempts fail, its active sessions (after `?`, those that no message has confirmed for longer
+    /// than the interval of notifications), pending SETUPs and links, its share, the estimated and the last
+    /// reported load of its network link, and the estimated load of its rack's uplink.
     pub fn status_line(&self) -> String {
         let (state, c) = (&self.state, self.counts());
         let [served, busy, failed] = state.answer_counts;
@@ -473,6 +499,7 @@
             "open {} standing {} viewers {} links {} owed {} served {served} busy {busy} failed {failed};",
             c.open_setups, c.active_sessions, c.viewers, c.links, c.pending
         );
+        let confirmed_since = state.now - state.notification_window();
         for (&id, n) in &state.nodes {
             let pending_setups: usize =
                 n.links.iter().filter_map(|l| state.links.get(l)).map(|l| l.pending_setups.len()).sum();
@@ -482,11 +509,15 @@
                 Phase::Gone => 'g',
             };
             let failing = if n.liveness.is_failing() { "!" } else { "" };
+            let unconfirmed = match n.incarnations.sessions_unconfirmed_since(confirmed_since) {
+                0 => String::new(),
+                count => format!("?{count}"),
+            };
             let (active, links, share) = (n.active_sessions.len(), n.links.len(), self.director.share(id));
             let (link, uplink) = self.director.fullness(id).unwrap_or_default();
             let reported_link_load = n.reported_link_load;
             line.push_str(&format!(
-                " {}{phase}{failing} {active}+{pending_setups}/{links} {share:.0} {link:.2}({reported_link_load:.2}) r{} {uplink:.2};",
+                " {}{phase}{failing} {active}{unconfirmed}+{pending_setups}/{links} {share:.0} {link:.2}({reported_link_load:.2}) r{} {uplink:.2};",
                 n.name,
                 u32::from(n.listed.cell) % self.state.racks
             ));
@@ -647,6 +678,7 @@
             conn,
             stage: Stage::Requested,
             node: NodeId(0),
+            epoch: Epoch::default(),
             link: 0,
             rung: 0,
             answer_deadline: self.now + wanted.setup_timeout,
@@ -668,10 +700,16 @@
             if let Some(v) = self.viewers.get_mut(&conn) {
                 v.trust = v.trust.max(1);
             }
-            // Set up by a previous process: which process of the node it runs in is unknown.
-            (session.stage, session.node, session.setup_sent_at) = (Stage::Active, node, f64::INFINITY);
+            // It was set up by a previous process of the director, and is active at its node now.
+            (session.stage, session.node) = (Stage::Active, node);
+            let now = self.now;
+            let epoch = self
+                .nodes
+                .get_mut(&node)
+                .map(|n| n.incarnations.session_handed_over(now))
+                .unwrap_or_default();
             self.sessions.insert(sess, session);
-            self.activate_session(sess, node);
+            self.activate_session(sess, node, epoch);
             self.round.handed_over.push((wanted, node));
             return self.send_undelivered_ends();
         }
@@ -814,13 +852,19 @@
 
     // Active sessions and SETUPs.
 
-    fn activate_session(&mut self, sess: SessId, node: NodeId) {
+    fn activate_session(&mut self, sess: SessId, node: NodeId, epoch: Epoch) {
         self.active_sessions += 1;
-        if let Some(v) = self.sessions.get(&sess).and_then(|s| self.viewers.get_mut(&s.conn)) {
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
+        s.epoch = epoch;
+        if let Some(v) = self.viewers.get_mut(&s.conn) {
             v.active_sessions += 1;
         }
         if let Some(n) = self.nodes.get_mut(&node) {
+            if n.active_sessions.is_empty() {
+                n.last_notification = self.now;
+            }
             n.active_sessions.insert(sess);
+            n.incarnations.session_began(epoch);
         }
     }
 
@@ -834,6 +878,7 @@
         }
         if let Some(n) = self.nodes.get_mut(&node) {
             n.active_sessions.remove(&sess);
+            n.incarnations.session_ended(s.epoch);
         }
         self.round.ended.push(Ended { sess, node, outcome, closed: true, load });
     }
@@ -950,6 +995,8 @@
         let new_link = Link {
             node,
             connected: false,
+            connected_at: self.now,
+            epoch: Epoch::default(),
             pending_setups,
             last_used,
             draining: false,
@@ -980,7 +1027,8 @@
     }
 
     /// Selects the link for a SETUP: an idle one, else a new one, else the one with the fewest pending
-    /// SETUPs, so that a failing link affects few of them.
+    /// SETUPs, so that a failing link affects few of them. Among equal ones, one to the process that was proven
+    /// to run last.
     fn select_link(&mut self, node: NodeId) -> Option<u64> {
         let n = self.nodes.get(&node)?;
         let stale = |l: &Link| {
@@ -989,7 +1037,11 @@
         let links = n.links.iter().filter_map(|l| Some((*l, self.links.get(l)?)));
         let usable = links.filter(|(_, l)| !l.draining && !stale(l));
         let best = usable
-            .min_by_key(|(_, l)| (l.pending_setups.len(), !l.connected))
+            .min_by(|(_, a), (_, b)| {
+                let load = |l: &Link| (l.pending_setups.len(), !l.connected);
+                let proven_at = |l: &Link| n.incarnations.proven_at(l.epoch);
+                load(a).cmp(&load(b)).then(proven_at(b).total_cmp(&proven_at(a)))
+            })
             .map(|(l, link)| (l, link.pending_setups.len()));
         let usable_count = n.links.iter().filter_map(|l| self.links.get(l)).filter(|l| !stale(l)).count();
         let max_per_node = (self.max_links / self.nodes.len().max(1)).clamp(1, MAX_LINKS_PER_NODE);
@@ -1003,9 +1055,13 @@
         }
     }
 
+    /// The link for messages to a node, to the process that was proven to run last.
     fn connected_link(&self, node: NodeId) -> Option<u64> {
         let n = self.nodes.get(&node)?;
-        n.links.iter().copied().find(|l| self.links.get(l).is_some_and(|l| l.connected && !l.draining))
+        let links = n.links.iter().filter_map(|link| Some((*link, self.links.get(link)?)));
+        let usable = links.filter(|(_, l)| l.connected && !l.draining);
+        let proven_at = |l: &Link| n.incarnations.proven_at(l.epoch);
+        usable.min_by(|(_, a), (_, b)| proven_at(b).total_cmp(&proven_at(a))).map(|(link, _)| link)
     }
 
     fn send_or_queue(&mut self, node: NodeId, message: PendingMessage) {
@@ -1051,8 +1107,9 @@
             return self.close_link(link, true);
         }
         let first_link = self.connected_link(node).is_none();
+        let epoch = self.begin_epoch(node);
         if let Some(l) = self.links.get_mut(&link) {
-            (l.connected, l.last_used) = (true, self.now);
+            (l.connected, l.connected_at, l.last_used, l.epoch) = (true, self.now, self.now, epoch);
         }
         let Some(n) = self.nodes.get_mut(&node) else { return };
         if first_link {
@@ -1062,7 +1119,7 @@
         let (pending, in_doubt) = (std::mem::take(&mut n.pending), std::mem::take(&mut n.in_doubt));
         waiting.into_iter().for_each(|sess| self.send_setup(sess));
         pending.into_iter().for_each(|(_, message)| self.send_pending(link, message));
-        // The node is alive, so only the connection was lost: whether its SETUPs ran is unknown.
+        // A process runs there, the same or a new one: whether their SETUPs ran is unknown.
         in_doubt.into_iter().for_each(|sess| self.abandon_setup(sess, SetupOutcome::Withdrawn));
     }
 
@@ -1102,6 +1159,7 @@
         }
         let Some(n) = self.nodes.get_mut(&l.node) else { return };
         n.links.remove(&link);
+        n.incarnations.connection_lost();
         for sess in l.pending_setups {
             if let Some(s) = self.sessions.get_mut(&sess) {
                 s.stage = Stage::InDoubt;
@@ -1129,9 +1187,10 @@
     fn handle_node_message(&mut self, link: u64, message: Message) {
         let Some(l) = self.links.get_mut(&link) else { return };
         l.last_used = self.now;
-        let node = l.node;
+        let (node, epoch) = (l.node, l.epoch);
         if let Some(n) = self.nodes.get_mut(&node) {
             n.liveness.record_contact(self.now);
+            n.incarnations.message_received(epoch, self.last_round_at);
         }
         match media::interpret(message, &self.report_fields) {
             media::NodeMessage::SetupAccepted { sess, blob, load: _ } => {
@@ -1154,7 +1213,12 @@
                 }
             }
             media::NodeMessage::Notification { sess, notification } => {
-                if self.sessions.get(&sess).is_some_and(|s| s.stage == Stage::Active && s.node == node) {
+                let active = self.sessions.get(&sess).filter(|s| s.stage == Stage::Active && s.node == node);
+                if let Some(set_up_in) = active.map(|s| s.epoch) {
+                    if let Some(n) = self.nodes.get_mut(&node) {
+                        n.incarnations.session_confirmed(set_up_in, epoch, self.last_round_at);
+                        n.last_notification = self.now;
+                    }
                     if let (NodeNotification::Link(load), Some(n)) = (notification, self.nodes.get_mut(&node))
                     {
                         n.reported_link_load = load;
@@ -1211,7 +1275,8 @@
         }
         self.round.playing.push(Playing { sess, node, took });
         self.answer_counts[0] += 1;
-        self.activate_session(sess, node);
+        let epoch = self.links.get(&link).map(|l| l.epoch).unwrap_or_default();
+        self.activate_session(sess, node, epoch);
         let bytes = viewer::encode(Some(sess), Reply::Started(&blob));
         self.effects.push(Effect::SendViewer { conn, bytes });
         if let Some(v) = self.viewers.get_mut(&conn) {
@@ -1274,6 +1339,8 @@
             in_doubt: BTreeSet::new(),
             pending: VecDeque::new(),
             liveness: Liveness::new(now),
+            incarnations: Incarnations::new(now),
+            last_notification: now,
             last_connect_error: String::new(),
             connected_since: now,
             reported_link_load: 0.0,
@@ -1281,8 +1348,11 @@
         (n.phase, n.listed) = (host.phase, listed);
         if host.phase != Phase::Gone {
             let old = std::mem::replace(&mut n.address, host.address);
-            if old != host.address && self.node_by_address.get(&old) == Some(&id) {
-                self.node_by_address.remove(&old);
+            if old != host.address {
+                n.incarnations.address_changed();
+                if self.node_by_address.get(&old) == Some(&id) {
+                    self.node_by_address.remove(&old);
+                }
             }
             self.node_by_address.insert(host.address, id);
         }
@@ -1326,6 +1396,7 @@
         let before: Vec<_> = self.nodes.iter().map(|(&id, n)| (id, n.phase, n.listed.up_since)).collect();
         let listed = self.apply_hosts(change);
         self.take_back_waiting_setups(&before);
+        listed.iter().for_each(|l| self.end_sessions_before_restart(l.node, l.up_since));
         if change.is_snapshot {
             self.round.list_changes.push(ListChange::Whole(listed));
         } else if !listed.is_empty() {
@@ -1353,8 +1424,14 @@
         };
         let idle: Vec<u64> = self.viewers.iter().filter(|(_, v)| idle(v)).map(|(&c, _)| c).collect();
         idle.into_iter().for_each(|conn| self.remove_viewer(conn, true));
+        let notifications_arrive = self.notifications_arrive();
         let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
-        ids.into_iter().for_each(|id| self.check_node(id));
+        for id in ids {
+            self.check_node(id);
+            if notifications_arrive {
+                self.end_unconfirmed_sessions(id);
+            }
+        }
     }
 }
 
--- a/crates/kelpdoor-platform/src/core/node_loss.rs
+++ b/crates/kelpdoor-platform/src/core/node_loss.rs
@@ -1,13 +1,40 @@
-//! Detects that a media node was lost, and ends its sessions.
+//! Detects that a media node was lost or that its process was replaced, and ends the sessions that it ran.
+//!
+//! Sessions end without a message from their node
+//!
+//! - when its process is gone or the node is out of reach for too long ([`Liveness::is_lost`]);
+//! - when the change log reports a start later than their set-up;
+//! - when the node can be reached, but nothing confirms the incarnation that runs them although notifications of
+//!   other nodes arrive ([`Incarnations::is_overdue`]).
+//!
+//! [`Liveness::is_lost`]: crate::liveness::Liveness::is_lost
+//! [`Incarnations::is_overdue`]: crate::incarnations::Incarnations::is_overdue
 
-use kelpdoor::ids::NodeId;
+use std::collections::BTreeSet;
+
+use kelpdoor::ids::{NodeId, SessId};
 use kelpdoor::round::{LoadReport, Phase, SetupOutcome};
 
-use super::{CoreState, PENDING_TTL, PendingMessage, SPARE_LINK_IDLE};
+use super::{CoreState, Node, PENDING_TTL, PendingMessage, SPARE_LINK_IDLE};
 use crate::core::Effect;
-use crate::liveness::RELEASE_RETRY_INTERVAL;
+use crate::incarnations::{Epoch, MIN_RESTART_TIME, ProofDeadlines};
+use crate::liveness::{END_DEADLINE, RELEASE_RETRY_INTERVAL};
 use crate::viewer::cause;
 
+/// s; variation of the interval of a node's notifications.
+const NOTIFICATION_JITTER: f64 = 0.5;
+
+/// What becomes of the sessions at a node when they end.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Release {
+    /// They ended with their process.
+    None,
+    /// Their process is reported to have ended, by a clock that may be wrong.
+    IfConnected,
+    /// They may still be active.
+    WhenConnected,
+}
+
 impl CoreState {
     pub(super) fn check_node(&mut self, id: NodeId) {
         let now = self.now;
@@ -15,17 +42,6 @@
         let Some(n) = self.nodes.get_mut(&id) else { return };
         n.pending.retain(|(since, _)| now - since <= PENDING_TTL);
         let needed = !(n.active_sessions.is_empty() && n.in_doubt.is_empty() && n.pending.is_empty());
-        let idle = |l: &&u64| {
-            self.links.get(l).is_some_and(|l| {
-                l.connected && l.pending_setups.is_empty() && now - l.last_used >= SPARE_LINK_IDLE
-            })
-        };
-        let idle: Vec<u64> = n.links.iter().filter(idle).copied().collect();
-        // One link stays open for active sessions.
-        let stale = |l: &&u64| self.links.get(l).is_some_and(|l| now - l.last_used >= self.max_link_idle);
-        let keep = usize::from(n.phase != Phase::Gone || needed);
-        let connected_count =
-            n.links.iter().filter(|l| self.links.get(l).is_some_and(|l| l.connected)).count();
         let (link_count, lost) = (n.links.len(), needed && n.liveness.is_lost(now));
         let in_use = !(n.active_sessions.is_empty() && n.in_doubt.is_empty());
         let should_connect = needed && n.liveness.should_connect(now, connected, in_use);
@@ -38,8 +54,8 @@
             }
             return;
         }
-        let surplus = idle.iter().filter(stale).count().max(connected_count.saturating_sub(keep));
-        idle.into_iter().take(surplus).for_each(|link| self.close_link(link, false));
+        let surplus = self.surplus_links(id, needed);
+        surplus.into_iter().for_each(|link| self.close_link(link, false));
         if lost {
             self.end_node_sessions(id);
         }
@@ -48,6 +64,141 @@
         }
     }
 
+    /// Idle links that are not needed, or that the node is about to close. One is kept to each listed node, and one
+    /// to each incarnation with active sessions, the earliest, as a message on it confirms them.
+    fn surplus_links(&self, id: NodeId, needed: bool) -> Vec<u64> {
+        let Some(n) = self.nodes.get(&id) else { return Vec::new() };
+        let links = n.links.iter().filter_map(|link| Some((*link, self.links.get(link)?)));
+        let connected: Vec<_> = links.filter(|(_, l)| l.connected).collect();
+        let mut kept: Vec<(u64, Epoch)> = Vec::new();
+        for (link, l) in &connected {
+            let is_confirmed_elsewhere =
+                kept.iter().any(|(_, epoch)| n.incarnations.is_same(*epoch, l.epoch));
+            if n.incarnations.has_sessions(l.epoch) && !is_confirmed_elsewhere {
+                kept.push((*link, l.epoch));
+            }
+        }
+        if kept.is_empty() && (n.phase != Phase::Gone || needed) {
+            kept.extend(connected.last().map(|(link, l)| (*link, l.epoch)));
+        }
+        let is_surplus = |(link, l): &(u64, &super::Link)| {
+            let idle_for = self.now - l.last_used;
+            let is_kept = kept.iter().any(|(kept, _)| kept == link) && idle_for < self.max_link_idle;
+            l.pending_setups.is_empty() && idle_for >= SPARE_LINK_IDLE && !is_kept
+        };
+        connected.iter().filter(|link| is_surplus(link)).map(|(link, _)| *link).collect()
+    }
+
+    /// Begins the epoch of a link to a node that just connected.
+    pub(super) fn begin_epoch(&mut self, node: NodeId) -> Epoch {
+        let Some(n) = self.nodes.get_mut(&node) else { return Epoch::default() };
+        let is_connected = |link: &u64| self.links.get(link).filter(|l| l.connected).map(|l| l.epoch);
+        let open: Vec<Epoch> = n.links.iter().filter_map(is_connected).collect();
+        n.incarnations.prune(&open);
+        let was_failing = n.liveness.is_failing();
+        let epoch = n.incarnations.connection_opened(self.now, was_failing);
+        let unconfirmed = n.incarnations.sessions_unconfirmed_since(self.now);
+        if was_failing && unconfirmed > 0 {
+            let text = format!("{} can be reached again; {unconfirmed} sessions are not confirmed", n.name);
+            self.push_log(text);
+        }
+        epoch
+    }
+
+    /// s; a node with active sessions sends a notification within this time.
+    pub(super) fn notification_window(&self) -> f64 {
+        self.notification_interval + self.notification_delay + NOTIFICATION_JITTER
+    }
+
+    /// Whether notifications arrive from at least half of the nodes with active sessions. Otherwise they are
+    /// missing altogether, and what a single node does not send proves nothing.
+    pub(super) fn notifications_arrive(&self) -> bool {
+        if self.notification_interval <= 0.0 {
+            return false;
+        }
+        let since = self.now - self.notification_window();
+        let active = || self.nodes.values().filter(|n| !n.active_sessions.is_empty());
+        active().filter(|n| n.last_notification < since).count() * 2 <= active().count()
+    }
+
+    fn proof_deadlines(&self) -> ProofDeadlines {
+        let window = self.notification_window();
+        ProofDeadlines {
+            restarts_are_listed: self.change_log_followed,
+            since_proof: END_DEADLINE.max(window),
+            since_outage: window,
+        }
+    }
+
+    /// Ends sessions whose node can be reached but does not confirm the incarnation that runs them.
+    pub(super) fn end_unconfirmed_sessions(&mut self, node: NodeId) {
+        let (now, deadlines) = (self.now, self.proof_deadlines());
+        let Some(n) = self.nodes.get(&node) else { return };
+        if n.liveness.is_failing() || !n.incarnations.has_overdue(now, &deadlines) {
+            return;
+        }
+        let is_overdue = |epoch: Epoch| n.incarnations.is_overdue(epoch, now, &deadlines);
+        let sessions = self.active_sessions_where(n, |s| is_overdue(s.epoch));
+        let links = self.links_where(n, |l| l.connected && is_overdue(l.epoch));
+        let text = format!(
+            "{} can be reached but did not confirm {} sessions in time: ended them",
+            n.name,
+            sessions.len()
+        );
+        self.push_log(text);
+        self.drop_links(node, links, SetupOutcome::ConnectionLost);
+        self.end_sessions(node, sessions, SetupOutcome::ConnectionLost, Release::WhenConnected);
+    }
+
+    /// Ends what an earlier process of a node ran, as the change log reports that a new one started at `up_since`.
+    pub(super) fn end_sessions_before_restart(&mut self, node: NodeId, up_since: f64) {
+        let ended_by = up_since - MIN_RESTART_TIME;
+        let Some(n) = self.nodes.get(&node).filter(|_| ended_by > 0.0) else { return };
+        let sessions = self.active_sessions_where(n, |s| s.setup_sent_at < ended_by);
+        let links = self.links_where(n, |l| l.connected && l.connected_at < ended_by);
+        if !sessions.is_empty() {
+            let text = format!("{} was started anew: ended its {} earlier sessions", n.name, sessions.len());
+            self.push_log(text);
+        }
+        // The list change that reports the start tells the session logic how to treat the node.
+        self.drop_links(node, links, SetupOutcome::Withdrawn);
+        self.end_sessions(node, sessions, SetupOutcome::Withdrawn, Release::IfConnected);
+    }
+
+    fn active_sessions_where(&self, n: &Node, matches: impl Fn(&super::Session) -> bool) -> Vec<SessId> {
+        let is_match = |sess: &&SessId| self.sessions.get(sess).is_some_and(&matches);
+        n.active_sessions.iter().filter(is_match).copied().collect()
+    }
+
+    fn links_where(&self, n: &Node, matches: impl Fn(&super::Link) -> bool) -> BTreeSet<u64> {
+        n.links.iter().filter(|link| self.links.get(link).is_some_and(&matches)).copied().collect()
+    }
+
+    /// Closes links that lead to a process that is gone, with the given outcome for their pending SETUPs.
+    fn drop_links(&mut self, node: NodeId, links: BTreeSet<u64>, outcome: SetupOutcome) {
+        if let Some(n) = self.nodes.get_mut(&node) {
+            n.links.retain(|link| !links.contains(link));
+        }
+        for link in links {
+            let Some(l) = self.links.remove(&link) else { continue };
+            self.effects.push(Effect::CloseLink { link, immediate: true });
+            l.pending_setups.into_iter().for_each(|sess| self.abandon_setup(sess, outcome));
+        }
+    }
+
+    /// Ends active sessions of a node without its word.
+    fn end_sessions(&mut self, node: NodeId, sessions: Vec<SessId>, outcome: SetupOutcome, release: Release) {
+        for sess in sessions {
+            let Some(conn) = self.sessions.get(&sess).map(|s| s.conn) else { continue };
+            self.end_session(sess, node, outcome, LoadReport::default());
+            self.notify_end(sess, conn, cause::TEMPORARY_FAILURE);
+            let connected = release == Release::IfConnected && self.connected_link(node).is_some();
+            if connected || release == Release::WhenConnected {
+                self.send_or_queue(node, PendingMessage::Release(sess, cause::TEMPORARY_FAILURE));
+            }
+        }
+    }
+
     /// A link failed, and a release from the node may be lost with it. Nodes send pending releases again on
     /// the next new link.
     pub(super) fn reconnect_node(&mut self, node: NodeId) {
@@ -99,7 +250,7 @@
         if n.active_sessions.is_empty() {
             return;
         }
-        let (links, sessions) = (std::mem::take(&mut n.links), std::mem::take(&mut n.active_sessions));
+        let (links, sessions) = (n.links.clone(), n.active_sessions.iter().copied().collect::<Vec<_>>());
         let gone = n.liveness.process_is_gone();
         // Pending releases cause connection attempts; without them only the next SETUP does.
         let again = if gone {
@@ -114,21 +265,9 @@
             sessions.len()
         );
         self.push_log(text);
-        for link in links {
-            let Some(l) = self.links.remove(&link) else { continue };
-            self.effects.push(Effect::CloseLink { link, immediate: true });
-            l.pending_setups
-                .into_iter()
-                .for_each(|sess| self.abandon_setup(sess, SetupOutcome::ConnectionLost));
-        }
-        for sess in sessions {
-            let Some(conn) = self.sessions.get(&sess).map(|s| s.conn) else { continue };
-            self.end_session(sess, node, SetupOutcome::ConnectionLost, LoadReport::default());
-            self.notify_end(sess, conn, cause::TEMPORARY_FAILURE);
-            if !gone {
-                // The node may only be cut off, with the sessions still active on it.
-                self.send_or_queue(node, PendingMessage::Release(sess, cause::TEMPORARY_FAILURE));
-            }
-        }
+        self.drop_links(node, links, SetupOutcome::ConnectionLost);
+        // A node that is out of reach may only be cut off, with the sessions still active on it.
+        let release = if gone { Release::None } else { Release::WhenConnected };
+        self.end_sessions(node, sessions, SetupOutcome::ConnectionLost, release);
     }
 }
--- a/crates/kelpdoor-platform/src/lib.rs
+++ b/crates/kelpdoor-platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod changes;
 pub mod core;
+pub mod incarnations;
 pub mod liveness;
 pub mod media;
 mod shell;
--- a/crates/kelpdoor-platform/src/liveness.rs
+++ b/crates/kelpdoor-platform/src/liveness.rs
@@ -3,6 +3,9 @@
 //! single connection means neither. The only proof that covers all three is whether a new connection opens,
 //! so one is attempted when there is doubt.
 //!
+//! A connection that opens shows that the node can be reached, but not that the process that it held is still
+//! the same; [`incarnations`](crate::incarnations) tracks that.
+//!
 //! Decides when to attempt a connection and when a node counts as lost. It does no I/O; times are seconds,
 //! passed in.
 
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -434,9 +434,11 @@
     }
 }
 
-/// Reads one stream of the change log until it ends, falls silent or fails; returns the reason.
+/// Reads one stream of the change log until it ends, falls silent or fails; returns the reason. Sets `followed`
+/// once the stream is open.
 async fn read_change_stream(
-    address: SocketAddr, last: &mut u64, unreadable: &mut Option<u64>, input_tx: &mpsc::Sender<TimedInput>,
+    address: SocketAddr, last: &mut u64, unreadable: &mut Option<u64>, followed: &Cell<bool>,
+    input_tx: &mpsc::Sender<TimedInput>,
 ) -> String {
     let stream = match timeout(FEED_CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
@@ -467,6 +469,8 @@
             Ok(Err(e)) => return e.to_string(),
             Err(_) => return "response timed out".into(),
         };
+        followed.set(true);
+        let _ = input_tx.send((Instant::now(), Input::ChangeLogFollowed(true))).await;
         read_events(response.into_body(), last, unreadable, input_tx).await
     }
     .await;
@@ -534,12 +538,15 @@
     mut feed_address: watch::Receiver<SocketAddr>, mut last: u64, input_tx: mpsc::Sender<TimedInput>,
     mut rng: fastrand::Rng,
 ) {
-    let (mut wait, mut unreadable) = (FEED_MIN_BACKOFF, None);
+    let (mut wait, mut unreadable, followed) = (FEED_MIN_BACKOFF, None, Cell::new(false));
     loop {
+        if followed.replace(false) {
+            let _ = input_tx.send((Instant::now(), Input::ChangeLogFollowed(false))).await;
+        }
         let address = *feed_address.borrow_and_update();
         let (began, before) = (Instant::now(), last);
         let why = tokio::select! {
-            why = read_change_stream(address, &mut last, &mut unreadable, &input_tx) => why,
+            why = read_change_stream(address, &mut last, &mut unreadable, &followed, &input_tx) => why,
             _ = feed_address.changed() => continue,
         };
         tracing::warn!(%address, last, "change log: {why}; reconnecting");
@@ -738,7 +745,7 @@
     /// nothing is sent for a viewer or to a node that has left by then.
     fn handle_batch(&mut self, now: f64, mut batch: Vec<TimedInput>) {
         batch.sort_by_key(|(_, input)| match input {
-            Input::Change(_) => 0,
+            Input::Change(_) | Input::ChangeLogFollowed(_) => 0,
             Input::ViewerConnected { .. }
             | Input::ViewerMessage { .. }
             | Input::ViewerLineTooLong { .. }
--- a/crates/kelpdoor-platform/tests/node_restarts.rs
+++ b/crates/kelpdoor-platform/tests/node_restarts.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use common::{Scenario, link_failure, start};
+use common::{Scenario, finish, link_failure, start};
 use kelpdoor_platform::changes;
 use kelpdoor_platform::core::{ConnectFailure, Input};
 use serde_json::json;
@@ -58,6 +58,8 @@
     /// Time of the FINISH of each session to its viewer.
     finished: BTreeMap<u64, f64>,
     named: Named,
+    /// No node sends notifications.
+    notifications_missing: bool,
 }
 
 /// How a machine is lost and returns.
@@ -68,7 +70,7 @@
     /// s
     length: f64,
     /// It returns with a new process; `None` means with the old one and its sessions. The change log reports the start this
-    /// much later, in s.
+    /// much later, in s; never if that is infinite.
     restart_listed_after: Option<f64>,
 }
 
@@ -84,6 +86,7 @@
 impl Simulation {
     fn new(named: Named) -> Self {
         let mut scenario = Scenario::new(NODES as u32, 256);
+        scenario.input_and_run(Input::ChangeLogFollowed(true));
         scenario.connect_viewer(1);
         let node = |k| SimulatedNode {
             next_notification: scenario.now + 1.0 + 0.7 * f64::from(k),
@@ -91,15 +94,15 @@
         };
         let nodes = (0..NODES as u32).map(node).collect();
         let (links, arriving, finished) = (BTreeMap::new(), Vec::new(), BTreeMap::new());
-        Simulation { scenario, nodes, links, arriving, finished, named }
+        let notifications_missing = false;
+        Simulation { scenario, nodes, links, arriving, finished, named, notifications_missing }
     }
 
     /// A director with active sessions at each node.
     fn with_sessions(named: Named) -> Self {
         let mut simulation = Simulation::new(named);
         for id in 1..=(NODES * SESSIONS) as u64 {
-            let extras = format!("home:{};copies:1;top:4", (id as usize % NODES + 1) % 4);
-            simulation.scenario.send_line(1, &start(id, "lecture", &extras, "v=0"));
+            simulation.start_session(id, id as usize % NODES);
             simulation.run_for(0.4);
         }
         assert!(simulation.nodes.iter().all(|n| n.sessions.len() == SESSIONS), "the sessions are active");
@@ -152,7 +155,7 @@
             return;
         }
         n.next_notification += NOTIFICATION_INTERVAL;
-        if n.unreachable || n.sessions.is_empty() {
+        if n.unreachable || n.sessions.is_empty() || self.notifications_missing {
             return;
         }
         n.notifications += 1;
@@ -216,17 +219,40 @@
         }
     }
 
+    fn follow_change_log(&mut self, followed: bool) {
+        self.scenario.input_and_run(Input::ChangeLogFollowed(followed));
+    }
+
+    /// Every connection to a node is reset; its process runs on.
+    fn reset_links(&mut self, node: usize) {
+        let links: Vec<u64> = self.links.iter().filter(|(_, l)| l.node == node).map(|(k, _)| *k).collect();
+        for link in links {
+            self.links.remove(&link);
+            self.scenario.input_and_run(Input::LinkDisconnected { link });
+        }
+    }
+
+    fn start_session(&mut self, id: u64, node: usize) {
+        let extras = format!("home:{};copies:1;top:4", (node + 1) % NODES);
+        self.scenario.send_line(1, &start(id, "lecture", &extras, "v=0"));
+    }
+
     fn publish_start(&mut self, node: usize, born: f64) {
         let event = json!({"seq": 2, "fleet": {"whole": false, "hosts": [host(node, born)]}});
         let change = changes::parse_event(&event.to_string()).expect("a good event");
         self.scenario.input_and_run(Input::Change(change));
     }
 
-    /// Plays a loss, and returns when it began and which sessions the node ran then.
-    fn play(&mut self, loss: Loss) -> (f64, Vec<u64>) {
+    /// Waits until the node that will be lost has just sent a notification.
+    fn wait_for_notification(&mut self) {
         while self.nodes[LOST].next_notification - self.now() < NOTIFICATION_INTERVAL - STEP {
             self.step();
         }
+    }
+
+    /// Plays a loss, and returns when it began and which sessions the node ran then.
+    fn play(&mut self, loss: Loss) -> (f64, Vec<u64>) {
+        self.wait_for_notification();
         self.run_for(loss.moment);
         let lost_at = self.now();
         let sessions: Vec<u64> = self.nodes[LOST].sessions.iter().map(|(id, _)| *id).collect();
@@ -238,8 +264,10 @@
             self.nodes[LOST].process += 1;
             self.nodes[LOST].sessions.clear();
             let born = self.now();
-            self.run_for(listed_after);
-            self.publish_start(LOST, born);
+            if listed_after.is_finite() {
+                self.run_for(listed_after);
+                self.publish_start(LOST, born);
+            }
         }
         self.run_for((lost_at + 20.0 - self.now()).max(0.0));
         (lost_at, sessions)
@@ -265,6 +293,138 @@
     (0..=count).map(move |k| first + f64::from(k) * step)
 }
 
+/// Guards against sessions that are never released, as a connection to the new process was taken for life of the old one.
+#[test]
+fn sessions_of_a_node_that_restarted_out_of_sight_end_in_time() {
+    for length in steps(0.75, 5.0, 0.25) {
+        for moment in steps(0.0, 2.75, 0.25) {
+            for listed_after in [0.0, 0.5, 1.0, 2.4] {
+                let named = [Named::Oldest, Named::Newest, Named::InTurn][(moment * 4.0) as usize % 3];
+                let loss = Loss { moment, length, restart_listed_after: Some(listed_after) };
+                let mut simulation = Simulation::with_sessions(named);
+                let (lost_at, sessions) = simulation.play(loss);
+                simulation.assert_ended_in_time(lost_at, &sessions, &format!("{loss:?}"));
+                simulation.assert_others_stand(&sessions, &format!("{loss:?}"));
+            }
+        }
+    }
+}
+
+/// Guards against the same without the change log: what a node sends no more tells of its restart then.
+#[test]
+fn sessions_end_in_time_after_a_restart_that_no_change_log_reports() {
+    for length in steps(0.75, 6.0, 0.25) {
+        for moment in steps(0.0, 2.75, 0.25) {
+            let loss = Loss { moment, length, restart_listed_after: Some(f64::INFINITY) };
+            let mut simulation = Simulation::with_sessions(Named::InTurn);
+            simulation.follow_change_log(false);
+            let (lost_at, sessions) = simulation.play(loss);
+            simulation.assert_ended_in_time(lost_at, &sessions, &format!("{loss:?}"));
+            simulation.assert_others_stand(&sessions, &format!("{loss:?}"));
+        }
+    }
+}
+
+/// Guards against sessions that are never released, though the change log is followed, as it never reports the start.
+#[test]
+fn sessions_of_a_node_that_was_out_of_reach_and_never_confirms_them_end() {
+    for length in steps(2.0, 6.0, 0.25) {
+        for moment in steps(0.0, 2.75, 0.25) {
+            let loss = Loss { moment, length, restart_listed_after: Some(f64::INFINITY) };
+            let mut simulation = Simulation::with_sessions(Named::InTurn);
+            let (_, sessions) = simulation.play(loss);
+            let ended: Vec<u64> = simulation.finished.keys().copied().collect();
+            assert_eq!(ended, sessions, "{loss:?}");
+        }
+    }
+}
+
+/// Guards against SETUPs and releases that are lost on a connection to the earlier process.
+#[test]
+fn messages_for_the_new_process_do_not_use_a_connection_to_the_earlier_one() {
+    for moment in steps(0.0, 1.5, 0.1) {
+        let mut simulation = Simulation::with_sessions(Named::Newest);
+        simulation.wait_for_notification();
+        simulation.run_for(moment);
+        // It restarts in an instant and out of sight, and earlier connections stay open.
+        simulation.nodes[LOST].process += 1;
+        simulation.nodes[LOST].sessions.clear();
+        // Silence leads to a new connection, and is not long enough yet to eject the node.
+        simulation.run_for(1.8);
+        simulation.start_session(100, LOST);
+        simulation.run_for(0.2);
+        assert_eq!(simulation.nodes[LOST].sessions.len(), 1, "{moment}");
+        simulation.scenario.send_line(1, &finish(100, 16));
+        simulation.run_for(0.2);
+        assert!(simulation.nodes[LOST].sessions.is_empty(), "{moment}");
+    }
+}
+
+/// Guards against ending every session while notifications are late or missing at all nodes.
+#[test]
+fn missing_notifications_of_all_nodes_end_no_session() {
+    for followed in [true, false] {
+        for length in [0.25, 1.0, 3.0, 5.0] {
+            let mut simulation = Simulation::with_sessions(Named::Oldest);
+            simulation.notifications_missing = true;
+            simulation.run_for(10.0);
+            simulation.follow_change_log(followed);
+            simulation.play(Loss { moment: 0.0, length, restart_listed_after: None });
+            simulation.assert_others_stand(&[], &format!("{followed} {length}"));
+        }
+    }
+}
+
+/// Guards against taking a lost connection for a lost process, whichever sessions the node names later.
+#[test]
+fn sessions_go_on_after_connections_are_reset() {
+    for named in [Named::Oldest, Named::Newest, Named::InTurn] {
+        for moment in steps(0.0, 3.0, 0.25) {
+            let mut simulation = Simulation::with_sessions(named);
+            simulation.run_for(moment);
+            simulation.reset_links(LOST);
+            simulation.run_for(1.0);
+            simulation.start_session(100, LOST);
+            simulation.run_for(40.0);
+            simulation.assert_others_stand(&[], &format!("{named:?} {moment}"));
+            assert_eq!(simulation.nodes[LOST].sessions.len(), SESSIONS + 1);
+        }
+    }
+}
+
+/// Guards against ending what the new process runs: news of a start concerns earlier sessions alone, however late and often it
+/// comes.
+#[test]
+fn late_and_repeated_news_of_a_restart_spares_the_sessions_of_the_new_process() {
+    for listed_after in [1.0, 3.0, 6.0] {
+        let mut simulation = Simulation::with_sessions(Named::Newest);
+        simulation.nodes[LOST].process += 1;
+        simulation.nodes[LOST].sessions.clear();
+        let born = simulation.now();
+        simulation.reset_links(LOST);
+        simulation.run_for(0.8);
+        simulation.start_session(100, LOST);
+        simulation.run_for(listed_after);
+        assert_eq!(simulation.nodes[LOST].sessions.len(), 1, "the new process runs a session");
+        (0..2).for_each(|_| simulation.publish_start(LOST, born));
+        simulation.run_for(15.0);
+        let ended: Vec<u64> = simulation.finished.keys().copied().collect();
+        assert_eq!(ended, [4, 8, 12], "listed after {listed_after} s");
+    }
+}
+
+/// Guards against waiting for a connection: the news alone ends the sessions of a node that cannot be reached.
+#[test]
+fn news_of_a_restart_ends_sessions_before_the_node_is_reached_again() {
+    let mut simulation = Simulation::with_sessions(Named::Oldest);
+    simulation.nodes[LOST].unreachable = true;
+    simulation.run_for(2.0);
+    let born = simulation.now() - 0.5;
+    simulation.publish_start(LOST, born);
+    simulation.run_for(0.2);
+    assert_eq!(simulation.finished.keys().copied().collect::<Vec<_>>(), [4, 8, 12]);
+}
+
 /// Guards against ending the sessions of a node that was only cut off and returns with them.
 #[test]
 fn sessions_of_a_node_that_was_only_cut_off_go_on() {
--- a/crates/kelpdoor-platform/tests/session_core.rs
+++ b/crates/kelpdoor-platform/tests/session_core.rs
@@ -86,15 +86,15 @@
     s.advance(2.2);
     let trace = s.take_trace();
     assert!(
-        trace.contains("link 0 hang up") && !trace.contains("link 1 hang up"),
+        trace.contains("link 1 hang up") && !trace.contains("link 0 hang up"),
         "one link is enough: {trace}"
     );
     // Sent before the node saw the close.
-    s.node_message(0, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000006|Reason: cause=16");
-    s.input_and_run(Input::LinkDisconnected { link: 0 });
+    s.node_message(1, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000007|Reason: cause=16");
+    s.input_and_run(Input::LinkDisconnected { link: 1 });
     assert_eq!(s.core.counts().active_sessions, 2);
     expect![[r#"
-        12.20 viewer 1 < {"verb":"FINISH","tag":"0000000000000006","opts":{},"rc":16}
+        12.20 viewer 1 < {"verb":"FINISH","tag":"0000000000000007","opts":{},"rc":16}
     "#]]
     .assert_eq(&s.take_trace());
 }
