Take a cut session for a sign of its node's death by incarnation, not by open links

Seen: with a silent link to a node still open, a session that a node cut (TEARDOWN with cause 41) on a later connection counted as cut by the process that had set it up, so that the node went on to get SETUPs at its full pace.

Cause: 'restarted' was whether some link had been open ever since the SETUP. A link to a process that is gone stays open and quiet where its machine vanished, and kept that period going over a restart.

Change: the session's epoch and that of the connection that the TEARDOWN came on are compared; connected_since is gone.

Evidence: the new test fails on the code before ('another process is cold and ejected') and passes now; the test of the same process and of a lost link passes in both. The tests of kelpdoor-platform pass.

--- a/crates/kelpdoor-platform/src/core.rs
+++ b/crates/kelpdoor-platform/src/core.rs
@@ -262,8 +262,6 @@
     last_notification: f64,
     /// Description of the last failed connection attempt.
     last_connect_error: String,
-    /// Start of the current period with at least one open link, in which the node is one process.
-    connected_since: f64,
     /// Load of its network link as it last reported it.
     reported_link_load: f64,
 }
@@ -1106,15 +1104,11 @@
             }
             return self.close_link(link, true);
         }
-        let first_link = self.connected_link(node).is_none();
         let epoch = self.begin_epoch(node);
         if let Some(l) = self.links.get_mut(&link) {
             (l.connected, l.connected_at, l.last_used, l.epoch) = (true, self.now, self.now, epoch);
         }
         let Some(n) = self.nodes.get_mut(&node) else { return };
-        if first_link {
-            n.connected_since = self.now;
-        }
         n.liveness.record_contact(self.now);
         let (pending, in_doubt) = (std::mem::take(&mut n.pending), std::mem::take(&mut n.in_doubt));
         waiting.into_iter().for_each(|sess| self.send_setup(sess));
@@ -1204,8 +1198,9 @@
             media::NodeMessage::SessionEnded { sess, cause, cseq, load } => {
                 self.send_reply(link, media::acknowledge(sess, cseq));
                 let active = self.sessions.get(&sess).filter(|s| s.stage == Stage::Active && s.node == node);
-                if let Some((conn, sent)) = active.map(|s| (s.conn, s.setup_sent_at)) {
-                    let restarted = self.nodes.get(&node).is_some_and(|n| n.connected_since > sent);
+                if let Some((conn, set_up_in)) = active.map(|s| (s.conn, s.epoch)) {
+                    let restarted =
+                        self.nodes.get(&node).is_some_and(|n| !n.incarnations.is_same(set_up_in, epoch));
                     self.end_session(sess, node, media::teardown_outcome(cause, restarted), load);
                     self.notify_end(sess, conn, cause);
                 } else if self.is_setup_sent(sess, link) {
@@ -1342,7 +1337,6 @@
             incarnations: Incarnations::new(now),
             last_notification: now,
             last_connect_error: String::new(),
-            connected_since: now,
             reported_link_load: 0.0,
         });
         (n.phase, n.listed) = (host.phase, listed);
--- a/crates/kelpdoor-platform/tests/session_core.rs
+++ b/crates/kelpdoor-platform/tests/session_core.rs
@@ -380,6 +380,19 @@
     assert!(s.take_trace().contains("\"rc\":42"), "another process is cold and ejected");
 }
 
+/// Guards against taking the process behind a later connection for that of an earlier one, as the earlier one is still open.
+#[test]
+fn cut_session_reported_beside_a_silent_link_ejects_the_node() {
+    let mut s = Scenario::with_active_session(1);
+    s.advance(1.6);
+    assert!(s.take_trace().contains("link 1 dial"), "silence leads to a new connection");
+    s.connect_link(1);
+    s.node_message(1, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=41");
+    s.take_trace();
+    s.request_setup(1, 6);
+    assert!(s.take_trace().contains("\"rc\":42"), "another process is cold and ejected");
+}
+
 #[test]
 fn rung_change_is_sent_or_queued_until_a_link_opens() {
     let step_down = |s: &mut Scenario| {
