--- a/crates/kelpdoor-platform/tests/session_core.rs
+++ b/crates/kelpdoor-platform/tests/session_core.rs
@@ -553,6 +553,56 @@
     assert_eq!(s.core.counts().addresses, 1);
 }
 
+/// Guards against taking the process at a node's new address for the one that runs its sessions, or for its end.
+#[test]
+fn sessions_of_a_moved_node_end_with_its_reported_start_and_not_with_the_move() {
+    let moved = |born: u32| {
+        change_event(&format!(
+            r#"{{"seq":2,"fleet":{{"hosts":[{{"host":"s-1","dial":"10.1.0.1:6000","site":"dc1","class":"box-3c","block":1,
+            "health":"up","share":3,"born_ms":{born}}}]}}}}"#
+        ))
+    };
+    let mut s = Scenario::with_active_session(1);
+    s.advance(1.0);
+    s.input_and_run(moved(0));
+    assert_eq!((s.take_trace().as_str(), s.core.counts().active_sessions), ("", 1));
+    s.advance(1.0);
+    s.take_trace();
+    s.input_and_run(moved(1_011_500));
+    expect![[r#"
+        12.00 log: s-1 was started anew: ended its 1 earlier sessions
+        12.00 link 0 hang up at once
+        12.00 viewer 1 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":41}
+    "#]]
+    .assert_eq(&s.take_trace());
+}
+
+/// Guards against waiting for an answer of a process that is gone.
+#[test]
+fn pending_setup_at_a_restarted_node_goes_elsewhere_or_fails_at_once() {
+    let mut table = String::new();
+    for class in ["lecture", "paid"] {
+        let mut s = Scenario::new(2, 256);
+        s.connect_viewer(1);
+        s.send_line(1, &start(5, class, "home:0;copies:4;top:3", ""));
+        s.connect_link(0);
+        let node = if s.take_trace().contains("10.1.0.1") { 1 } else { 2 };
+        s.advance(0.4);
+        s.input_and_run(change_event(&format!(
+            r#"{{"seq":2,"fleet":{{"hosts":[{{"host":"s-{node}","dial":"10.1.0.{node}:5070","site":"dc1","class":"box-3c","block":{node},
+            "health":"up","share":3,"born_ms":1010600}}]}}}}"#
+        )));
+        let trace = s.take_trace();
+        let closed = trace.contains("link 0 hang up at once");
+        let outcome = if trace.contains("dial") { "another node" } else { "answered" };
+        table.push_str(&format!("{class}: closed {closed}, {outcome}\n"));
+    }
+    expect![[r#"
+        lecture: closed true, another node
+        paid: closed true, answered
+    "#]].assert_eq(&table);
+}
+
 #[test]
 fn director_that_shuts_down_sends_a_busy_reply_and_leaves_no_timer() {
     let mut s = Scenario::with_active_session(1);
--- a/crates/kelpdoord/tests/platform/mod.rs
+++ b/crates/kelpdoord/tests/platform/mod.rs
@@ -448,6 +448,17 @@
         self.write(setup.node, setup.conn, &release_request(setup.id, 16));
     }
 
+    /// Sends a notification about a session from its node.
+    pub fn notify(&self, setup: &Setup) {
+        let request =
+            Request::new(Method::Announce, "rtsp://media/load", 9).with("Session", format_tag(setup.id));
+        self.write(
+            setup.node,
+            setup.conn,
+            &encode(request.with("X-Outcome", "local").with("X-Reading", "0.4")),
+        );
+    }
+
     /// Closes a node's connection, with a reset or in an orderly way.
     pub fn close(&self, node: usize, conn: usize, reset: bool) {
         if let Some(stream) = lock(&self.nodes[node].conns)[conn].take() {
