Split the session core and its shell by what they speak with

Code was moved, and functions that are called from another of these files are pub(super); nothing else changed.

Measured: the 84 tests of kelpdoor-platform pass, clippy and rustfmt are clean.

--- a/crates/kelpdoor-platform/src/core/node_loss.rs
+++ b/crates/kelpdoor-platform/src/core/node_loss.rs
@@ -15,7 +15,7 @@
 use kelpdoor::ids::{NodeId, SessId};
 use kelpdoor::round::{LoadReport, Phase, SetupOutcome};
 
-use super::{CoreState, Node, PENDING_TTL, PendingMessage, SPARE_LINK_IDLE};
+use super::{CoreState, Link, Node, PENDING_TTL, PendingMessage, Session};
 use crate::core::Effect;
 use crate::incarnations::{Epoch, MIN_RESTART_TIME, ProofDeadlines};
 use crate::liveness::{END_DEADLINE, RELEASE_RETRY_INTERVAL};
@@ -64,47 +64,6 @@
         }
     }
 
-    /// Idle links that are not needed, or that the node is about to close. One is kept to each listed node, and one
-    /// to each incarnation with active sessions, the earliest, as a message on it confirms them.
-    fn surplus_links(&self, id: NodeId, needed: bool) -> Vec<u64> {
-        let Some(n) = self.nodes.get(&id) else { return Vec::new() };
-        let links = n.links.iter().filter_map(|link| Some((*link, self.links.get(link)?)));
-        let connected: Vec<_> = links.filter(|(_, l)| l.connected).collect();
-        let mut kept: Vec<(u64, Epoch)> = Vec::new();
-        for (link, l) in &connected {
-            let is_confirmed_elsewhere =
-                kept.iter().any(|(_, epoch)| n.incarnations.is_same(*epoch, l.epoch));
-            if n.incarnations.has_sessions(l.epoch) && !is_confirmed_elsewhere {
-                kept.push((*link, l.epoch));
-            }
-        }
-        if kept.is_empty() && (n.phase != Phase::Gone || needed) {
-            kept.extend(connected.last().map(|(link, l)| (*link, l.epoch)));
-        }
-        let is_surplus = |(link, l): &(u64, &super::Link)| {
-            let idle_for = self.now - l.last_used;
-            let is_kept = kept.iter().any(|(kept, _)| kept == link) && idle_for < self.max_link_idle;
-            l.pending_setups.is_empty() && idle_for >= SPARE_LINK_IDLE && !is_kept
-        };
-        connected.iter().filter(|link| is_surplus(link)).map(|(link, _)| *link).collect()
-    }
-
-    /// Begins the epoch of a link to a node that just connected.
-    pub(super) fn begin_epoch(&mut self, node: NodeId) -> Epoch {
-        let Some(n) = self.nodes.get_mut(&node) else { return Epoch::default() };
-        let is_connected = |link: &u64| self.links.get(link).filter(|l| l.connected).map(|l| l.epoch);
-        let open: Vec<Epoch> = n.links.iter().filter_map(is_connected).collect();
-        n.incarnations.prune(&open);
-        let was_failing = n.liveness.is_failing();
-        let epoch = n.incarnations.connection_opened(self.now, was_failing);
-        let unconfirmed = n.incarnations.sessions_unconfirmed_since(self.now);
-        if was_failing && unconfirmed > 0 {
-            let text = format!("{} can be reached again; {unconfirmed} sessions are not confirmed", n.name);
-            self.push_log(text);
-        }
-        epoch
-    }
-
     /// s; a node with active sessions sends a notification within this time.
     pub(super) fn notification_window(&self) -> f64 {
         self.notification_interval + self.notification_delay + NOTIFICATION_JITTER
@@ -165,12 +124,12 @@
         self.end_sessions(node, sessions, SetupOutcome::Withdrawn, Release::IfConnected);
     }
 
-    fn active_sessions_where(&self, n: &Node, matches: impl Fn(&super::Session) -> bool) -> Vec<SessId> {
+    fn active_sessions_where(&self, n: &Node, matches: impl Fn(&Session) -> bool) -> Vec<SessId> {
         let is_match = |sess: &&SessId| self.sessions.get(sess).is_some_and(&matches);
         n.active_sessions.iter().filter(is_match).copied().collect()
     }
 
-    fn links_where(&self, n: &Node, matches: impl Fn(&super::Link) -> bool) -> BTreeSet<u64> {
+    fn links_where(&self, n: &Node, matches: impl Fn(&Link) -> bool) -> BTreeSet<u64> {
         n.links.iter().filter(|link| self.links.get(link).is_some_and(&matches)).copied().collect()
     }
 
--- /dev/null
+++ b/crates/kelpdoor-platform/src/core/viewers.rs
@@ -0,0 +1,332 @@
+//! Viewer connections, their set-ups, and what is sent to them.
+
+use std::collections::BTreeSet;
+
+use kelpdoor::ids::{GroupId, NodeId, SessId};
+use kelpdoor::round::{LoadReport, NewSession, SetupOutcome};
+
+use super::{
+    ANSWER_MARGIN, CoreState, Effect, MAX_CANCELLED_SETUPS, MAX_SETUPS, MAX_SETUPS_PER_VIEWER,
+    PendingMessage, Session, Stage, Timer, ViewerConnection,
+};
+use crate::incarnations::Epoch;
+use crate::viewer::{self, MessageError, Reply, SetupRequest, cause};
+
+impl CoreState {
+    pub(super) fn viewer_connected(&mut self, conn: u64) {
+        if self.viewers.len() >= self.max_viewers {
+            // Evicts the connection that has been without useful input for the longest; never one with open
+            // set-ups.
+            let idle = self.viewers.iter().filter(|(_, v)| v.open_setups.is_empty());
+            let Some((&oldest, _)) = idle.min_by(|a, b| {
+                (a.1.trust, a.1.active_sessions > 0, a.1.last_active)
+                    .partial_cmp(&(b.1.trust, b.1.active_sessions > 0, b.1.last_active))
+                    .unwrap_or(std::cmp::Ordering::Equal)
+            }) else {
+                return self.effects.push(Effect::CloseViewer { conn });
+            };
+            self.remove_viewer(oldest, true);
+        }
+        let viewer = ViewerConnection {
+            open_setups: BTreeSet::new(),
+            last_active: self.now,
+            trust: 0,
+            active_sessions: 0,
+            misbehaved: false,
+        };
+        self.viewers.insert(conn, viewer);
+    }
+
+    pub(super) fn handle_viewer_message(
+        &mut self, conn: u64, waited: f64, message: Result<viewer::ViewerMessage, MessageError>,
+    ) {
+        if !self.viewers.contains_key(&conn) {
+            // Read before the connection was evicted: a set-up is still answered if the connection can take
+            // it.
+            if let Ok(viewer::ViewerMessage::Start(sess, request)) = message
+                && request.at.is_none()
+            {
+                self.refuse_busy(conn, sess);
+            }
+            return;
+        }
+        match message {
+            Ok(viewer::ViewerMessage::Start(sess, request)) => {
+                self.start_session(conn, waited, sess, request)
+            }
+            Ok(viewer::ViewerMessage::Finish(sess)) => self.handle_finish(conn, sess),
+            Ok(viewer::ViewerMessage::Echo(sess)) => {
+                self.mark_active(conn);
+                let bytes = viewer::encode(Some(sess), Reply::Echoed);
+                self.effects.push(Effect::SendViewer { conn, bytes });
+            }
+            Ok(viewer::ViewerMessage::Ignored) => {}
+            Err(error) => self.reject_message(conn, &error),
+        }
+    }
+
+    pub(super) fn mark_active(&mut self, conn: u64) {
+        if let Some(v) = self.viewers.get_mut(&conn) {
+            v.last_active = self.now;
+        }
+    }
+
+    /// Rejects a malformed message, and closes its connection once no set-up is open on it.
+    pub(super) fn reject_message(&mut self, conn: u64, error: &MessageError) {
+        self.push_log(format!("viewer connection {conn}: {}", error.why));
+        match error.sess {
+            Some(sess) if self.sessions.contains_key(&sess) => self.reject_duplicate_id(conn, sess),
+            sess => self.send_finish(conn, sess, error.cause, None),
+        }
+        self.close_when_idle(conn);
+    }
+
+    /// A held session id arrives again in a different request. On the same connection the two cannot be
+    /// distinguished, so the set-up fails. A session that arrived on another connection is not affected; only the
+    /// connection of the second request is closed.
+    pub(super) fn reject_duplicate_id(&mut self, conn: u64, sess: SessId) {
+        let Some(s) = self.sessions.get(&sess) else { return };
+        if s.conn == conn && s.stage != Stage::Active && !s.viewer_gone {
+            self.send_finish(conn, Some(sess), cause::INVALID_CONTENTS, None);
+            self.viewer_departed(sess);
+            self.remove_open_setup(conn, sess);
+        }
+    }
+
+    pub(super) fn close_when_idle(&mut self, conn: u64) {
+        let Some(v) = self.viewers.get_mut(&conn) else { return };
+        v.misbehaved = true;
+        if v.open_setups.is_empty() {
+            self.remove_viewer(conn, true);
+        }
+    }
+
+    /// Removes a viewer connection; nobody is left to answer for its open set-ups.
+    pub(super) fn remove_viewer(&mut self, conn: u64, close: bool) {
+        let Some(v) = self.viewers.remove(&conn) else { return };
+        self.open_setups -= v.open_setups.len();
+        v.open_setups.into_iter().for_each(|sess| self.viewer_departed(sess));
+        if close {
+            self.effects.push(Effect::CloseViewer { conn });
+        }
+    }
+
+    pub(super) fn start_session(&mut self, conn: u64, waited: f64, sess: SessId, request: Box<SetupRequest>) {
+        let invalid = |why: &str| MessageError {
+            sess: Some(sess),
+            cause: cause::INVALID_CONTENTS,
+            why: why.to_owned(),
+        };
+        let Some(group) = self.names.groups.iter().position(|g| *g == request.class) else {
+            return self.reject_message(conn, &invalid("unknown class"));
+        };
+        if request.first_cell >= self.cells
+            || !(1..=self.cells).contains(&request.cells)
+            || request.best_rung >= self.rungs
+        {
+            return self.reject_message(conn, &invalid("home, copies or top out of range"));
+        }
+        if let Some(held) = self.sessions.get_mut(&sess) {
+            if request.at.is_some() {
+                return self.mark_active(conn);
+            }
+            if held.viewer_gone {
+                // Repeated while its first SETUP is being cancelled; nobody else expects an answer under this
+                // id.
+                return self.refuse_busy(conn, sess);
+            }
+            if held.conn != conn && held.request.as_ref().is_some_and(|a| a.is_same_setup(&request)) {
+                // Repeated on a new connection after the old one closed; the answer goes to the new one.
+                let old = std::mem::replace(&mut held.conn, conn);
+                if self.viewers.get_mut(&old).is_some_and(|v| v.open_setups.remove(&sess)) {
+                    self.open_setups -= 1;
+                }
+                return self.add_open_setup(conn, sess);
+            }
+            return self.reject_message(conn, &invalid("session id is already in use"));
+        }
+        let wanted = NewSession {
+            sess,
+            group: GroupId(group as u8),
+            title: request.title,
+            setup_timeout: request.time_left - waited - ANSWER_MARGIN,
+            first_cell: request.first_cell,
+            cells: request.cells,
+            best_rung: request.best_rung,
+        };
+        let mut session = Session {
+            conn,
+            stage: Stage::Requested,
+            node: NodeId(0),
+            epoch: Epoch::default(),
+            link: 0,
+            rung: 0,
+            answer_deadline: self.now + wanted.setup_timeout,
+            setup_deadline: self.now,
+            setup_sent_at: self.now,
+            viewer_gone: false,
+            answer_timer: None,
+            setup_timer: None,
+            request: None,
+        };
+        if let Some(at) = &request.at {
+            self.mark_active(conn);
+            let Some(&node) = self.node_ids.get(at).filter(|_| self.active_sessions < self.max_sessions)
+            else {
+                return self.push_log(format!(
+                    "ignored a session handed over at {at}: unknown node or too many sessions"
+                ));
+            };
+            if let Some(v) = self.viewers.get_mut(&conn) {
+                v.trust = v.trust.max(1);
+            }
+            // It was set up by a previous process of the director, and is active at its node now.
+            (session.stage, session.node) = (Stage::Active, node);
+            let now = self.now;
+            let epoch = self
+                .nodes
+                .get_mut(&node)
+                .map(|n| n.incarnations.session_handed_over(now))
+                .unwrap_or_default();
+            self.sessions.insert(sess, session);
+            self.activate_session(sess, node, epoch);
+            self.round.handed_over.push((wanted, node));
+            return self.send_undelivered_ends();
+        }
+        self.setups_received += 1;
+        let full = self.open_setups >= MAX_SETUPS
+            || self.cancelled_setups.len() >= MAX_CANCELLED_SETUPS
+            || self.active_sessions >= self.max_sessions
+            || self.description_bytes + request.blob.len() > self.max_description_bytes
+            || self.viewers.get(&conn).is_some_and(|v| v.open_setups.len() >= MAX_SETUPS_PER_VIEWER);
+        // The session logic ignores an id that departs in the same round.
+        let departed = self.round.departures.contains(&sess);
+        if full || departed || self.refusing_setups || wanted.setup_timeout <= 0.0 {
+            return self.refuse_busy(conn, sess);
+        }
+        self.description_bytes += request.blob.len();
+        session.request = Some(request);
+        let latest = session.answer_deadline + ANSWER_MARGIN / 2.0;
+        session.answer_timer = Some(self.timers.set(latest, Timer::AnswerDeadline { sess }));
+        self.sessions.insert(sess, session);
+        self.add_open_setup(conn, sess);
+        self.round.new_sessions.push(wanted);
+    }
+
+    pub(super) fn refuse_busy(&mut self, conn: u64, sess: SessId) {
+        self.mark_active(conn);
+        self.answer_counts[1] += 1;
+        self.send_finish(conn, Some(sess), cause::CONGESTION, self.come_back);
+    }
+
+    /// The session logic never answered this set-up, which is a fault in it; the set-up fails at its
+    /// deadline.
+    pub(super) fn answer_deadline_passed(&mut self, sess: SessId) {
+        let Some(s) = self.sessions.get(&sess).filter(|s| s.stage != Stage::Active && !s.viewer_gone) else {
+            return;
+        };
+        let conn = s.conn;
+        self.push_log(format!("session {} had no answer by its deadline", viewer::format_session_id(sess)));
+        self.answer_counts[2] += 1;
+        self.send_finish(conn, Some(sess), cause::TEMPORARY_FAILURE, None);
+        self.viewer_departed(sess);
+        self.remove_open_setup(conn, sess);
+    }
+
+    /// Removes a session with its timers.
+    pub(super) fn remove_session(&mut self, sess: SessId) -> Option<Session> {
+        let s = self.sessions.remove(&sess)?;
+        self.description_bytes -= s.request.as_ref().map_or(0, |a| a.blob.len());
+        [s.answer_timer, s.setup_timer].into_iter().flatten().for_each(|timer| self.timers.cancel(timer));
+        Some(s)
+    }
+
+    pub(super) fn add_open_setup(&mut self, conn: u64, sess: SessId) {
+        let now = self.now;
+        if let Some(v) = self.viewers.get_mut(&conn) {
+            v.last_active = now;
+            self.open_setups += usize::from(v.open_setups.insert(sess));
+        }
+    }
+
+    /// A viewer cancels a set-up or ends an active session.
+    pub(super) fn handle_finish(&mut self, conn: u64, sess: SessId) {
+        let Some(s) = self.sessions.get(&sess) else { return };
+        if s.stage == Stage::Active {
+            let node = s.node;
+            self.mark_active(conn);
+            self.end_session(sess, node, SetupOutcome::Withdrawn, LoadReport::default());
+            self.send_or_queue(node, PendingMessage::Release(sess, cause::NORMAL_CLEARING));
+        } else if s.conn == conn && !s.viewer_gone {
+            self.viewer_departed(sess);
+            self.remove_open_setup(conn, sess);
+        }
+    }
+
+    /// The viewer of a set-up gave up or disconnected and expects no answer.
+    pub(super) fn viewer_departed(&mut self, sess: SessId) {
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
+        s.viewer_gone = true;
+        self.round.departures.push(sess);
+        match s.stage {
+            // No SETUP is pending, so no later event would remove the session.
+            Stage::Requested => drop(self.remove_session(sess)),
+            // Its link may open before the session logic runs, and a cancellation must not affect SETUPs that
+            // were sent.
+            Stage::WaitingForLink => self.finish_setup(sess, SetupOutcome::NeverSent, LoadReport::default()),
+            Stage::SetupSent | Stage::InDoubt | Stage::Active => {}
+        }
+    }
+
+    pub(super) fn remove_open_setup(&mut self, conn: u64, sess: SessId) {
+        let now = self.now;
+        let Some(v) = self.viewers.get_mut(&conn) else { return };
+        v.last_active = now;
+        if v.open_setups.remove(&sess) {
+            self.open_setups -= 1;
+        }
+        if v.misbehaved && v.open_setups.is_empty() {
+            self.remove_viewer(conn, true);
+        }
+    }
+
+    /// Sends the final answer to a set-up that does not become a session.
+    pub(super) fn send_final_answer(&mut self, sess: SessId, why: u32, wait: Option<f64>) {
+        let Some(s) = self.sessions.get(&sess) else { return };
+        let conn = s.conn;
+        self.send_finish(conn, Some(sess), why, wait);
+        self.remove_open_setup(conn, sess);
+    }
+
+    pub(super) fn send_finish(&mut self, conn: u64, sess: Option<SessId>, cause: u32, wait: Option<f64>) {
+        let bytes = viewer::encode(sess, Reply::Finish { cause, wait });
+        self.effects.push(Effect::SendViewer { conn, bytes });
+    }
+
+    /// Reports the end of a session: on its own connection, else on the most trusted one that is open, else
+    /// on the next one that becomes trusted.
+    pub(super) fn notify_end(&mut self, sess: SessId, conn: u64, why: u32) {
+        let trusted = |v: &ViewerConnection| v.trust > 0 && !v.misbehaved;
+        let at = match self.viewers.get(&conn) {
+            Some(v) if trusted(v) => Some(conn),
+            _ => {
+                let candidates = self.viewers.iter().filter(|(_, v)| trusted(v));
+                candidates.max_by_key(|(c, v)| (v.trust, **c)).map(|(&c, _)| c)
+            }
+        };
+        if let Some(conn) = at {
+            return self.send_finish(conn, Some(sess), why, None);
+        }
+        // The queue only grows this long if sessions keep starting on connections that misbehave.
+        if self.undelivered_ends.len() >= self.max_sessions {
+            self.undelivered_ends.pop_front();
+        }
+        self.undelivered_ends.push_back((sess, why));
+    }
+
+    pub(super) fn send_undelivered_ends(&mut self) {
+        for (sess, why) in std::mem::take(&mut self.undelivered_ends) {
+            self.notify_end(sess, u64::MAX, why);
+        }
+    }
+}
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -2,6 +2,8 @@
 //! the core once per batch, and carries out the effects in order. Output is written at once as far as the
 //! socket takes it.
 
+mod change_log;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -11,12 +13,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use eventsource_stream::Eventsource;
-use futures_util::{FutureExt, StreamExt, stream};
-use http_body_util::{BodyExt, Empty};
-use hyper::body::{Bytes, Incoming};
-use hyper::{Request, StatusCode, header};
-use hyper_util::rt::TokioIo;
+use futures_util::FutureExt;
 use kelpdoor_clock::SlewedClock;
 use kelpdoor_parts::{CATCH_UP_TIME, was_paused};
 use kelpdoor_rtsp::{Message, Version, parse_as};
@@ -26,7 +23,6 @@
 use tokio::task::{JoinSet, LocalSet, spawn_local};
 use tokio::time::{sleep, sleep_until, timeout};
 
-use crate::changes::parse_event;
 use crate::core::{ConnectFailure, Effect, Input, MEMORY_DIVISOR, SessionCore};
 use crate::startup::StartupConfig;
 use crate::viewer::{self, MAX_LINE};
@@ -54,16 +50,6 @@
 const ACCEPT_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 /// Pause after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// The change log sends something every second; a stream that is silent for longer is reopened.
-const FEED_IDLE_TIMEOUT: Duration = Duration::from_millis(1600);
-/// Timeout for connecting to the change log.
-const FEED_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
-/// Initial backoff before the change log is requested again.
-const FEED_MIN_BACKOFF: Duration = Duration::from_millis(20);
-/// Maximum backoff before the change log is requested again.
-const FEED_MAX_BACKOFF: Duration = Duration::from_millis(500);
-/// Maximum bytes of the change log without a complete event.
-const MAX_EVENT_BYTES: usize = 8 << 20;
 /// After a termination signal, set-ups are served for this long. Later ones are refused, as they have to be
 /// answered before the process is killed.
 const SHUTDOWN_SERVE_TIME: Duration = Duration::from_millis(700);
@@ -434,135 +420,6 @@
     }
 }
 
-/// Reads one stream of the change log until it ends, falls silent or fails; returns the reason. Sets `followed`
-/// once the stream is open.
-async fn read_change_stream(
-    address: SocketAddr, last: &mut u64, unreadable: &mut Option<u64>, followed: &Cell<bool>,
-    input_tx: &mpsc::Sender<TimedInput>,
-) -> String {
-    let stream = match timeout(FEED_CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return e.to_string(),
-        Err(_) => return "connection timed out".into(),
-    };
-    let (mut request_sender, connection) =
-        match hyper::client::conn::http1::handshake(TokioIo::new(stream)).await {
-            Ok(parts) => parts,
-            Err(e) => return e.to_string(),
-        };
-    let driver = spawn_local(async move {
-        let _ = connection.await;
-    });
-    let why = async {
-        let request = Request::get("/changes")
-            .header(header::HOST, address.to_string())
-            .header(header::ACCEPT, "text/event-stream")
-            .header("Last-Event-ID", last.to_string())
-            .body(Empty::<Bytes>::new());
-        let request = match request {
-            Ok(request) => request,
-            Err(e) => return e.to_string(),
-        };
-        let response = match timeout(FEED_IDLE_TIMEOUT, request_sender.send_request(request)).await {
-            Ok(Ok(response)) if response.status() == StatusCode::OK => response,
-            Ok(Ok(response)) => return format!("status {}", response.status()),
-            Ok(Err(e)) => return e.to_string(),
-            Err(_) => return "response timed out".into(),
-        };
-        followed.set(true);
-        let _ = input_tx.send((Instant::now(), Input::ChangeLogFollowed(true))).await;
-        read_events(response.into_body(), last, unreadable, input_tx).await
-    }
-    .await;
-    driver.abort();
-    why
-}
-
-async fn read_events(
-    body: Incoming, last: &mut u64, unreadable: &mut Option<u64>, input_tx: &mpsc::Sender<TimedInput>,
-) -> String {
-    let bytes = Rc::new(Cell::new(0));
-    let counted_bytes = bytes.clone();
-    let data = stream::unfold(body, move |mut body| {
-        let counted_bytes = counted_bytes.clone();
-        async move {
-            loop {
-                let frame = match timeout(FEED_IDLE_TIMEOUT, body.frame()).await {
-                    Err(_) => return Some((Err("no data within the idle timeout".to_owned()), body)),
-                    Ok(None) => return None,
-                    Ok(Some(Err(e))) => return Some((Err(e.to_string()), body)),
-                    Ok(Some(Ok(frame))) => frame,
-                };
-                if let Ok(data) = frame.into_data() {
-                    counted_bytes.set(counted_bytes.get() + data.len());
-                    let too_long = counted_bytes.get() > MAX_EVENT_BYTES;
-                    return Some((
-                        if too_long { Err("event exceeds the size limit".to_owned()) } else { Ok(data) },
-                        body,
-                    ));
-                }
-            }
-        }
-    });
-    let mut events = std::pin::pin!(data.eventsource());
-    loop {
-        let event = match events.next().await {
-            None => return "the stream ended".into(),
-            Some(Err(e)) => return e.to_string(),
-            Some(Ok(event)) => event,
-        };
-        bytes.set(0);
-        match parse_event(&event.data) {
-            // A duplicate.
-            Ok(change) if change.number <= *last => {}
-            Ok(change) => {
-                *last = change.number;
-                let _ = input_tx.send((Instant::now(), Input::Change(change))).await;
-            }
-            Err(e) => {
-                let number = event.id.parse().ok();
-                if number.is_some() && *unreadable == number {
-                    // The same event was unreadable twice, so another attempt would not help: skips it.
-                    *last = (*last).max(number.unwrap_or(0));
-                }
-                *unreadable = number;
-                return format!("unreadable event: {e}");
-            }
-        }
-    }
-}
-
-/// Follows the change log, at its current address, from the last number received. Each backoff is jittered
-/// down to half, as all directors lose the change log at the same moment.
-async fn follow_change_log(
-    mut feed_address: watch::Receiver<SocketAddr>, mut last: u64, input_tx: mpsc::Sender<TimedInput>,
-    mut rng: fastrand::Rng,
-) {
-    let (mut wait, mut unreadable, followed) = (FEED_MIN_BACKOFF, None, Cell::new(false));
-    loop {
-        if followed.replace(false) {
-            let _ = input_tx.send((Instant::now(), Input::ChangeLogFollowed(false))).await;
-        }
-        let address = *feed_address.borrow_and_update();
-        let (began, before) = (Instant::now(), last);
-        let why = tokio::select! {
-            why = read_change_stream(address, &mut last, &mut unreadable, &followed, &input_tx) => why,
-            _ = feed_address.changed() => continue,
-        };
-        tracing::warn!(%address, last, "change log: {why}; reconnecting");
-        wait = if last > before || began.elapsed() > FEED_IDLE_TIMEOUT * 2 {
-            FEED_MIN_BACKOFF
-        } else {
-            wait * 2
-        };
-        wait = wait.min(FEED_MAX_BACKOFF);
-        tokio::select! {
-            () = sleep(wait.mul_f64(0.5 + 0.5 * rng.f64())) => {}
-            _ = feed_address.changed() => feed_address.mark_changed(),
-        }
-    }
-}
-
 type ViewerOutputs = Rc<RefCell<HashMap<u64, Rc<ConnectionOutput>>>>;
 
 struct Shell {
@@ -847,7 +704,7 @@
     let unsent_total = UnsentTotal { bytes: Rc::default(), limit: config.max_memory / MEMORY_DIVISOR };
     // These tasks never end; without them the director would get no input.
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(follow_change_log(
+    tasks.spawn_local(change_log::follow_change_log(
         feed_address,
         config.last_known_change,
         input_tx.clone(),
--- a/crates/kelpdoor-platform/tests/session_core.rs
+++ b/crates/kelpdoor-platform/tests/session_core.rs
@@ -600,7 +600,8 @@
     expect![[r#"
         lecture: closed true, another node
         paid: closed true, answered
-    "#]].assert_eq(&table);
+    "#]]
+    .assert_eq(&table);
 }
 
 #[test]
