--- a/crates/kelpdoor-platform/src/core.rs
+++ b/crates/kelpdoor-platform/src/core.rs
@@ -60,9 +60,12 @@
 const MAX_LINKS_PER_NODE: usize = 6;
 /// File descriptors for the process itself, the change log and connections that are about to close.
 const RESERVED_SOCKETS: usize = 36;
-/// s; a spare link that is idle for this long is closed. Nodes send pending messages as soon as a new link
-/// opens.
+/// s; a spare link that is idle for this long is closed.
 const SPARE_LINK_IDLE: f64 = 2.0;
+/// s; the same for a link that carried no SETUP, once there is a newer one or the process behind it is known to be
+/// that of a kept link.
+/// Nodes send pending messages as soon as a new link opens.
+const UNUSED_LINK_IDLE: f64 = 0.5;
 /// Fraction of the nodes' idle timeout after which an idle link takes no SETUP, as the SETUP could cross the
 /// node's close.
 const LINK_STALE_FRACTION: f64 = 0.8;
@@ -233,6 +236,8 @@
     connected_at: f64,
     epoch: Epoch,
     pending_setups: BTreeSet<SessId>,
+    /// A SETUP was placed on it; otherwise it only shows that the node can be reached.
+    carried_setup: bool,
     last_used: f64,
     /// Takes no further SETUP and is closed once none is pending on it.
     draining: bool,
@@ -834,7 +839,7 @@
         (s.link, s.stage) = (link, Stage::WaitingForLink);
         let Some(l) = self.links.get_mut(&link) else { return };
         l.pending_setups.insert(sess);
-        l.last_used = now;
+        (l.carried_setup, l.last_used) = (true, now);
         if l.connected {
             self.send_setup(sess);
         }
--- a/crates/kelpdoor-platform/src/core/links.rs
+++ b/crates/kelpdoor-platform/src/core/links.rs
@@ -7,7 +7,7 @@
 
 use super::{
     CANCELLED_SETUP_TTL, ConnectFailure, CoreState, Effect, Link, MAX_LINKS_PER_NODE, MAX_PENDING_PER_NODE,
-    PendingMessage, SPARE_LINK_IDLE, Stage,
+    PendingMessage, SPARE_LINK_IDLE, Stage, UNUSED_LINK_IDLE,
 };
 use crate::incarnations::Epoch;
 use crate::media;
@@ -29,6 +29,7 @@
             connected_at: self.now,
             epoch: Epoch::default(),
             pending_setups,
+            carried_setup: false,
             last_used,
             draining: false,
             unresponsive: false,
@@ -229,7 +230,11 @@
         let is_surplus = |(link, l): &(u64, &Link)| {
             let idle_for = self.now - l.last_used;
             let is_kept = kept.iter().any(|(kept, _)| kept == link) && idle_for < self.max_link_idle;
-            l.pending_setups.is_empty() && idle_for >= SPARE_LINK_IDLE && !is_kept
+            let is_newest = connected.last().is_some_and(|(newest, _)| newest == link);
+            let is_redundant =
+                !is_newest || kept.iter().any(|(_, epoch)| n.incarnations.is_same(*epoch, l.epoch));
+            let max_idle = if is_redundant && !l.carried_setup { UNUSED_LINK_IDLE } else { SPARE_LINK_IDLE };
+            l.pending_setups.is_empty() && idle_for >= max_idle && !is_kept
         };
         connected.iter().filter(|link| is_surplus(link)).map(|(link, _)| *link).collect()
     }
--- a/crates/kelpdoor-platform/tests/node_restarts.rs
+++ b/crates/kelpdoor-platform/tests/node_restarts.rs
@@ -375,6 +375,22 @@
     }
 }
 
+/// Guards against links that pile up at silent nodes: one for the sessions and one that shows whether the node can be reached.
+#[test]
+fn silent_nodes_hold_two_links_each() {
+    let mut simulation = Simulation::with_sessions(Named::Oldest);
+    simulation.notifications_missing = true;
+    simulation.run_for(5.0);
+    let mut samples = Vec::new();
+    for _ in 0..200 {
+        simulation.step();
+        samples.push(simulation.scenario.core.counts().links);
+    }
+    // One more stands for a moment when the next opens.
+    let mean = samples.iter().sum::<usize>() as f64 / samples.len() as f64;
+    assert!(mean <= 2.25 * NODES as f64, "{mean}: {samples:?}");
+}
+
 /// Guards against taking a lost connection for a lost process, whichever sessions the node names later.
 #[test]
 fn sessions_go_on_after_connections_are_reset() {
