Review case 6: bad clients that never stop sending hang the director

Cause: `linger` reads on from a connection that it has closed, for 1 s at most, in a loop that never gives way while the socket has bytes; the time-out around it cannot fire then, and nothing else of the one thread runs.

Change: review/6 with its claim and script, the stand-ins of the second review and review/build-2.sh. Nothing outside review/ is touched.

--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,16 @@
+//! The cases of the second review. `review-2 CASE FOLDER` runs one from the root of the repository.
+
+mod common;
+mod rude;
+
+use std::path::Path;
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &args[..] else { common::cannot_run("usage: review-2 CASE FOLDER") };
+    let folder = Path::new(folder);
+    match case.as_str() {
+        "endless-message" => rude::endless_message(folder),
+        other => common::cannot_run(&format!("no case {other:?}")),
+    }
+}
