Review case 7: one spoilt answer of empty lines hangs the director

Cause: `parse_as` skips CRLFs before a message without a bound and consumes none of them, `run_link` looks through all of them again with each read, and `serve_connection` never gives way while the socket has bytes.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod rude;
+mod spoilt;
 
 use std::path::Path;
 
@@ -10,6 +11,7 @@
     let [_, case, folder] = &args[..] else { common::cannot_run("usage: review-2 CASE FOLDER") };
     let folder = Path::new(folder);
     match case.as_str() {
+        "spoilt-answer" => spoilt::spoilt_answer(folder),
         "endless-message" => rude::endless_message(folder),
         other => common::cannot_run(&format!("no case {other:?}")),
     }
