Review case 8: a paid session is set up twice when its START is sent again

Cause: a START that crosses the end of a resting connection is resent under its id. By then the director has given up the first SETUP and forgotten the session, and sends a second one although the first may have run.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review. `review-2 CASE FOLDER` runs one from the root of the repository.
 
 mod common;
+mod crossing;
 mod rude;
 mod spoilt;
 
@@ -11,6 +12,7 @@
     let [_, case, folder] = &args[..] else { common::cannot_run("usage: review-2 CASE FOLDER") };
     let folder = Path::new(folder);
     match case.as_str() {
+        "paid-twice" => crossing::paid_twice(folder),
         "spoilt-answer" => spoilt::spoilt_answer(folder),
         "endless-message" => rude::endless_message(folder),
         other => common::cannot_run(&format!("no case {other:?}")),
