Review case 9: a START that is sent again is closed on without an answer

Cause: once the session stands, `start_session` takes its repetition for a foreign use of the id and closes the new connection without a byte, although the answer to the first went out on a connection that had ended.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -12,6 +12,7 @@
     let [_, case, folder] = &args[..] else { common::cannot_run("usage: review-2 CASE FOLDER") };
     let folder = Path::new(folder);
     match case.as_str() {
+        "unanswered" => crossing::unanswered(folder),
         "paid-twice" => crossing::paid_twice(folder),
         "spoilt-answer" => spoilt::spoilt_answer(folder),
         "endless-message" => rude::endless_message(folder),
