Review case 10: with slow discovery a director never hears of a drain

Cause: the answer to the request for the change log is awaited for 1.6 s, which suits an open stream alone. A change log that needs longer to answer is asked anew for ever, and nothing of what it has is heard.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod crossing;
+mod discovery;
 mod rude;
 mod spoilt;
 
@@ -14,6 +15,7 @@
     match case.as_str() {
         "unanswered" => crossing::unanswered(folder),
         "paid-twice" => crossing::paid_twice(folder),
+        "slow-discovery" => discovery::slow_discovery(folder),
         "spoilt-answer" => spoilt::spoilt_answer(folder),
         "endless-message" => rude::endless_message(folder),
         other => common::cannot_run(&format!("no case {other:?}")),
