Review case 10: the end of a session is not told to viewers who were refused

Cause: `notify_end` uses connections alone on which a session was served or handed over. When the connection of a session has ended and all others are refused, nobody is told of its end.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod crossing;
 mod discovery;
+mod ends;
 mod rude;
 mod spoilt;
 
@@ -15,6 +16,7 @@
     match case.as_str() {
         "unanswered" => crossing::unanswered(folder),
         "slow-discovery" => discovery::slow_discovery(folder),
+        "unsent-end" => ends::unsent_end(folder),
         "spoilt-answer" => spoilt::spoilt_answer(folder),
         "endless-message" => rude::endless_message(folder),
         other => common::cannot_run(&format!("no case {other:?}")),
