Send the end of a session on any viewer's connection, and keep it until it is accepted

Cause: notify_end used connections with trust > 0 alone, and trust rose only with a session served or handed over. PROTOCOL.md: "what ends it may be sent on any connection from viewers". The preference against bad clients had become a condition. Beside it an end belonged to nobody between the core and the socket: a connection that closed with the report unsent took it along.

Change: evidence about a peer is a scale; an end goes at once on its own connection or the one with the strongest evidence, from the first valid message on, and after 0.5 s on a silent one. Effect::ReportEnd names the end; the shell returns it (Input::EndsUndelivered) unless the socket accepted its last byte.

The expected order in viewer_connection_with_active_session_stays_open_and_idle_one_closes changes: the end is now sent with the first START on the next connection instead of after its answer, which is earlier and otherwise the same.

--- a/crates/kelpdoor-platform/src/core.rs
+++ b/crates/kelpdoor-platform/src/core.rs
@@ -81,6 +81,9 @@
 const MAX_PENDING_PER_NODE: usize = 1024;
 /// s; messages that wait for an unreachable node are dropped after this time.
 const PENDING_TTL: f64 = 60.0;
+/// s; a session end that no viewer is known to be connected for waits this long for one. Then it is sent on a
+/// connection that has been silent so far, as it has to be sent within 1 s.
+const SILENT_VIEWER_END_DELAY: f64 = 0.5;
 /// s; interval between checks for idle connections and silent nodes.
 const SWEEP_INTERVAL: f64 = 0.1;
 /// Maximum rounds of the session logic per call, as its own orders can end SETUPs at once.
@@ -112,6 +115,10 @@
     ViewerDisconnected {
         conn: u64,
     },
+    /// A connection ended before it accepted the reports of these ends; they are still to be delivered.
+    EndsUndelivered {
+        ends: Vec<SessionEnd>,
+    },
     LinkConnected {
         link: u64,
     },
@@ -138,12 +145,26 @@
     ChangeLogFollowed(bool),
 }
 
+/// The end of a session, as it is reported to viewers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SessionEnd {
+    pub sess: SessId,
+    pub cause: u32,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     SendViewer {
         conn: u64,
         bytes: Vec<u8>,
     },
+    /// Sends the report of a session's end. If the connection does not accept all of its bytes, the end is returned
+    /// with [`Input::EndsUndelivered`].
+    ReportEnd {
+        conn: u64,
+        bytes: Vec<u8>,
+        end: SessionEnd,
+    },
     /// Closes a viewer connection once pending output is sent.
     CloseViewer {
         conn: u64,
@@ -218,12 +239,30 @@
     request: Option<Box<SetupRequest>>,
 }
 
+/// What the messages on a connection show about its peer. Session ends are reported on the connection with the
+/// strongest evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum PeerEvidence {
+    /// No valid message so far.
+    Silent,
+    /// It sent a valid message of a viewer.
+    Viewer,
+    /// It handed an active session over.
+    HandedOver,
+    /// A session was set up for it.
+    Served,
+}
+
+/// A session end that no connection was open for.
+struct UndeliveredEnd {
+    end: SessionEnd,
+    since: f64,
+}
+
 struct ViewerConnection {
     open_setups: BTreeSet<SessId>,
     last_active: f64,
-    /// 0: nothing useful yet, 1: handed sessions over, 2: had a session set up. Session ends may be reported
-    /// on it from 1 on.
-    trust: u8,
+    evidence: PeerEvidence,
     /// Number of active sessions that arrived on it.
     active_sessions: usize,
     /// It sent unusable input and is closed once no set-up is open on it.
@@ -308,7 +347,7 @@
     node_by_address: HashMap<SocketAddr, NodeId>,
     /// Cancelled SETUPs, and the time after which no answer to them can arrive.
     cancelled_setups: BTreeMap<(SessId, NodeId), f64>,
-    undelivered_ends: VecDeque<(SessId, u32)>,
+    undelivered_ends: VecDeque<UndeliveredEnd>,
     open_setups: usize,
     active_sessions: usize,
     description_bytes: usize,
@@ -395,6 +434,9 @@
                 state.remove_viewer(conn, true);
             }
             Input::ViewerDisconnected { conn } => state.remove_viewer(conn, false),
+            Input::EndsUndelivered { ends } => {
+                ends.into_iter().for_each(|end| state.report_end(end, None));
+            }
             Input::LinkConnected { link } => state.link_connected(link),
             Input::LinkFailed { link, failure, why } => state.link_failed(link, failure, why),
             Input::NodeMessage { link, message } => state.handle_node_message(link, message),
@@ -692,7 +734,7 @@
                     let restarted =
                         self.nodes.get(&node).is_some_and(|n| !n.incarnations.is_same(set_up_in, epoch));
                     self.end_session(sess, node, media::teardown_outcome(cause, restarted), load);
-                    self.notify_end(sess, conn, cause);
+                    self.report_end(SessionEnd { sess, cause }, Some(conn));
                 } else if self.is_setup_sent(sess, link) {
                     self.finish_setup(sess, SetupOutcome::ConnectionLost, load);
                 }
@@ -764,11 +806,8 @@
         self.activate_session(sess, node, epoch);
         let bytes = viewer::encode(Some(sess), Reply::Started(&blob));
         self.effects.push(Effect::SendViewer { conn, bytes });
-        if let Some(v) = self.viewers.get_mut(&conn) {
-            v.trust = 2;
-        }
+        self.raise_evidence(conn, PeerEvidence::Served);
         self.remove_open_setup(conn, sess);
-        self.send_undelivered_ends();
         self.close_drained_link(link);
     }
 
@@ -788,11 +827,13 @@
         let now = self.now;
         self.cancelled_setups.retain(|_, until| *until > now);
         let idle = |v: &ViewerConnection| {
-            let after = if v.trust > 0 { SERVED_VIEWER_IDLE } else { UNPROVEN_VIEWER_IDLE };
+            let proven = v.evidence >= PeerEvidence::HandedOver;
+            let after = if proven { SERVED_VIEWER_IDLE } else { UNPROVEN_VIEWER_IDLE };
             v.open_setups.is_empty() && v.active_sessions == 0 && now - v.last_active >= after
         };
         let idle: Vec<u64> = self.viewers.iter().filter(|(_, v)| idle(v)).map(|(&c, _)| c).collect();
         idle.into_iter().for_each(|conn| self.remove_viewer(conn, true));
+        self.send_undelivered_ends();
         let notifications_arrive = self.notifications_arrive();
         let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
         for id in ids {
--- a/crates/kelpdoor-platform/src/core/node_loss.rs
+++ b/crates/kelpdoor-platform/src/core/node_loss.rs
@@ -15,7 +15,7 @@
 use kelpdoor::ids::{NodeId, SessId};
 use kelpdoor::round::{LoadReport, Phase, SetupOutcome};
 
-use super::{CoreState, Link, Node, PENDING_TTL, PendingMessage, Session};
+use super::{CoreState, Link, Node, PENDING_TTL, PendingMessage, Session, SessionEnd};
 use crate::core::Effect;
 use crate::incarnations::{Epoch, MIN_RESTART_TIME, ProofDeadlines};
 use crate::liveness::{END_DEADLINE, RELEASE_RETRY_INTERVAL};
@@ -150,7 +150,7 @@
         for sess in sessions {
             let Some(conn) = self.sessions.get(&sess).map(|s| s.conn) else { continue };
             self.end_session(sess, node, outcome, LoadReport::default());
-            self.notify_end(sess, conn, cause::TEMPORARY_FAILURE);
+            self.report_end(SessionEnd { sess, cause: cause::TEMPORARY_FAILURE }, Some(conn));
             let connected = release == Release::IfConnected && self.connected_link(node).is_some();
             if connected || release == Release::WhenConnected {
                 self.send_or_queue(node, PendingMessage::Release(sess, cause::TEMPORARY_FAILURE));
--- a/crates/kelpdoor-platform/src/core/viewers.rs
+++ b/crates/kelpdoor-platform/src/core/viewers.rs
@@ -6,8 +6,9 @@
 use kelpdoor::round::{LoadReport, NewSession, SetupOutcome};
 
 use super::{
-    ANSWER_MARGIN, CoreState, Effect, MAX_CANCELLED_SETUPS, MAX_SETUPS, MAX_SETUPS_PER_VIEWER,
-    PendingMessage, Session, Stage, Timer, ViewerConnection,
+    ANSWER_MARGIN, CoreState, Effect, MAX_CANCELLED_SETUPS, MAX_SETUPS, MAX_SETUPS_PER_VIEWER, PeerEvidence,
+    PendingMessage, SILENT_VIEWER_END_DELAY, Session, SessionEnd, Stage, Timer, UndeliveredEnd,
+    ViewerConnection,
 };
 use crate::incarnations::Epoch;
 use crate::viewer::{self, MessageError, Reply, SetupRequest, cause};
@@ -19,8 +20,8 @@
             // set-ups.
             let idle = self.viewers.iter().filter(|(_, v)| v.open_setups.is_empty());
             let Some((&oldest, _)) = idle.min_by(|a, b| {
-                (a.1.trust, a.1.active_sessions > 0, a.1.last_active)
-                    .partial_cmp(&(b.1.trust, b.1.active_sessions > 0, b.1.last_active))
+                (a.1.evidence, a.1.active_sessions > 0, a.1.last_active)
+                    .partial_cmp(&(b.1.evidence, b.1.active_sessions > 0, b.1.last_active))
                     .unwrap_or(std::cmp::Ordering::Equal)
             }) else {
                 return self.effects.push(Effect::CloseViewer { conn });
@@ -30,7 +31,7 @@
         let viewer = ViewerConnection {
             open_setups: BTreeSet::new(),
             last_active: self.now,
-            trust: 0,
+            evidence: PeerEvidence::Silent,
             active_sessions: 0,
             misbehaved: false,
         };
@@ -52,15 +53,24 @@
         }
         match message {
             Ok(viewer::ViewerMessage::Start(sess, request)) => {
-                self.start_session(conn, waited, sess, request)
+                self.start_session(conn, waited, sess, request);
+                // A rejected set-up is no evidence.
+                let misbehaved = self.viewers.get(&conn).is_none_or(|v| v.misbehaved);
+                if !misbehaved {
+                    self.raise_evidence(conn, PeerEvidence::Viewer);
+                }
+            }
+            Ok(viewer::ViewerMessage::Finish(sess)) => {
+                self.handle_finish(conn, sess);
+                self.raise_evidence(conn, PeerEvidence::Viewer);
             }
-            Ok(viewer::ViewerMessage::Finish(sess)) => self.handle_finish(conn, sess),
             Ok(viewer::ViewerMessage::Echo(sess)) => {
                 self.mark_active(conn);
+                self.raise_evidence(conn, PeerEvidence::Viewer);
                 let bytes = viewer::encode(Some(sess), Reply::Echoed);
                 self.effects.push(Effect::SendViewer { conn, bytes });
             }
-            Ok(viewer::ViewerMessage::Ignored) => {}
+            Ok(viewer::ViewerMessage::Ignored) => self.raise_evidence(conn, PeerEvidence::Viewer),
             Err(error) => self.reject_message(conn, &error),
         }
     }
@@ -71,6 +81,14 @@
         }
     }
 
+    /// Records what a message shows about a connection's peer. Undelivered ends are sent on it if that makes it fit
+    /// for them.
+    pub(super) fn raise_evidence(&mut self, conn: u64, evidence: PeerEvidence) {
+        let Some(v) = self.viewers.get_mut(&conn).filter(|v| v.evidence < evidence) else { return };
+        v.evidence = evidence;
+        self.send_undelivered_ends();
+    }
+
     /// Rejects a malformed message, and closes its connection once no set-up is open on it.
     pub(super) fn reject_message(&mut self, conn: u64, error: &MessageError) {
         self.push_log(format!("viewer connection {conn}: {}", error.why));
@@ -177,9 +195,6 @@
                     "ignored a session handed over at {at}: unknown node or too many sessions"
                 ));
             };
-            if let Some(v) = self.viewers.get_mut(&conn) {
-                v.trust = v.trust.max(1);
-            }
             // It was set up by a previous process of the director, and is active at its node now.
             (session.stage, session.node) = (Stage::Active, node);
             let now = self.now;
@@ -191,7 +206,7 @@
             self.sessions.insert(sess, session);
             self.activate_session(sess, node, epoch);
             self.round.handed_over.push((wanted, node));
-            return self.send_undelivered_ends();
+            return self.raise_evidence(conn, PeerEvidence::HandedOver);
         }
         self.setups_received += 1;
         let full = self.open_setups >= MAX_SETUPS
@@ -303,30 +318,52 @@
         self.effects.push(Effect::SendViewer { conn, bytes });
     }
 
-    /// Reports the end of a session: on its own connection, else on the most trusted one that is open, else
-    /// on the next one that becomes trusted.
-    pub(super) fn notify_end(&mut self, sess: SessId, conn: u64, why: u32) {
-        let trusted = |v: &ViewerConnection| v.trust > 0 && !v.misbehaved;
-        let at = match self.viewers.get(&conn) {
-            Some(v) if trusted(v) => Some(conn),
-            _ => {
-                let candidates = self.viewers.iter().filter(|(_, v)| trusted(v));
-                candidates.max_by_key(|(c, v)| (v.trust, **c)).map(|(&c, _)| c)
-            }
-        };
-        if let Some(conn) = at {
-            return self.send_finish(conn, Some(sess), why, None);
+    /// Reports the end of a session: on its own connection if that is open, else on the one with the strongest
+    /// evidence of a viewer, else on the next one that is fit for it.
+    pub(super) fn report_end(&mut self, end: SessionEnd, own: Option<u64>) {
+        let at = own.filter(|conn| self.may_report_on(*conn, PeerEvidence::Viewer));
+        match at.or_else(|| self.best_connection_for_ends(PeerEvidence::Viewer)) {
+            Some(conn) => self.send_end(conn, end),
+            None => self.queue_end(UndeliveredEnd { end, since: self.now }),
         }
-        // The queue only grows this long if sessions keep starting on connections that misbehave.
+    }
+
+    fn may_report_on(&self, conn: u64, least: PeerEvidence) -> bool {
+        self.viewers.get(&conn).is_some_and(|v| v.evidence >= least && !v.misbehaved)
+    }
+
+    fn best_connection_for_ends(&self, least: PeerEvidence) -> Option<u64> {
+        let fit = self.viewers.iter().filter(|(conn, _)| self.may_report_on(**conn, least));
+        fit.max_by_key(|(conn, v)| (v.evidence, **conn)).map(|(&conn, _)| conn)
+    }
+
+    fn send_end(&mut self, conn: u64, end: SessionEnd) {
+        let bytes = viewer::encode(Some(end.sess), Reply::Finish { cause: end.cause, wait: None });
+        self.effects.push(Effect::ReportEnd { conn, bytes, end });
+    }
+
+    fn queue_end(&mut self, undelivered: UndeliveredEnd) {
         if self.undelivered_ends.len() >= self.max_sessions {
             self.undelivered_ends.pop_front();
         }
-        self.undelivered_ends.push_back((sess, why));
+        self.undelivered_ends.push_back(undelivered);
     }
 
+    /// Sends the undelivered ends for which a connection is open now. An end that has waited for too long is sent on
+    /// a silent connection too.
     pub(super) fn send_undelivered_ends(&mut self) {
-        for (sess, why) in std::mem::take(&mut self.undelivered_ends) {
-            self.notify_end(sess, u64::MAX, why);
+        if self.undelivered_ends.is_empty() {
+            return;
+        }
+        let viewer = self.best_connection_for_ends(PeerEvidence::Viewer);
+        let any = self.best_connection_for_ends(PeerEvidence::Silent);
+        for undelivered in std::mem::take(&mut self.undelivered_ends) {
+            let waited = self.now - undelivered.since;
+            let at = if waited < SILENT_VIEWER_END_DELAY { viewer } else { any };
+            match at {
+                Some(conn) => self.send_end(conn, undelivered.end),
+                None => self.queue_end(undelivered),
+            }
         }
     }
 }
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -5,7 +5,7 @@
 mod change_log;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
@@ -23,7 +23,7 @@
 use tokio::task::{JoinSet, LocalSet, spawn_local};
 use tokio::time::{sleep, sleep_until, timeout};
 
-use crate::core::{ConnectFailure, Effect, Input, MEMORY_DIVISOR, SessionCore};
+use crate::core::{ConnectFailure, Effect, Input, MEMORY_DIVISOR, SessionCore, SessionEnd};
 use crate::startup::StartupConfig;
 use crate::viewer::{self, MAX_LINE};
 
@@ -81,6 +81,10 @@
     stream: RefCell<Option<Rc<TcpStream>>>,
     unsent: RefCell<Vec<u8>>,
     unsent_total: UnsentTotal,
+    /// Bytes that the socket accepted so far.
+    accepted: Cell<u64>,
+    /// Reports of ends that are not accepted yet, with the position of their last byte.
+    unaccepted_ends: RefCell<VecDeque<(u64, SessionEnd)>>,
     closing: Cell<bool>,
     aborted: Cell<bool>,
     notify: Notify,
@@ -92,6 +96,8 @@
             stream: RefCell::new(stream),
             unsent: RefCell::default(),
             unsent_total,
+            accepted: Cell::new(0),
+            unaccepted_ends: RefCell::default(),
             closing: Cell::new(false),
             aborted: Cell::new(false),
             notify: Notify::new(),
@@ -106,6 +112,7 @@
             && let Some(stream) = &*self.stream.borrow()
         {
             from = stream.try_write(bytes).unwrap_or(0);
+            self.record_accepted(from);
         }
         if from < bytes.len() {
             let (rest, all) = (&bytes[from..], self.unsent_total.bytes.get());
@@ -119,12 +126,36 @@
         }
     }
 
+    /// Writes the report of a session's end, and keeps the end until the socket has accepted all of it.
+    fn write_end(&self, bytes: &[u8], end: SessionEnd) {
+        let position = self.accepted.get() + (self.unsent.borrow().len() + bytes.len()) as u64;
+        self.write(bytes);
+        if self.accepted.get() < position {
+            self.unaccepted_ends.borrow_mut().push_back((position, end));
+        }
+    }
+
+    fn record_accepted(&self, bytes: usize) {
+        let accepted = self.accepted.get() + bytes as u64;
+        self.accepted.set(accepted);
+        let mut ends = self.unaccepted_ends.borrow_mut();
+        while ends.front().is_some_and(|(position, _)| *position <= accepted) {
+            ends.pop_front();
+        }
+    }
+
+    /// The ends whose reports the socket has not accepted.
+    fn take_unaccepted_ends(&self) -> Vec<SessionEnd> {
+        self.unaccepted_ends.take().into_iter().map(|(_, end)| end).collect()
+    }
+
     /// Writes pending bytes; returns whether the connection is still usable.
     fn flush(&self, stream: &TcpStream) -> bool {
         let mut unsent = self.unsent.borrow_mut();
         match stream.try_write(&unsent) {
             Ok(n) => {
                 consume(&mut unsent, n);
+                self.record_accepted(n);
                 self.unsent_total.bytes.set(self.unsent_total.bytes.get() - n);
                 true
             }
@@ -413,9 +444,13 @@
         outputs.borrow_mut().insert(conn, output.clone());
         let (outputs, input_tx, lingering) = (outputs.clone(), input_tx.clone(), lingering.clone());
         spawn_local(async move {
-            catch_panic(run_viewer(conn, stream, output, input_tx.clone(), lingering)).await;
+            catch_panic(run_viewer(conn, stream, output.clone(), input_tx.clone(), lingering)).await;
             outputs.borrow_mut().remove(&conn);
             let _ = input_tx.send((Instant::now(), Input::ViewerDisconnected { conn })).await;
+            let ends = output.take_unaccepted_ends();
+            if !ends.is_empty() {
+                let _ = input_tx.send((Instant::now(), Input::EndsUndelivered { ends })).await;
+            }
         });
     }
 }
@@ -490,6 +525,7 @@
                         output.write(&bytes);
                     }
                 }
+                Effect::ReportEnd { conn, bytes, end } => self.report_end(conn, &bytes, end),
                 Effect::CloseViewer { conn } => {
                     if let Some(output) = self.viewers.borrow().get(&conn) {
                         output.close();
@@ -526,6 +562,18 @@
         }
     }
 
+    /// Sends the report of a session's end. If its connection has ended, tells the core so at once.
+    fn report_end(&mut self, conn: u64, bytes: &[u8], end: SessionEnd) {
+        tracing::trace!(conn, "{}", String::from_utf8_lossy(bytes));
+        let output = self.viewers.borrow().get(&conn).cloned();
+        if let Some(output) = output {
+            return output.write_end(bytes, end);
+        }
+        let now = self.now();
+        self.core.handle_input(now, 0.0, Input::ViewerDisconnected { conn });
+        self.core.handle_input(now, 0.0, Input::EndsUndelivered { ends: vec![end] });
+    }
+
     fn run_round(&mut self) {
         let now = self.now();
         let mut effects = Vec::new();
@@ -606,7 +654,8 @@
             Input::ViewerConnected { .. }
             | Input::ViewerMessage { .. }
             | Input::ViewerLineTooLong { .. }
-            | Input::ViewerDisconnected { .. } => 1,
+            | Input::ViewerDisconnected { .. }
+            | Input::EndsUndelivered { .. } => 1,
             _ => 2,
         });
         batch.into_iter().for_each(|input| self.handle_input(now, input));
--- a/crates/kelpdoor-platform/src/shell/tests.rs
+++ b/crates/kelpdoor-platform/src/shell/tests.rs
@@ -45,6 +45,27 @@
     assert_eq!(total.bytes.get(), 0);
 }
 
+// Guards against an end that is forgotten as soon as it was written to a connection that cannot take it.
+#[tokio::test]
+async fn reported_end_is_returned_if_its_connection_does_not_accept_it() {
+    let (local, remote) = connected_pair().await;
+    let output = ConnectionOutput::new(Some(local.clone()), unsent_total(1 << 20));
+    let end = |id| SessionEnd { sess: kelpdoor::ids::SessId(id), cause: 16 };
+    output.write_end(b"taken at once", end(1));
+    assert_eq!(output.take_unaccepted_ends(), []);
+    let chunk = vec![b'x'; 16 << 10];
+    while !output.has_unsent() {
+        output.write(&chunk);
+    }
+    output.write_end(b"waits", end(2));
+    output.write_end(b"waits too", end(3));
+    drop(remote);
+    while output.flush(&local) {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(output.take_unaccepted_ends(), [end(2), end(3)]);
+}
+
 #[tokio::test]
 async fn data_sent_before_the_peer_sees_the_close_is_read() {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/kelpdoor-platform/tests/common/mod.rs
+++ b/crates/kelpdoor-platform/tests/common/mod.rs
@@ -78,7 +78,9 @@
     fn record(&mut self, effect: Effect) {
         let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).trim_end().to_owned();
         let line = match effect {
-            Effect::SendViewer { conn, bytes } => format!("viewer {conn} < {}", text(&bytes)),
+            Effect::SendViewer { conn, bytes } | Effect::ReportEnd { conn, bytes, .. } => {
+                format!("viewer {conn} < {}", text(&bytes))
+            }
             Effect::CloseViewer { conn } => format!("viewer {conn} shut"),
             Effect::ConnectLink { link, address } => format!("link {link} dial {address}"),
             Effect::SendNode { link, bytes } => {
--- a/crates/kelpdoor-platform/tests/session_core.rs
+++ b/crates/kelpdoor-platform/tests/session_core.rs
@@ -68,9 +68,9 @@
     let link = s.connect_opened_links();
     s.accept_setup(link, 6);
     expect![[r#"
+        12.20 viewer 3 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":16}
         12.20 link 0 < SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0 | CSeq: 1 | Session: 0000000000000006 | X-Tier: lecture | X-Deadline: 674 | X-Quality: 3 | Content-Length: 3 |  | v=0
         12.20 viewer 3 < {"verb":"STARTED","tag":"0000000000000006","opts":{},"blob":"answer 6"}
-        12.20 viewer 3 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":16}
     "#]].assert_eq(&s.take_trace());
 }
 
@@ -682,6 +682,84 @@
     assert!(trace.contains("viewer 2 < ") && !trace.contains("viewer 3 < "), "{trace}");
 }
 
+/// A scenario whose session 5 has lost its connection, and a node's report of its end.
+fn active_session_without_its_connection() -> (Scenario, &'static str) {
+    let mut s = Scenario::with_active_session(1);
+    s.input_and_run(Input::ViewerDisconnected { conn: 1 });
+    (s, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=16")
+}
+
+// Guards against ends that are kept back although viewers are connected, because nothing was served to them.
+#[test]
+fn session_end_is_reported_on_a_connection_that_was_only_refused_or_tested() {
+    let echo = r#"{"verb":"ECHO","tag":"00000000000000aa","opts":{},"rc":0}"#;
+    for refused in [true, false] {
+        let (mut s, end) = active_session_without_its_connection();
+        s.connect_viewer(2);
+        if refused {
+            s.core.refuse_setups();
+            s.request_setup(2, 6);
+        } else {
+            s.send_line(2, echo);
+        }
+        s.take_trace();
+        s.node_message(0, end);
+        let trace = s.take_trace();
+        assert!(trace.contains("viewer 2 < ") && trace.contains("\"rc\":16"), "refused: {refused}: {trace}");
+    }
+    // The same if the end comes first.
+    let (mut s, end) = active_session_without_its_connection();
+    s.node_message(0, end);
+    s.connect_viewer(2);
+    s.take_trace();
+    s.send_line(2, echo);
+    assert!(s.take_trace().contains("\"rc\":16"));
+}
+
+// Guards against an end that nobody is told for over 1 s although a viewer is connected, which has said nothing yet.
+#[test]
+fn session_end_is_reported_on_a_silent_connection_if_no_other_opens_in_time() {
+    let (mut s, end) = active_session_without_its_connection();
+    s.connect_viewer(2);
+    s.node_message(0, end);
+    assert!(!s.take_trace().contains("FINISH"), "a connection of a viewer may open in time");
+    s.advance(0.9);
+    assert_eq!(s.take_trace().matches("viewer 2 < {\"verb\":\"FINISH\"").count(), 1);
+}
+
+#[test]
+fn session_end_waits_for_a_viewer_rather_than_for_a_connection_that_misbehaves() {
+    let (mut s, end) = active_session_without_its_connection();
+    s.connect_viewer(2);
+    s.request_setup(2, 6);
+    s.send_line(2, "no message");
+    s.node_message(0, end);
+    s.take_trace();
+    s.advance(0.3);
+    s.connect_viewer(3);
+    s.request_setup(3, 7);
+    let trace = s.take_trace();
+    assert!(!trace.contains("viewer 2 < ") && trace.contains("viewer 3 < "), "{trace}");
+}
+
+// Guards against an end that is lost with the connection it was written to.
+#[test]
+fn session_end_that_its_connection_did_not_accept_is_reported_on_another() {
+    use kelpdoor::ids::SessId;
+    use kelpdoor_platform::core::SessionEnd;
+    let mut s = Scenario::with_active_session(1);
+    s.node_message(0, "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=16");
+    assert!(s.take_trace().contains("viewer 1 < "));
+    s.connect_viewer(2);
+    s.request_setup(2, 6);
+    s.take_trace();
+    s.input(Input::ViewerDisconnected { conn: 1 });
+    s.input_and_run(Input::EndsUndelivered { ends: vec![SessionEnd { sess: SessId(5), cause: 16 }] });
+    assert!(
+        s.take_trace().contains(r#"viewer 2 < {"verb":"FINISH","tag":"0000000000000005","opts":{},"rc":16}"#)
+    );
+}
+
 #[test]
 fn spare_link_is_closed_before_the_only_link_to_a_node_with_sessions() {
     // Three links in total. Each node holds its own title, and a session is active at the first.
--- a/crates/kelpdoord/tests/ends.rs
+++ b/crates/kelpdoord/tests/ends.rs
@@ -303,6 +303,33 @@
     assert!(harness.wait_for_exit().success());
 }
 
+// Guards against ends that are told to nobody while every open connection carries tests or refused set-ups alone.
+#[test]
+fn session_end_is_sent_on_connections_on_which_nothing_was_served() {
+    for refused in [true, false] {
+        let mut harness = Harness::new(1);
+        let mut viewer = harness.viewer();
+        viewer.start(1, "open");
+        let setup = harness.next_setup(1);
+        harness.accept_setup(&setup);
+        viewer.expect_started(1);
+        drop(viewer);
+        let mut other = harness.viewer();
+        if refused {
+            other.start(2, "once");
+            let second = harness.next_setup(2);
+            harness.refuse_setup(&second, 453);
+            assert_eq!(other.expect_finish(2), 42);
+        } else {
+            other.echo();
+        }
+        let ended_at = std::time::Instant::now();
+        harness.end_session(&setup);
+        assert_eq!(other.expect_finish(1), 16);
+        assert!(ended_at.elapsed().as_secs_f64() <= 1.05, "{} s", ended_at.elapsed().as_secs_f64());
+    }
+}
+
 #[test]
 fn repeated_termination_signals_and_a_reload_change_nothing() {
     let mut harness = Harness::new(1);
