Give every connection's task a budget of bytes a turn, and look at deadlines between turns

Cause: readable().await followed by try_read takes no part in Tokio's cooperative budget, and a loop of the two never returns to the scheduler while the peer is faster. The timeout around the loop that discards input before a close is looked at only when the loop waits.

Evidence: with a full receive buffer a connection's task read 3,910,656 bytes in one turn (TurnBudget without effect).

Change: 8 KiB a turn; deadlines are looked at with each turn; what is discarded is read in bursts of 64 KiB with a pause of 1 ms.

--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -21,7 +21,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
 use tokio::task::{JoinSet, LocalSet, spawn_local};
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 
 use crate::core::{ConnectFailure, Effect, Input, MEMORY_DIVISOR, SessionCore, SessionEnd};
 use crate::startup::StartupConfig;
@@ -35,8 +35,14 @@
 const MAX_BATCH: usize = 1024;
 /// The inputs of one round may use the memory limit divided by this.
 const BATCH_MEMORY_DIVISOR: usize = 16;
-/// Bytes read from a socket at a time, so that a peer at full speed leaves time for others.
+/// Bytes read from a socket at a time.
 const READ_SIZE: usize = 8 << 10;
+/// Bytes that a connection's task reads in one turn; then all others get theirs.
+const TURN_BYTES: usize = READ_SIZE;
+/// Bytes that are discarded before [`DISCARD_PAUSE`], so that peers that are turned away use little of the processor.
+const DISCARD_BURST: usize = 64 << 10;
+/// Pause after [`DISCARD_BURST`], during which the peer is slowed down.
+const DISCARD_PAUSE: Duration = Duration::from_millis(1);
 /// Maximum unsent bytes per peer; a peer that does not read is cut off beyond it.
 const MAX_UNSENT_BYTES: usize = 128 << 10;
 /// Time that a peer gets to read its last answer before the connection is closed, as a close with unread
@@ -195,7 +201,7 @@
 }
 
 enum ReadResult {
-    Data,
+    Data(usize),
     Closed,
     WouldBlock,
 }
@@ -208,7 +214,7 @@
         Ok(0) => ReadResult::Closed,
         Ok(n) => {
             buf.extend_from_slice(&scratch[..n]);
-            ReadResult::Data
+            ReadResult::Data(n)
         }
         Err(e) if e.kind() == io::ErrorKind::WouldBlock => ReadResult::WouldBlock,
         Err(_) => ReadResult::Closed,
@@ -224,6 +230,51 @@
     }
 }
 
+/// What a connection's task may read before the others get a turn. `readable().await` followed by `try_read` takes no
+/// part in Tokio's cooperative scheduling: while the peer keeps sending, a loop of the two never gives way, and no timer
+/// around it fires.
+struct TurnBudget {
+    left: usize,
+}
+
+impl TurnBudget {
+    fn new() -> Self {
+        TurnBudget { left: TURN_BYTES }
+    }
+
+    /// Counts bytes that were read, and gives way to the other tasks once the budget is used up.
+    async fn spend(&mut self, bytes: usize) {
+        self.left = self.left.saturating_sub(bytes);
+        if self.left == 0 {
+            tokio::task::yield_now().await;
+            self.left = TURN_BYTES;
+        }
+    }
+}
+
+/// Waits until the stream can be read; returns false at the deadline, whether or not it can be read.
+async fn readable_before(stream: &TcpStream, deadline: Instant) -> bool {
+    Instant::now() < deadline && matches!(timeout_at(deadline.into(), stream.readable()).await, Ok(Ok(())))
+}
+
+/// Reads and discards what the peer still sends, until it ends the connection or the deadline passes.
+async fn discard_input(stream: &TcpStream, deadline: Instant) {
+    let mut buf = Vec::new();
+    let mut burst = 0;
+    while readable_before(stream, deadline).await {
+        buf.clear();
+        match read(stream, &mut buf) {
+            ReadResult::Data(n) => burst += n,
+            ReadResult::Closed => return,
+            ReadResult::WouldBlock => {}
+        }
+        if burst >= DISCARD_BURST {
+            sleep(DISCARD_PAUSE).await;
+            burst = 0;
+        }
+    }
+}
+
 /// The event that woke a connection's task.
 enum WakeReason {
     Readable,
@@ -251,6 +302,7 @@
 {
     let mut buf = Vec::new();
     let mut input_closed = false;
+    let mut turn = TurnBudget::new();
     loop {
         if output.aborted.get() {
             return true;
@@ -263,16 +315,19 @@
             let _ = timeout(LINGER_TIMEOUT, flushed).await;
             if read_to_end && !input_closed && !output.has_unsent() {
                 let _ = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write);
-                let rest = async {
-                    while stream.readable().await.is_ok() && !output.aborted.get() {
-                        match read(stream, &mut buf) {
-                            ReadResult::Data if !parse(&mut buf).await => break,
-                            ReadResult::Closed => break,
-                            ReadResult::Data | ReadResult::WouldBlock => {}
+                let deadline = Instant::now() + LINGER_TIMEOUT;
+                while readable_before(stream, deadline).await && !output.aborted.get() {
+                    match read(stream, &mut buf) {
+                        ReadResult::Data(n) => {
+                            if !parse(&mut buf).await {
+                                break;
+                            }
+                            turn.spend(n).await;
                         }
+                        ReadResult::Closed => break,
+                        ReadResult::WouldBlock => {}
                     }
-                };
-                let _ = timeout(LINGER_TIMEOUT, rest).await;
+                }
             }
             return false;
         }
@@ -292,7 +347,10 @@
                 }
             }
             WakeReason::Readable => match read(stream, &mut buf) {
-                ReadResult::Data => input_closed = !parse(&mut buf).await,
+                ReadResult::Data(n) => {
+                    input_closed = !parse(&mut buf).await;
+                    turn.spend(n).await;
+                }
                 ReadResult::Closed => return true,
                 ReadResult::WouldBlock => {}
             },
@@ -312,16 +370,7 @@
     let Ok(_held) = lingering.try_acquire() else { return };
     let socket = socket2::SockRef::from(&*stream);
     let _ = socket.shutdown(std::net::Shutdown::Write);
-    let drain = async {
-        let mut buf = Vec::new();
-        while stream.readable().await.is_ok() {
-            buf.clear();
-            if matches!(read(&stream, &mut buf), ReadResult::Closed) {
-                break;
-            }
-        }
-    };
-    let _ = timeout(LINGER_TIMEOUT, drain).await;
+    discard_input(&stream, Instant::now() + LINGER_TIMEOUT).await;
 }
 
 async fn run_viewer(
--- a/crates/kelpdoor-platform/src/shell/tests.rs
+++ b/crates/kelpdoor-platform/src/shell/tests.rs
@@ -66,6 +66,91 @@
     assert_eq!(output.take_unaccepted_ends(), [end(2), end(3)]);
 }
 
+/// Fills the receive buffer of a connection; returns the number of bytes.
+async fn fill_receive_buffer(remote: &TcpStream) -> usize {
+    let chunk = vec![b'x'; 64 << 10];
+    let mut sent = 0;
+    for _ in 0..100 {
+        while let Ok(n) = remote.try_write(&chunk) {
+            sent += n;
+        }
+        sleep(Duration::from_millis(1)).await;
+    }
+    sent
+}
+
+/// Runs a future beside a task that counts its own turns.
+async fn run_beside_counter(turns: Rc<Cell<usize>>, reading: impl Future<Output = ()>) {
+    let counting = async move {
+        loop {
+            turns.set(turns.get() + 1);
+            tokio::task::yield_now().await;
+        }
+    };
+    let counter = spawn_local(counting);
+    timeout(LINGER_TIMEOUT * 3, reading).await.expect("the connection is closed in time");
+    counter.abort();
+}
+
+// Guards against a loop of `readable` and `try_read` that never gives way while its socket has bytes.
+#[tokio::test]
+async fn connection_with_much_to_read_gives_way_after_each_turn() {
+    LocalSet::new()
+        .run_until(async {
+            check_turns_of_connection(false).await;
+            check_turns_of_connection(true).await;
+        })
+        .await;
+}
+
+/// Serves a connection with a full receive buffer, and checks how much is read between two turns of another task.
+async fn check_turns_of_connection(closing: bool) {
+    let (local, remote) = connected_pair().await;
+    let filled = fill_receive_buffer(&remote).await;
+    assert!(filled >= 8 * TURN_BYTES, "the kernel buffers only {filled} bytes");
+    let output = ConnectionOutput::new(Some(local.clone()), unsent_total(1 << 20));
+    if closing {
+        output.close();
+    }
+    let turns = Rc::new(Cell::new(0));
+    let (mut last_turn, mut in_turn, mut most, mut received) = (0, 0, 0, 0);
+    let parse = async |buf: &mut Vec<u8>| {
+        if last_turn != turns.get() {
+            (last_turn, in_turn) = (turns.get(), 0);
+        }
+        in_turn += buf.len();
+        most = most.max(in_turn);
+        received += buf.len();
+        buf.clear();
+        if received < filled {
+            return true;
+        }
+        output.close();
+        false
+    };
+    run_beside_counter(turns.clone(), async {
+        serve_connection(&local, &output, true, parse).await;
+    })
+    .await;
+    assert!(received >= filled, "closing: {closing}: {received} of {filled} bytes");
+    assert!(most < TURN_BYTES + READ_SIZE, "closing: {closing}: {most} bytes in one turn");
+}
+
+// Guards against a peer that keeps sending and thus keeps the time limit for its last input from being looked at.
+#[tokio::test]
+async fn discarding_the_input_of_a_closed_connection_gives_way_and_ends_in_time() {
+    let (local, remote) = connected_pair().await;
+    let filled = fill_receive_buffer(&remote).await;
+    let turns = Rc::new(Cell::new(0));
+    let discarding = discard_input(&local, Instant::now() + LINGER_TIMEOUT);
+    LocalSet::new().run_until(run_beside_counter(turns.clone(), discarding)).await;
+    assert!(turns.get() >= filled / DISCARD_BURST, "{} turns for {filled} bytes", turns.get());
+    fill_receive_buffer(&remote).await;
+    discard_input(&local, Instant::now()).await;
+    let mut rest = Vec::new();
+    assert!(matches!(read(&local, &mut rest), ReadResult::Data(_)), "nothing is read after the deadline");
+}
+
 #[tokio::test]
 async fn data_sent_before_the_peer_sees_the_close_is_read() {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/kelpdoord/tests/platform/mod.rs
+++ b/crates/kelpdoord/tests/platform/mod.rs
@@ -530,6 +530,13 @@
         self.child.try_wait().expect("a child").is_some()
     }
 
+    /// Peak resident memory of the process in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        peak.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     pub fn open_descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
     }
