Decode messages and lines incrementally: empty lines count towards a limit and are not kept

Cause: parse_as skipped empty lines before a message without a limit and reported them as consumed only with a message, so run_link kept all of them and searched them again with each read.

Change: kelpdoor_rtsp::MessageDecoder and LineDecoder hold a connection's bytes and remember where they stopped; empty lines are dropped at once and count towards the limit of the head. The native director's node links, which had the same fault, use the decoder too.

--- a/crates/kelpdoor-director/src/shell.rs
+++ b/crates/kelpdoor-director/src/shell.rs
@@ -15,6 +15,7 @@
 use kelpdoor_clock::{BootClock, SlewedClock};
 use kelpdoor_keeper::RunningKeeper;
 use kelpdoor_parts::{CATCH_UP_TIME, was_paused};
+use kelpdoor_rtsp::{MessageDecoder, Version};
 use kelpdoor_script::Deployment;
 use kelpdoor_seats::KeeperRequest;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -51,6 +52,8 @@
 const MAX_ROUND_PAUSE: Duration = Duration::from_millis(5);
 /// Shortest interval between two updates of the published counts.
 const COUNTS_INTERVAL: Duration = Duration::from_millis(200);
+/// Bytes read at a time from a connection to a node.
+const NODE_READ_SIZE: usize = 4096;
 /// Time limit for the WebSocket handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time limit for each step of closing connections and of shutting down.
@@ -579,11 +582,11 @@
         return;
     }
     let reader = async {
-        let mut buf = Vec::with_capacity(4096);
+        let mut decoder = MessageDecoder::new(Version::V2);
+        let mut buf = vec![0; NODE_READ_SIZE];
         loop {
-            match kelpdoor_rtsp::parse(&buf) {
-                Ok(Some((message, len))) => {
-                    buf.drain(..len);
+            match decoder.next_message() {
+                Ok(Some(message)) => {
                     if send_event(NodeEvent::Received(message)).await.is_err() {
                         return "the director ends".to_owned();
                     }
@@ -592,9 +595,9 @@
                 Ok(None) => {}
                 Err(e) => return e.to_string(),
             }
-            match read.read_buf(&mut buf).await {
+            match read.read(&mut buf).await {
                 Ok(0) => return "closed by the node".to_owned(),
-                Ok(_) => {}
+                Ok(n) => decoder.push(&buf[..n]),
                 Err(e) => return e.to_string(),
             }
         }
--- a/crates/kelpdoor-platform/src/lib.rs
+++ b/crates/kelpdoor-platform/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod changes;
 pub mod core;
 pub mod incarnations;
+mod lines;
 pub mod liveness;
 pub mod media;
 mod shell;
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -16,7 +16,7 @@
 use futures_util::FutureExt;
 use kelpdoor_clock::SlewedClock;
 use kelpdoor_parts::{CATCH_UP_TIME, was_paused};
-use kelpdoor_rtsp::{Message, Version, parse_as};
+use kelpdoor_rtsp::{Message, MessageDecoder, Version};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
@@ -24,6 +24,7 @@
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 
 use crate::core::{ConnectFailure, Effect, Input, MEMORY_DIVISOR, SessionCore, SessionEnd};
+use crate::lines::{LineDecoder, LineTooLong};
 use crate::startup::StartupConfig;
 use crate::viewer::{self, MAX_LINE};
 
@@ -378,28 +379,23 @@
     lingering: Rc<Semaphore>,
 ) {
     let _ = input_tx.send((Instant::now(), Input::ViewerConnected { conn })).await;
+    let mut decoder = LineDecoder::new(MAX_LINE);
     let peer_ended = serve_connection(&stream, &output, false, async |buf: &mut Vec<u8>| {
         let arrived_at = Instant::now();
-        let mut from = 0;
-        while let Some(end) = buf[from..].iter().position(|&b| b == b'\n') {
-            let line = &buf[from..from + end];
-            from += end + 1;
-            if end >= MAX_LINE {
-                let _ = input_tx.send((arrived_at, Input::ViewerLineTooLong { conn })).await;
-                return false;
-            }
-            let message = viewer::parse(line);
+        decoder.push(&std::mem::take(buf));
+        loop {
+            let message = match decoder.next_line() {
+                Ok(Some(line)) => viewer::parse(line),
+                Ok(None) => return true,
+                Err(LineTooLong) => {
+                    let _ = input_tx.send((arrived_at, Input::ViewerLineTooLong { conn })).await;
+                    return false;
+                }
+            };
             if input_tx.send((arrived_at, Input::ViewerMessage { conn, message })).await.is_err() {
                 return false;
             }
         }
-        consume(buf, from);
-        if buf.len() >= MAX_LINE {
-            *buf = Vec::new();
-            let _ = input_tx.send((arrived_at, Input::ViewerLineTooLong { conn })).await;
-            return false;
-        }
-        true
     })
     .await;
     if !peer_ended {
@@ -445,28 +441,25 @@
     let _ = stream.set_nodelay(true);
     *output.stream.borrow_mut() = Some(stream.clone());
     let _ = input_tx.send((Instant::now(), Input::LinkConnected { link })).await;
+    let mut decoder = MessageDecoder::new(Version::V1);
     serve_connection(&stream, &output, true, async |buf: &mut Vec<u8>| {
         let arrived_at = Instant::now();
-        let mut from = 0;
+        decoder.push(&std::mem::take(buf));
         loop {
-            match parse_as(Version::V1, &buf[from..]) {
-                Ok(Some((message, len))) => {
-                    from += len;
+            match decoder.next_message() {
+                Ok(Some(message)) => {
                     if input_tx.send((arrived_at, Input::NodeMessage { link, message })).await.is_err() {
                         return false;
                     }
                 }
-                Ok(None) => break,
+                Ok(None) => return true,
                 Err(e) => {
-                    *buf = Vec::new();
-                    let _ =
-                        input_tx.send((arrived_at, Input::LinkCorrupted { link, why: e.to_string() })).await;
+                    let corrupted = Input::LinkCorrupted { link, why: e.to_string() };
+                    let _ = input_tx.send((arrived_at, corrupted)).await;
                     return false;
                 }
             }
         }
-        consume(buf, from);
-        true
     })
     .await;
 }
--- a/crates/kelpdoor-rtsp/src/lib.rs
+++ b/crates/kelpdoor-rtsp/src/lib.rs
@@ -4,10 +4,12 @@
 //! The director and the simulated nodes of `kelpdoor-lab` share this crate, which keeps no state and does no I/O.
 //! `docs/node-protocol.md` describes the supported subset.
 
+mod decode;
 mod message;
 mod parse;
 mod values;
 
+pub use decode::MessageDecoder;
 pub use message::{Headers, Message, Method, Request, Response, Version};
 pub use parse::{MAX_HEADERS, ParseError, parse, parse_as};
 pub use values::{LinkDemandHeader, LoadReportHeader};
--- a/crates/kelpdoor-rtsp/tests/roundtrip.rs
+++ b/crates/kelpdoor-rtsp/tests/roundtrip.rs
@@ -127,3 +127,81 @@
     }
     assert_eq!((seen, good), (8, 4));
 }
+
+/// Decodes bytes that arrive in pieces of the given lengths.
+fn decode_in_pieces(bytes: &[u8], lengths: &[usize]) -> Vec<Message> {
+    let mut decoder = MessageDecoder::new(Version::V1);
+    let (mut rest, mut messages) = (bytes, Vec::new());
+    for length in lengths.iter().cycle() {
+        let (piece, after) = rest.split_at((*length).min(rest.len()));
+        decoder.push(piece);
+        while let Some(message) = decoder.next_message().expect("valid messages") {
+            messages.push(message);
+        }
+        rest = after;
+        if rest.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(decoder.buffered(), 0);
+    messages
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(2), ..ProptestConfig::default() })]
+
+    #[test]
+    fn messages_are_decoded_however_they_are_split(
+        messages in prop::collection::vec((0..3usize, message()), 1..4), lengths in prop::collection::vec(1..40usize, 1..6)
+    ) {
+        let mut bytes = Vec::new();
+        for (empty_lines, message) in &messages {
+            bytes.extend(b"\r\n".repeat(*empty_lines));
+            message.write_as(Version::V1, &mut bytes);
+        }
+        let expected: Vec<Message> = messages.into_iter().map(|(_, message)| message).collect();
+        prop_assert_eq!(decode_in_pieces(&bytes, &lengths), expected);
+    }
+}
+
+// Guards against empty lines before a message that are kept, and searched again with each read.
+#[test]
+fn empty_lines_before_a_message_are_not_kept_and_are_limited() {
+    let (max_head, _) = Version::V1.limits();
+    let mut decoder = MessageDecoder::new(Version::V1);
+    for _ in 0..max_head / 2 {
+        decoder.push(b"\r\n");
+        assert_eq!(decoder.next_message(), Ok(None));
+        assert_eq!(decoder.buffered(), 0);
+    }
+    decoder.push(b"\r\n");
+    assert_eq!(decoder.next_message(), Err(ParseError::EmptyLines(max_head)));
+    let lines = b"\r\n".repeat(max_head / 2 + 1);
+    assert_eq!(parse_as(Version::V1, &lines), Err(ParseError::EmptyLines(max_head)));
+    assert_eq!(parse_as(Version::V1, &lines[2..]), Ok(None));
+}
+
+// Guards against a body that is announced as too long and is waited for.
+#[test]
+fn decoder_returns_the_errors_of_the_parser() {
+    for text in
+        ["RTSP/1.0 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "x\r\n\r\n", "\rRTSP/1.0 200 OK\r\n\r\n"]
+    {
+        let mut decoder = MessageDecoder::new(Version::V1);
+        decoder.push(text.as_bytes());
+        assert_eq!(
+            decoder.next_message(),
+            parse_as(Version::V1, text.as_bytes()).map(|m| m.map(|m| m.0)),
+            "{text}"
+        );
+        assert!(parse_as(Version::V1, text.as_bytes()).is_err());
+    }
+    let (max_head, _) = Version::V1.limits();
+    let mut decoder = MessageDecoder::new(Version::V1);
+    for _ in 1..max_head {
+        decoder.push(b"x");
+        assert_eq!(decoder.next_message(), Ok(None));
+    }
+    decoder.push(b"x");
+    assert_eq!(decoder.next_message(), Err(ParseError::HeadTooLong(max_head)));
+}
--- a/crates/kelpdoord/tests/floods.rs
+++ b/crates/kelpdoord/tests/floods.rs
@@ -10,7 +10,7 @@
 use std::thread::{JoinHandle, spawn};
 use std::time::{Duration, Instant};
 
-use platform::{AUTO_ANSWERED, Harness, Viewer, finish_line};
+use platform::{AUTO_ANSWERED, Harness, Viewer, finish_line, start_line};
 
 /// The director's memory limit in its configuration.
 const MEMORY_LIMIT_KB: u64 = 32 << 10;
@@ -130,3 +130,42 @@
         clients.into_iter().for_each(|client| client.join().expect("the client ends"));
     });
 }
+
+/// Writes bytes on a connection again and again until its peer ends it; returns whether it did before `until`.
+fn write_noise(mut stream: TcpStream, noise: &[u8], until: Instant) -> bool {
+    while Instant::now() < until {
+        if stream.write_all(noise).is_err() {
+            return true;
+        }
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+    false
+}
+
+// Guards against bytes of a node that are kept and searched again with each read, as they neither are a message nor exceed
+// a limit.
+#[test]
+fn node_that_sends_noise_without_end_does_not_delay_others() {
+    let head = "RTSP/1.0 200 OK\r\nCSeq: 1\r\n";
+    let noises = [
+        ("empty lines", "", "\r\n"),
+        ("one line", "", "x"),
+        ("header fields", head, "A: b\r\n"),
+        ("body", "RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 3000000000\r\n\r\n", "x"),
+    ];
+    for (name, start, noise) in noises {
+        let mut harness = Harness::new(2);
+        Harness::elapse(1500);
+        harness.barrier();
+        check_flood(name, harness, |harness| {
+            let mut viewer = harness.viewer();
+            viewer.send(&start_line(1, "open", 4000).replace("home:0", "home:1"));
+            let setup = harness.next_setup(1);
+            harness.write(setup.node, setup.conn, start.as_bytes());
+            let stream = harness.node_stream(setup.node, setup.conn);
+            let chunk = noise.repeat((64 << 10) / noise.len());
+            let closed = write_noise(stream, chunk.as_bytes(), Instant::now() + Duration::from_secs(3));
+            assert!(closed, "{name}: the connection stays open");
+        });
+    }
+}
--- a/crates/kelpdoord/tests/platform/mod.rs
+++ b/crates/kelpdoord/tests/platform/mod.rs
@@ -434,6 +434,12 @@
         }
     }
 
+    /// A node's connection, to write to it beside the harness.
+    pub fn node_stream(&self, node: usize, conn: usize) -> TcpStream {
+        let conns = lock(&self.nodes[node].conns);
+        conns[conn].as_ref().expect("the connection is open").try_clone().expect("the same")
+    }
+
     /// Answers a SETUP with status 200.
     pub fn accept_setup(&self, setup: &Setup) {
         self.write(setup.node, setup.conn, &setup_response(setup.id, 200));
