Answer a repeated START with the outcome of the first one instead of closing on it

Cause: an outcome belonged to the connection that it was written to. The request was dropped once its session was active and the description was not kept, so a repetition looked like a foreign use of the id. After a failure or a withdrawal a repetition ran again, for groups too that may not be set up twice.

Change: an outcome belongs to its id for 2 s (core/repeats.rs has the table of states). A repetition gets the answer again and takes the session over, or gets the recorded refusal or failure; it does not run again. Kept answers count towards the memory of descriptions, outcomes are bounded. Misuse of an id gets an error without an id before the close (expected trace of duplicate_id_fails_only_the_setup_on_its_own_connection: one line more).

--- a/crates/kelpdoor-platform/src/core.rs
+++ b/crates/kelpdoor-platform/src/core.rs
@@ -17,6 +17,7 @@
 mod links;
 mod node_list;
 mod node_loss;
+mod repeats;
 mod viewers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -24,6 +25,7 @@
 
 use kelpdoor::ids::{NodeId, SessId};
 use kelpdoor::round::{Ended, ListedNode, LoadReport, Measurement, Phase, Playing, SetupOutcome};
+use kelpdoor::terms::Repeat;
 use kelpdoor::{Director, Orders, Round};
 use kelpdoor_parts::{TimerId, Timers};
 use kelpdoor_rtsp::Message;
@@ -34,7 +36,9 @@
 use crate::liveness::Liveness;
 use crate::media::{self, NodeNotification};
 use crate::startup::StartupConfig;
-use crate::viewer::{self, MessageError, Reply, SetupRequest, cause};
+use crate::viewer::{self, MessageError, Reply, RequestDigest, SetupRequest, cause};
+
+use repeats::{Outcome, RecentOutcomes, RecordedAnswer};
 
 /// s; an answer is sent this long before its viewer gives up, to cover the network delay and a late round of
 /// this process.
@@ -49,7 +53,7 @@
 const MAX_SETUPS_PER_VIEWER: usize = 160;
 /// Maximum open set-ups in total.
 const MAX_SETUPS: usize = 1024;
-/// The descriptions of open set-ups may use the memory limit divided by this. The shell allows as much for
+/// The descriptions of open set-ups and recent answers may use the memory limit divided by this. The shell allows as much for
 /// unsent output.
 pub const MEMORY_DIVISOR: usize = 8;
 /// Active sessions may use the memory limit divided by this.
@@ -199,10 +203,12 @@
     pub timers: usize,
     /// Known node addresses.
     pub addresses: usize,
-    /// Total size of the descriptions of open set-ups.
+    /// Total size of the descriptions of open set-ups and of the recent answers.
     pub description_bytes: usize,
     /// Set-ups received since the start.
     pub setups_received: u64,
+    /// Recorded outcomes of recent requests.
+    pub recorded_outcomes: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -233,6 +239,11 @@
     setup_sent_at: f64,
     /// The viewer gave up or disconnected.
     viewer_gone: bool,
+    /// An earlier SETUP of it may have run.
+    may_have_run: bool,
+    digest: RequestDigest,
+    /// Once active, for as long as its request may be repeated.
+    answer: Option<RecordedAnswer>,
     answer_timer: Option<TimerId>,
     setup_timer: Option<TimerId>,
     /// `None` once the session is active.
@@ -329,6 +340,8 @@
     notification_delay: f64,
     director_wake_at: Option<f64>,
     names: SettingsNames,
+    /// When a request may be repeated, by group.
+    group_repeats: Vec<Repeat>,
     report_fields: ReportFields,
     cells: u16,
     racks: u32,
@@ -348,6 +361,9 @@
     /// Cancelled SETUPs, and the time after which no answer to them can arrive.
     cancelled_setups: BTreeMap<(SessId, NodeId), f64>,
     undelivered_ends: VecDeque<UndeliveredEnd>,
+    recent_outcomes: RecentOutcomes,
+    /// Active sessions whose answers are kept, with the time until which they are.
+    recent_answers: VecDeque<(f64, SessId)>,
     open_setups: usize,
     active_sessions: usize,
     description_bytes: usize,
@@ -381,6 +397,7 @@
             notification_delay: config.terms.seen_after,
             director_wake_at: Some(now),
             names: config.names.clone(),
+            group_repeats: config.terms.groups.iter().map(|group| group.repeat).collect(),
             report_fields: config.report_fields.clone(),
             cells: config.terms.cells,
             racks: u32::from(config.terms.racks.max(1)),
@@ -397,6 +414,8 @@
             node_by_address: HashMap::new(),
             cancelled_setups: BTreeMap::new(),
             undelivered_ends: VecDeque::new(),
+            recent_outcomes: RecentOutcomes::default(),
+            recent_answers: VecDeque::new(),
             open_setups: 0,
             active_sessions: 0,
             description_bytes: 0,
@@ -532,6 +551,7 @@
             addresses: state.node_by_address.len(),
             description_bytes: state.description_bytes,
             setups_received: state.setups_received,
+            recorded_outcomes: state.recent_outcomes.len(),
         }
     }
 
@@ -617,6 +637,11 @@
         let Some(s) = self.sessions.get_mut(&sess) else { return };
         let (node, link, viewer_gone) = (s.node, s.link, s.viewer_gone);
         s.stage = Stage::Requested;
+        s.may_have_run |= !matches!(
+            outcome,
+            SetupOutcome::BusyReplied | SetupOutcome::Unreachable | SetupOutcome::NeverSent
+        );
+        let may_have_run = s.may_have_run;
         if let Some(timer) = s.setup_timer.take() {
             self.timers.cancel(timer);
         }
@@ -627,6 +652,9 @@
             n.in_doubt.remove(&sess);
         }
         if viewer_gone {
+            if may_have_run {
+                self.record_outcome(sess, Outcome::Withdrawn);
+            }
             self.remove_session(sess);
         }
         self.round.ended.push(Ended { sess, node, outcome, closed: viewer_gone, load });
@@ -733,6 +761,7 @@
                 if let Some((conn, set_up_in)) = active.map(|s| (s.conn, s.epoch)) {
                     let restarted =
                         self.nodes.get(&node).is_some_and(|n| !n.incarnations.is_same(set_up_in, epoch));
+                    self.record_end(sess);
                     self.end_session(sess, node, media::teardown_outcome(cause, restarted), load);
                     self.report_end(SessionEnd { sess, cause }, Some(conn));
                 } else if self.is_setup_sent(sess, link) {
@@ -806,6 +835,7 @@
         self.activate_session(sess, node, epoch);
         let bytes = viewer::encode(Some(sess), Reply::Started(&blob));
         self.effects.push(Effect::SendViewer { conn, bytes });
+        self.record_answer(sess, blob);
         self.raise_evidence(conn, PeerEvidence::Served);
         self.remove_open_setup(conn, sess);
         self.close_drained_link(link);
@@ -826,6 +856,7 @@
     fn check_connections(&mut self) {
         let now = self.now;
         self.cancelled_setups.retain(|_, until| *until > now);
+        self.forget_old_outcomes();
         let idle = |v: &ViewerConnection| {
             let proven = v.evidence >= PeerEvidence::HandedOver;
             let after = if proven { SERVED_VIEWER_IDLE } else { UNPROVEN_VIEWER_IDLE };
@@ -893,13 +924,11 @@
     fn reply_busy(&mut self, sess: SessId, come_back: Option<f64>) {
         self.answer_counts[1] += 1;
         self.send_final_answer(sess, cause::CONGESTION, come_back);
-        self.remove_session(sess);
     }
 
     fn reply_failed(&mut self, sess: SessId) {
         self.answer_counts[2] += 1;
         self.send_final_answer(sess, cause::TEMPORARY_FAILURE, None);
-        self.remove_session(sess);
     }
 
     /// Asks the viewer to start a new session and the node to end this one; the node reports the end.
--- a/crates/kelpdoor-platform/src/core/node_loss.rs
+++ b/crates/kelpdoor-platform/src/core/node_loss.rs
@@ -149,6 +149,7 @@
     fn end_sessions(&mut self, node: NodeId, sessions: Vec<SessId>, outcome: SetupOutcome, release: Release) {
         for sess in sessions {
             let Some(conn) = self.sessions.get(&sess).map(|s| s.conn) else { continue };
+            self.record_end(sess);
             self.end_session(sess, node, outcome, LoadReport::default());
             self.report_end(SessionEnd { sess, cause: cause::TEMPORARY_FAILURE }, Some(conn));
             let connected = release == Release::IfConnected && self.connected_link(node).is_some();
--- a/crates/kelpdoor-platform/src/core/viewers.rs
+++ b/crates/kelpdoor-platform/src/core/viewers.rs
@@ -5,6 +5,7 @@
 use kelpdoor::ids::{GroupId, NodeId, SessId};
 use kelpdoor::round::{LoadReport, NewSession, SetupOutcome};
 
+use super::repeats::Outcome;
 use super::{
     ANSWER_MARGIN, CoreState, Effect, MAX_CANCELLED_SETUPS, MAX_SETUPS, MAX_SETUPS_PER_VIEWER, PeerEvidence,
     PendingMessage, SILENT_VIEWER_END_DELAY, Session, SessionEnd, Stage, Timer, UndeliveredEnd,
@@ -89,26 +90,30 @@
         self.send_undelivered_ends();
     }
 
-    /// Rejects a malformed message, and closes its connection once no set-up is open on it.
+    /// Rejects an invalid message, and closes its connection once no set-up is open on it. If the message names a held
+    /// session, the error does not, as it would report the end of that session.
     pub(super) fn reject_message(&mut self, conn: u64, error: &MessageError) {
         self.push_log(format!("viewer connection {conn}: {}", error.why));
         match error.sess {
-            Some(sess) if self.sessions.contains_key(&sess) => self.reject_duplicate_id(conn, sess),
+            Some(sess) if self.fails_own_setup(conn, sess) => self.fail_ambiguous_setup(conn, sess),
+            Some(sess) if self.sessions.contains_key(&sess) => {
+                self.send_finish(conn, None, error.cause, None)
+            }
             sess => self.send_finish(conn, sess, error.cause, None),
         }
         self.close_when_idle(conn);
     }
 
-    /// A held session id arrives again in a different request. On the same connection the two cannot be
-    /// distinguished, so the set-up fails. A session that arrived on another connection is not affected; only the
-    /// connection of the second request is closed.
-    pub(super) fn reject_duplicate_id(&mut self, conn: u64, sess: SessId) {
-        let Some(s) = self.sessions.get(&sess) else { return };
-        if s.conn == conn && s.stage != Stage::Active && !s.viewer_gone {
-            self.send_finish(conn, Some(sess), cause::INVALID_CONTENTS, None);
-            self.viewer_departed(sess);
-            self.remove_open_setup(conn, sess);
-        }
+    /// Whether a message with the id of a set-up that is open on the same connection makes that one fail, as the two cannot
+    /// be distinguished. A session that arrived on another connection is not affected.
+    fn fails_own_setup(&self, conn: u64, sess: SessId) -> bool {
+        self.sessions.get(&sess).is_some_and(|s| s.conn == conn && s.stage != Stage::Active && !s.viewer_gone)
+    }
+
+    fn fail_ambiguous_setup(&mut self, conn: u64, sess: SessId) {
+        self.send_finish(conn, Some(sess), cause::INVALID_CONTENTS, None);
+        self.viewer_departed(sess);
+        self.remove_open_setup(conn, sess);
     }
 
     pub(super) fn close_when_idle(&mut self, conn: u64) {
@@ -144,28 +149,16 @@
         {
             return self.reject_message(conn, &invalid("home, copies or top out of range"));
         }
-        if let Some(held) = self.sessions.get_mut(&sess) {
-            if request.at.is_some() {
-                return self.mark_active(conn);
-            }
-            if held.viewer_gone {
-                // Repeated while its first SETUP is being cancelled; nobody else expects an answer under this
-                // id.
-                return self.refuse_busy(conn, sess);
-            }
-            if held.conn != conn && held.request.as_ref().is_some_and(|a| a.is_same_setup(&request)) {
-                // Repeated on a new connection after the old one closed; the answer goes to the new one.
-                let old = std::mem::replace(&mut held.conn, conn);
-                if self.viewers.get_mut(&old).is_some_and(|v| v.open_setups.remove(&sess)) {
-                    self.open_setups -= 1;
-                }
-                return self.add_open_setup(conn, sess);
-            }
-            return self.reject_message(conn, &invalid("session id is already in use"));
+        let group = GroupId(group as u8);
+        if request.at.is_some() && self.sessions.contains_key(&sess) {
+            return self.mark_active(conn);
+        }
+        if request.at.is_none() && self.handle_repeat(conn, sess, &request, group) {
+            return;
         }
         let wanted = NewSession {
             sess,
-            group: GroupId(group as u8),
+            group,
             title: request.title,
             setup_timeout: request.time_left - waited - ANSWER_MARGIN,
             first_cell: request.first_cell,
@@ -183,6 +176,9 @@
             setup_deadline: self.now,
             setup_sent_at: self.now,
             viewer_gone: false,
+            may_have_run: false,
+            digest: request.digest(),
+            answer: None,
             answer_timer: None,
             setup_timer: None,
             request: None,
@@ -211,6 +207,7 @@
         self.setups_received += 1;
         let full = self.open_setups >= MAX_SETUPS
             || self.cancelled_setups.len() >= MAX_CANCELLED_SETUPS
+            || self.recent_outcomes.is_full()
             || self.active_sessions >= self.max_sessions
             || self.description_bytes + request.blob.len() > self.max_description_bytes
             || self.viewers.get(&conn).is_some_and(|v| v.open_setups.len() >= MAX_SETUPS_PER_VIEWER);
@@ -244,6 +241,7 @@
         self.push_log(format!("session {} had no answer by its deadline", viewer::format_session_id(sess)));
         self.answer_counts[2] += 1;
         self.send_finish(conn, Some(sess), cause::TEMPORARY_FAILURE, None);
+        self.record_outcome(sess, Outcome::Answered { cause: cause::TEMPORARY_FAILURE, wait: None });
         self.viewer_departed(sess);
         self.remove_open_setup(conn, sess);
     }
@@ -252,6 +250,7 @@
     pub(super) fn remove_session(&mut self, sess: SessId) -> Option<Session> {
         let s = self.sessions.remove(&sess)?;
         self.description_bytes -= s.request.as_ref().map_or(0, |a| a.blob.len());
+        self.description_bytes -= s.answer.as_ref().map_or(0, |a| a.blob.len());
         [s.answer_timer, s.setup_timer].into_iter().flatten().for_each(|timer| self.timers.cancel(timer));
         Some(s)
     }
@@ -305,12 +304,14 @@
         }
     }
 
-    /// Sends the final answer to a set-up that does not become a session.
-    pub(super) fn send_final_answer(&mut self, sess: SessId, why: u32, wait: Option<f64>) {
+    /// Sends the final answer to a set-up that does not become a session, and removes it.
+    pub(super) fn send_final_answer(&mut self, sess: SessId, cause: u32, wait: Option<f64>) {
         let Some(s) = self.sessions.get(&sess) else { return };
         let conn = s.conn;
-        self.send_finish(conn, Some(sess), why, wait);
+        self.send_finish(conn, Some(sess), cause, wait);
         self.remove_open_setup(conn, sess);
+        self.record_outcome(sess, Outcome::Answered { cause, wait });
+        self.remove_session(sess);
     }
 
     pub(super) fn send_finish(&mut self, conn: u64, sess: Option<SessId>, cause: u32, wait: Option<f64>) {
--- a/crates/kelpdoor-platform/src/viewer.rs
+++ b/crates/kelpdoor-platform/src/viewer.rs
@@ -51,12 +51,18 @@
 }
 
 impl SetupRequest {
-    /// Whether `other` repeats this request. A repeated request has less time left and may carry other marks.
-    pub fn is_same_setup(&self, other: &SetupRequest) -> bool {
-        (&self.class, &self.key, &self.blob) == (&other.class, &other.key, &other.blob)
+    /// Equal for a request and its repetition, which has less time left and may carry other marks.
+    pub fn digest(&self) -> RequestDigest {
+        let mut hasher = DefaultHasher::new();
+        (&self.class, &self.key, &self.blob).hash(&mut hasher);
+        RequestDigest(hasher.finish())
     }
 }
 
+/// Identifies a request by its contents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestDigest(u64);
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum ViewerMessage {
     Start(SessId, Box<SetupRequest>),
--- a/crates/kelpdoor-platform/tests/session_core.rs
+++ b/crates/kelpdoor-platform/tests/session_core.rs
@@ -447,6 +447,7 @@
     s.accept_setup(0, 5);
     expect![[r#"
         10.00 log: viewer connection 2: session id is already in use
+        10.00 viewer 2 < {"verb":"FINISH","tag":"0000000000000000","opts":{},"rc":100}
         10.00 viewer 2 shut
         10.00 viewer 1 < {"verb":"STARTED","tag":"0000000000000005","opts":{},"blob":"answer 5"}
     "#]]
@@ -481,6 +482,115 @@
     .assert_eq(&s.take_trace());
 }
 
+// Guards against a repeated request that is closed on without an answer, because its session is active already.
+#[test]
+fn repeated_request_of_an_answered_session_gets_its_answer_again() {
+    for old_is_closed in [false, true] {
+        let mut s = Scenario::with_active_session(1);
+        if old_is_closed {
+            s.input_and_run(Input::ViewerDisconnected { conn: 1 });
+        }
+        s.connect_viewer(2);
+        s.send_line(2, &start(5, "lecture", "home:0;copies:4;top:4", "v=0").replace("3000", "2960"));
+        expect![[r#"
+            10.00 viewer 2 < {"verb":"STARTED","tag":"0000000000000005","opts":{},"blob":"answer 5"}
+        "#]]
+        .assert_eq(&s.take_trace());
+        // Its end goes to the new connection, which stays open until then.
+        s.advance(6.0);
+        assert!(!s.take_trace().contains("viewer 2 shut"));
+        s.node_message(
+            0,
+            "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=16",
+        );
+        let trace = s.take_trace();
+        assert!(trace.contains("viewer 2 < ") && trace.contains("\"rc\":16"), "{trace}");
+    }
+}
+
+#[test]
+fn answer_is_kept_only_for_as_long_as_its_request_may_be_repeated() {
+    let mut s = Scenario::with_active_session(1);
+    assert_eq!(s.core.counts().description_bytes, "answer 5".len());
+    s.advance(2.2);
+    assert_eq!(s.core.counts().description_bytes, 0);
+    s.connect_viewer(2);
+    s.request_setup(2, 5);
+    // The error names no session, as it would report the end of the active one.
+    expect![[r#"
+        11.50 link 1 dial 10.1.0.1:5070
+        12.20 log: viewer connection 2: session id is already in use
+        12.20 viewer 2 < {"verb":"FINISH","tag":"0000000000000000","opts":{},"rc":100}
+        12.20 viewer 2 shut
+    "#]]
+    .assert_eq(&s.take_trace());
+    assert_eq!(s.core.counts().active_sessions, 1);
+}
+
+// Guards against a second SETUP for a request that failed, was withdrawn or has ended, and that comes again.
+#[test]
+fn repeated_request_gets_the_outcome_of_the_first_and_does_not_run_again() {
+    type NamedOutcome = (&'static str, fn(&mut Scenario));
+    let outcomes: [NamedOutcome; 4] = [
+        ("failed", |s| s.node_message(0, "RTSP/1.0 500 No|CSeq: 1|Session: 0000000000000005")),
+        ("withdrawn", |s| s.send_line(1, &finish(5, 16))),
+        ("timed out", |s| s.advance(3.1)),
+        ("ended", |s| {
+            s.accept_setup(0, 5);
+            s.node_message(
+                0,
+                "TEARDOWN rtsp://media/x RTSP/1.0|CSeq: 2|Session: 0000000000000005|Reason: cause=16",
+            );
+        }),
+    ];
+    let mut table = String::new();
+    for class in ["lecture", "paid"] {
+        for (name, end) in outcomes {
+            let mut s = Scenario::new(1, 256);
+            let request = start(5, class, "home:0;copies:4;top:3", "v=0");
+            s.connect_viewer(1);
+            s.send_line(1, &request);
+            s.connect_link(0);
+            end(&mut s);
+            let setups = s.take_trace().matches("SETUP").count();
+            s.connect_viewer(2);
+            s.send_line(2, &request);
+            let trace = s.take_trace();
+            let answer =
+                trace.lines().find(|l| l.contains("viewer 2 < ")).map_or("none", |l| &l[l.len() - 7..]);
+            table.push_str(&format!(
+                "{class} {name}: {setups} + {} {answer}\n",
+                trace.matches("SETUP").count()
+            ));
+            assert!(!trace.contains("shut"), "{trace}");
+        }
+    }
+    expect![[r#"
+        lecture failed: 1 + 0 rc":42}
+        lecture withdrawn: 1 + 0 rc":42}
+        lecture timed out: 1 + 0 rc":42}
+        lecture ended: 1 + 0 rc":41}
+        paid failed: 1 + 0 rc":41}
+        paid withdrawn: 1 + 0 rc":41}
+        paid timed out: 1 + 0 rc":41}
+        paid ended: 1 + 0 rc":41}
+    "#]]
+    .assert_eq(&table);
+}
+
+#[test]
+fn recorded_outcomes_are_bounded_and_expire() {
+    let mut s = Scenario::new(0, 256);
+    s.connect_viewer(1);
+    for id in 1..5000 {
+        s.request_setup(1, id);
+        s.take_trace();
+    }
+    assert!(s.core.counts().recorded_outcomes <= 1024, "{}", s.core.counts().recorded_outcomes);
+    s.advance(2.2);
+    assert_eq!(s.core.counts().recorded_outcomes, 0);
+}
+
 #[test]
 fn id_repeated_while_its_setup_is_cancelled_gets_a_busy_reply() {
     let parse = |line: String| kelpdoor_platform::viewer::parse(line.as_bytes());
--- a/crates/kelpdoord/tests/ends.rs
+++ b/crates/kelpdoord/tests/ends.rs
@@ -681,6 +681,44 @@
 
 // Repeats.
 
+// Guards against a repeated START that is closed on without an answer, because its session is active already.
+#[test]
+fn start_repeated_over_the_end_of_its_connection_is_answered_again() {
+    let mut harness = Harness::new(1);
+    for (id, class) in [(1, "open"), (2, "once"), (3, "soon")] {
+        let mut old = harness.viewer();
+        old.start(id, class);
+        let setup = harness.next_setup(id);
+        harness.accept_setup(&setup);
+        old.expect_started(id);
+        // The answer is lost with the connection, whose end the director hears of later than the viewer.
+        let mut new = harness.viewer();
+        new.start(id, class);
+        new.expect_started(id);
+        drop(old);
+        harness.end_session(&setup);
+        assert_eq!(new.expect_finish(id), 16);
+        harness.barrier();
+        assert_eq!(harness.setup_count(id), 1, "{class}");
+    }
+}
+
+#[test]
+fn start_repeated_after_its_failure_fails_again_and_is_not_set_up_again() {
+    let mut harness = Harness::new(2);
+    let mut old = harness.viewer();
+    old.start_anywhere(1, "once", 2);
+    let setup = harness.next_setup(1);
+    harness.refuse_setup(&setup, 500);
+    assert_eq!(old.expect_finish(1), 41);
+    drop(old);
+    let mut new = harness.viewer();
+    new.start_anywhere(1, "once", 2);
+    assert_eq!(new.expect_finish(1), 41);
+    harness.barrier();
+    assert_eq!(harness.setup_count(1), 1);
+}
+
 #[test]
 fn group_past_its_repeat_window_is_not_set_up_again() {
     let mut harness = Harness::new(3);
