Await the outcome of a SETUP for 0.1 s when its viewer's connection is lost

Cause: the end of a connection was taken for the viewer giving up. The SETUP was withdrawn, the session forgotten, and the same id was new some milliseconds later.

Change: while a SETUP is out, a lost connection starts a wait of 0.1 s in which nothing begins; a repetition takes the set-up or its answer over, otherwise the SETUP is cancelled or the session released. The id stays known after that.

--- a/crates/kelpdoor-platform/src/core.rs
+++ b/crates/kelpdoor-platform/src/core.rs
@@ -223,6 +223,17 @@
     Active,
 }
 
+/// Whether the viewer of a set-up still expects an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ViewerPresence {
+    Connected,
+    /// Its connection was lost while a SETUP was out. Until the timer fires the request may be repeated on another
+    /// connection, which then gets the outcome. Nothing new begins meanwhile.
+    MayReturn(TimerId),
+    /// It gave up or did not return.
+    Gone,
+}
+
 struct Session {
     /// The viewer connection that it arrived on.
     conn: u64,
@@ -237,8 +248,7 @@
     setup_deadline: f64,
     /// Of the pending SETUP, or of the one that made it active; when it arrived, if it was handed over.
     setup_sent_at: f64,
-    /// The viewer gave up or disconnected.
-    viewer_gone: bool,
+    viewer: ViewerPresence,
     /// An earlier SETUP of it may have run.
     may_have_run: bool,
     digest: RequestDigest,
@@ -323,9 +333,11 @@
     reported_link_load: f64,
 }
 
+/// What is due when a timer fires: the end of a SETUP, an answer, or the return of a viewer.
 enum Timer {
-    SetupDeadline { sess: SessId },
-    AnswerDeadline { sess: SessId },
+    Setup { sess: SessId },
+    Answer { sess: SessId },
+    Return { sess: SessId },
 }
 
 struct CoreState {
@@ -450,9 +462,9 @@
             Input::ViewerMessage { conn, message } => state.handle_viewer_message(conn, waited, message),
             Input::ViewerLineTooLong { conn } => {
                 state.send_finish(conn, None, cause::PROTOCOL_ERROR, None);
-                state.remove_viewer(conn, true);
+                state.close_viewer(conn);
             }
-            Input::ViewerDisconnected { conn } => state.remove_viewer(conn, false),
+            Input::ViewerDisconnected { conn } => state.viewer_disconnected(conn),
             Input::EndsUndelivered { ends } => {
                 ends.into_iter().for_each(|end| state.report_end(end, None));
             }
@@ -472,8 +484,9 @@
         state.now = state.now.max(now);
         while let Some(timer) = state.timers.pop(state.now) {
             match timer {
-                Timer::SetupDeadline { sess } => state.cancel_setup(sess, SetupOutcome::TimedOut),
-                Timer::AnswerDeadline { sess } => state.answer_deadline_passed(sess),
+                Timer::Setup { sess } => state.cancel_setup(sess, SetupOutcome::TimedOut),
+                Timer::Answer { sess } => state.answer_deadline_passed(sess),
+                Timer::Return { sess } => state.return_deadline_passed(sess),
             }
         }
         if state.now >= state.next_sweep_at {
@@ -507,7 +520,7 @@
             .filter(|(_, v)| v.open_setups.is_empty())
             .map(|(&conn, _)| conn)
             .collect();
-        idle.into_iter().for_each(|conn| self.state.remove_viewer(conn, true));
+        idle.into_iter().for_each(|conn| self.state.close_viewer(conn));
     }
 
     /// Maximum viewer connections.
@@ -635,7 +648,7 @@
     /// follows.
     fn finish_setup(&mut self, sess: SessId, outcome: SetupOutcome, load: LoadReport) {
         let Some(s) = self.sessions.get_mut(&sess) else { return };
-        let (node, link, viewer_gone) = (s.node, s.link, s.viewer_gone);
+        let (node, link, abandoned) = (s.node, s.link, s.viewer != ViewerPresence::Connected);
         s.stage = Stage::Requested;
         s.may_have_run |= !matches!(
             outcome,
@@ -651,13 +664,13 @@
         if let Some(n) = self.nodes.get_mut(&node) {
             n.in_doubt.remove(&sess);
         }
-        if viewer_gone {
+        if abandoned {
             if may_have_run {
                 self.record_outcome(sess, Outcome::Withdrawn);
             }
             self.remove_session(sess);
         }
-        self.round.ended.push(Ended { sess, node, outcome, closed: viewer_gone, load });
+        self.round.ended.push(Ended { sess, node, outcome, closed: abandoned, load });
         self.close_drained_link(link);
     }
 
@@ -815,13 +828,13 @@
         };
         let now = self.now;
         let Some(s) = self.sessions.get_mut(&sess) else { return };
-        if s.viewer_gone {
-            // The viewer is gone.
+        if s.viewer == ViewerPresence::Gone {
             self.effects
                 .push(Effect::SendNode { link, bytes: media::teardown(sess, cause::NORMAL_CLEARING) });
             return self.finish_setup(sess, SetupOutcome::Withdrawn, LoadReport::default());
         }
         s.stage = Stage::Active;
+        let is_connected = s.viewer == ViewerPresence::Connected;
         let (conn, took, request) = (s.conn, now - s.setup_sent_at, s.request.take());
         let timers = [s.answer_timer.take(), s.setup_timer.take()];
         self.description_bytes -= request.map_or(0, |a| a.blob.len());
@@ -833,8 +846,10 @@
         self.answer_counts[0] += 1;
         let epoch = self.links.get(&link).map(|l| l.epoch).unwrap_or_default();
         self.activate_session(sess, node, epoch);
-        let bytes = viewer::encode(Some(sess), Reply::Started(&blob));
-        self.effects.push(Effect::SendViewer { conn, bytes });
+        if is_connected {
+            let bytes = viewer::encode(Some(sess), Reply::Started(&blob));
+            self.effects.push(Effect::SendViewer { conn, bytes });
+        }
         self.record_answer(sess, blob);
         self.raise_evidence(conn, PeerEvidence::Served);
         self.remove_open_setup(conn, sess);
@@ -863,7 +878,7 @@
             v.open_setups.is_empty() && v.active_sessions == 0 && now - v.last_active >= after
         };
         let idle: Vec<u64> = self.viewers.iter().filter(|(_, v)| idle(v)).map(|(&c, _)| c).collect();
-        idle.into_iter().for_each(|conn| self.remove_viewer(conn, true));
+        idle.into_iter().for_each(|conn| self.close_viewer(conn));
         self.send_undelivered_ends();
         let notifications_arrive = self.notifications_arrive();
         let ids: Vec<NodeId> = self.nodes.keys().copied().collect();
@@ -903,7 +918,7 @@
         let Some(s) = self.sessions.get_mut(&sess) else { return };
         s.node = node;
         s.setup_deadline = wait.map_or(s.answer_deadline, |w| s.answer_deadline.min(now + w));
-        s.setup_timer = Some(self.timers.set(s.setup_deadline, Timer::SetupDeadline { sess }));
+        s.setup_timer = Some(self.timers.set(s.setup_deadline, Timer::Setup { sess }));
         let Some(link) = link else {
             // No file descriptor is free, so it is never sent.
             return self.finish_setup(sess, SetupOutcome::NeverSent, LoadReport::default());
--- a/crates/kelpdoor-platform/src/core/repeats.rs
+++ b/crates/kelpdoor-platform/src/core/repeats.rs
@@ -4,7 +4,8 @@
 //! | state of the session | repeated on another connection | other use of the id |
 //! | --- | --- | --- |
 //! | set-up open | its answer goes there | rejected; on its own connection the set-up fails |
-//! | active, recently answered | the answer is sent there | rejected |
+//! | SETUP out, its connection was lost a moment ago | its answer goes there | rejected |
+//! | active, recently answered (or about to be) | the answer is sent there | rejected |
 //! | active for longer | rejected | rejected |
 //! | withdrawn, and its SETUP may have run | fails, or is refused if its group may be repeated freely | the same |
 //! | refused, failed or ended recently | the recorded outcome is sent | rejected |
@@ -15,9 +16,14 @@
 use kelpdoor::ids::{GroupId, NodeId, SessId};
 use kelpdoor::terms::Repeat;
 
-use super::{CoreState, Effect, PeerEvidence, Stage};
+use super::{
+    CoreState, Effect, LoadReport, PeerEvidence, PendingMessage, SetupOutcome, Stage, Timer, ViewerPresence,
+};
 use crate::viewer::{self, MessageError, Reply, RequestDigest, SetupRequest, cause};
 
+/// s; how long the outcome of a SETUP is awaited for a viewer whose connection was lost. A request that crosses the
+/// end of its connection is repeated within 50 ms, and time limits are 50 ms longer on sockets.
+const RETURN_TIME: f64 = 0.1;
 /// s; how long an outcome can be sent again. A request is repeated within 50 ms, and its new connection may take a
 /// second if its first packet is lost.
 const REPEAT_WINDOW: f64 = 2.0;
@@ -119,7 +125,7 @@
     fn handle_id_in_use(&mut self, conn: u64, sess: SessId, request: &SetupRequest, group: GroupId) {
         let Some(held) = self.sessions.get(&sess) else { return };
         let is_repeat = held.conn != conn && held.digest == request.digest();
-        if held.viewer_gone {
+        if held.viewer == ViewerPresence::Gone {
             // Its SETUP is being cancelled; nobody else expects an answer under this id.
             let outcome = self.withdrawn_outcome(sess);
             self.send_outcome(conn, sess, outcome, group);
@@ -163,6 +169,7 @@
 
     /// An open set-up is repeated on a new connection after the old one closed; the answer goes to the new one.
     fn move_setup(&mut self, conn: u64, sess: SessId) {
+        self.end_wait_for_return(sess, ViewerPresence::Connected);
         let Some(held) = self.sessions.get_mut(&sess) else { return };
         let old = std::mem::replace(&mut held.conn, conn);
         if self.viewers.get_mut(&old).is_some_and(|v| v.open_setups.remove(&sess)) {
@@ -174,6 +181,7 @@
     /// Sends the answer of an active session again, on a new connection; the one that it was sent on ended before
     /// the viewer had read it.
     fn repeat_answer(&mut self, conn: u64, sess: SessId) {
+        self.end_wait_for_return(sess, ViewerPresence::Connected);
         let Some(held) = self.sessions.get_mut(&sess) else { return };
         let Some(answer) = &held.answer else { return };
         let bytes = viewer::encode(Some(sess), Reply::Started(&answer.blob));
@@ -189,6 +197,43 @@
         self.raise_evidence(conn, PeerEvidence::Served);
     }
 
+    /// The connection of an open set-up was lost. If a SETUP is out, its outcome is kept for the viewer, who may repeat the
+    /// request on another connection at any moment: cancelling the SETUP now would leave no way to set the session up
+    /// without running it twice.
+    pub(super) fn await_return(&mut self, sess: SessId) {
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
+        if matches!(s.stage, Stage::SetupSent | Stage::InDoubt) {
+            let timer = self.timers.set(self.now + RETURN_TIME, Timer::Return { sess });
+            s.viewer = ViewerPresence::MayReturn(timer);
+        } else {
+            self.open_setups -= 1;
+            self.viewer_departed(sess);
+        }
+    }
+
+    /// Ends the wait for a viewer's return, if there is one.
+    pub(super) fn end_wait_for_return(&mut self, sess: SessId, presence: ViewerPresence) {
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
+        if let ViewerPresence::MayReturn(timer) = s.viewer {
+            s.viewer = presence;
+            self.timers.cancel(timer);
+            self.open_setups -= 1;
+        }
+    }
+
+    /// The viewer did not return in time: its SETUP is cancelled, or its session is released.
+    pub(super) fn return_deadline_passed(&mut self, sess: SessId) {
+        let Some(s) = self.sessions.get_mut(&sess) else { return };
+        if s.stage != Stage::Active {
+            return self.viewer_departed(sess);
+        }
+        s.may_have_run = true;
+        let node = s.node;
+        self.record_outcome(sess, Outcome::Withdrawn);
+        self.end_session(sess, node, SetupOutcome::Withdrawn, LoadReport::default());
+        self.send_or_queue(node, PendingMessage::Release(sess, cause::NORMAL_CLEARING));
+    }
+
     /// Keeps the answer of a session that became active.
     pub(super) fn record_answer(&mut self, sess: SessId, blob: String) {
         let until = self.now + REPEAT_WINDOW;
--- a/crates/kelpdoor-platform/src/core/viewers.rs
+++ b/crates/kelpdoor-platform/src/core/viewers.rs
@@ -9,7 +9,7 @@
 use super::{
     ANSWER_MARGIN, CoreState, Effect, MAX_CANCELLED_SETUPS, MAX_SETUPS, MAX_SETUPS_PER_VIEWER, PeerEvidence,
     PendingMessage, SILENT_VIEWER_END_DELAY, Session, SessionEnd, Stage, Timer, UndeliveredEnd,
-    ViewerConnection,
+    ViewerConnection, ViewerPresence,
 };
 use crate::incarnations::Epoch;
 use crate::viewer::{self, MessageError, Reply, SetupRequest, cause};
@@ -27,7 +27,7 @@
             }) else {
                 return self.effects.push(Effect::CloseViewer { conn });
             };
-            self.remove_viewer(oldest, true);
+            self.close_viewer(oldest);
         }
         let viewer = ViewerConnection {
             open_setups: BTreeSet::new(),
@@ -107,7 +107,9 @@
     /// Whether a message with the id of a set-up that is open on the same connection makes that one fail, as the two cannot
     /// be distinguished. A session that arrived on another connection is not affected.
     fn fails_own_setup(&self, conn: u64, sess: SessId) -> bool {
-        self.sessions.get(&sess).is_some_and(|s| s.conn == conn && s.stage != Stage::Active && !s.viewer_gone)
+        self.sessions
+            .get(&sess)
+            .is_some_and(|s| s.conn == conn && s.stage != Stage::Active && s.viewer != ViewerPresence::Gone)
     }
 
     fn fail_ambiguous_setup(&mut self, conn: u64, sess: SessId) {
@@ -120,18 +122,22 @@
         let Some(v) = self.viewers.get_mut(&conn) else { return };
         v.misbehaved = true;
         if v.open_setups.is_empty() {
-            self.remove_viewer(conn, true);
+            self.close_viewer(conn);
         }
     }
 
-    /// Removes a viewer connection; nobody is left to answer for its open set-ups.
-    pub(super) fn remove_viewer(&mut self, conn: u64, close: bool) {
+    /// Closes a viewer connection; nobody is left to answer for its open set-ups.
+    pub(super) fn close_viewer(&mut self, conn: u64) {
         let Some(v) = self.viewers.remove(&conn) else { return };
         self.open_setups -= v.open_setups.len();
         v.open_setups.into_iter().for_each(|sess| self.viewer_departed(sess));
-        if close {
-            self.effects.push(Effect::CloseViewer { conn });
-        }
+        self.effects.push(Effect::CloseViewer { conn });
+    }
+
+    /// A viewer connection ended, not by this side. Its viewer may repeat the set-ups that are open.
+    pub(super) fn viewer_disconnected(&mut self, conn: u64) {
+        let Some(v) = self.viewers.remove(&conn) else { return };
+        v.open_setups.into_iter().for_each(|sess| self.await_return(sess));
     }
 
     pub(super) fn start_session(&mut self, conn: u64, waited: f64, sess: SessId, request: Box<SetupRequest>) {
@@ -175,7 +181,7 @@
             answer_deadline: self.now + wanted.setup_timeout,
             setup_deadline: self.now,
             setup_sent_at: self.now,
-            viewer_gone: false,
+            viewer: ViewerPresence::Connected,
             may_have_run: false,
             digest: request.digest(),
             answer: None,
@@ -219,7 +225,7 @@
         self.description_bytes += request.blob.len();
         session.request = Some(request);
         let latest = session.answer_deadline + ANSWER_MARGIN / 2.0;
-        session.answer_timer = Some(self.timers.set(latest, Timer::AnswerDeadline { sess }));
+        session.answer_timer = Some(self.timers.set(latest, Timer::Answer { sess }));
         self.sessions.insert(sess, session);
         self.add_open_setup(conn, sess);
         self.round.new_sessions.push(wanted);
@@ -234,7 +240,9 @@
     /// The session logic never answered this set-up, which is a fault in it; the set-up fails at its
     /// deadline.
     pub(super) fn answer_deadline_passed(&mut self, sess: SessId) {
-        let Some(s) = self.sessions.get(&sess).filter(|s| s.stage != Stage::Active && !s.viewer_gone) else {
+        let Some(s) =
+            self.sessions.get(&sess).filter(|s| s.stage != Stage::Active && s.viewer != ViewerPresence::Gone)
+        else {
             return;
         };
         let conn = s.conn;
@@ -251,6 +259,10 @@
         let s = self.sessions.remove(&sess)?;
         self.description_bytes -= s.request.as_ref().map_or(0, |a| a.blob.len());
         self.description_bytes -= s.answer.as_ref().map_or(0, |a| a.blob.len());
+        if let ViewerPresence::MayReturn(timer) = s.viewer {
+            self.open_setups -= 1;
+            self.timers.cancel(timer);
+        }
         [s.answer_timer, s.setup_timer].into_iter().flatten().for_each(|timer| self.timers.cancel(timer));
         Some(s)
     }
@@ -271,7 +283,9 @@
             self.mark_active(conn);
             self.end_session(sess, node, SetupOutcome::Withdrawn, LoadReport::default());
             self.send_or_queue(node, PendingMessage::Release(sess, cause::NORMAL_CLEARING));
-        } else if s.conn == conn && !s.viewer_gone {
+        } else if s.conn == conn && s.viewer != ViewerPresence::Gone
+            || matches!(s.viewer, ViewerPresence::MayReturn(_))
+        {
             self.viewer_departed(sess);
             self.remove_open_setup(conn, sess);
         }
@@ -279,8 +293,9 @@
 
     /// The viewer of a set-up gave up or disconnected and expects no answer.
     pub(super) fn viewer_departed(&mut self, sess: SessId) {
+        self.end_wait_for_return(sess, ViewerPresence::Gone);
         let Some(s) = self.sessions.get_mut(&sess) else { return };
-        s.viewer_gone = true;
+        s.viewer = ViewerPresence::Gone;
         self.round.departures.push(sess);
         match s.stage {
             // No SETUP is pending, so no later event would remove the session.
@@ -300,7 +315,7 @@
             self.open_setups -= 1;
         }
         if v.misbehaved && v.open_setups.is_empty() {
-            self.remove_viewer(conn, true);
+            self.close_viewer(conn);
         }
     }
 
--- a/crates/kelpdoord/tests/ends.rs
+++ b/crates/kelpdoord/tests/ends.rs
@@ -703,6 +703,34 @@
     }
 }
 
+// Guards against a second SETUP of a START that is repeated while its first SETUP is out.
+#[test]
+fn start_repeated_while_its_setup_is_out_is_set_up_once_and_answered() {
+    let mut harness = Harness::new(2);
+    let departures = [Departure::Close, Departure::Reset, Departure::HalfClose];
+    for (k, class) in ["open", "once", "soon"].into_iter().enumerate() {
+        for (n, departure) in departures.into_iter().enumerate() {
+            let id = (16 * k + n + 1) as u64;
+            let mut old = harness.viewer();
+            old.start_anywhere(id, class, 2);
+            let setup = harness.next_setup(id);
+            let (mut new, old) = harness.while_stopped(|harness| {
+                let old = old.leave(departure, id);
+                let mut new = harness.viewer();
+                new.start_anywhere(id, class, 2);
+                (new, old)
+            });
+            new.echo();
+            harness.accept_setup(&setup);
+            new.expect_started(id);
+            harness.barrier();
+            assert_eq!(harness.setup_count(id), 1, "{class} {departure:?}");
+            assert!(harness.teardowns.iter().all(|t| t.1 != id), "{class} {departure:?}");
+            drop(old);
+        }
+    }
+}
+
 #[test]
 fn start_repeated_after_its_failure_fails_again_and_is_not_set_up_again() {
     let mut harness = Harness::new(2);
