Read on while bytes arrive before a round, and hear of a viewer's close ahead of its unread input

Cause: the readers' time before a round was counted in turns and inputs, not in progress: 16 turns of 8 KiB are 128 KB.

Change: turns go on until two of them bring no byte and no input, up to 10 ms. Where the kernel knows of the end of a viewer's output (EPOLLRDHUP) before its bytes are read, the core hears of it first: later requests on it do not begin, ends still count.

--- a/crates/kelpdoor-platform/src/core/viewers.rs
+++ b/crates/kelpdoor-platform/src/core/viewers.rs
@@ -43,14 +43,7 @@
         &mut self, conn: u64, waited: f64, message: Result<viewer::ViewerMessage, MessageError>,
     ) {
         if !self.viewers.contains_key(&conn) {
-            // Read before the connection was evicted: a set-up is still answered if the connection can take
-            // it.
-            if let Ok(viewer::ViewerMessage::Start(sess, request)) = message
-                && request.at.is_none()
-            {
-                self.refuse_busy(conn, sess);
-            }
-            return;
+            return self.handle_late_message(conn, message);
         }
         match message {
             Ok(viewer::ViewerMessage::Start(sess, request)) => {
@@ -76,6 +69,18 @@
         }
     }
 
+    /// Handles a message that was read after its connection was evicted or its peer had left. Such a set-up does not begin; it
+    /// is refused if the connection can still take that. An end or a cancellation still counts.
+    fn handle_late_message(&mut self, conn: u64, message: Result<viewer::ViewerMessage, MessageError>) {
+        match message {
+            Ok(viewer::ViewerMessage::Start(sess, request)) if request.at.is_none() => {
+                self.refuse_busy(conn, sess)
+            }
+            Ok(viewer::ViewerMessage::Finish(sess)) => self.handle_finish(conn, sess),
+            _ => {}
+        }
+    }
+
     pub(super) fn mark_active(&mut self, conn: u64) {
         if let Some(v) = self.viewers.get_mut(&conn) {
             v.last_active = self.now;
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -17,6 +17,7 @@
 use kelpdoor_clock::SlewedClock;
 use kelpdoor_parts::{CATCH_UP_TIME, was_paused};
 use kelpdoor_rtsp::{Message, MessageDecoder, Version};
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
@@ -67,27 +68,35 @@
 const SHUTDOWN_QUIET_TIME: Duration = Duration::from_millis(150);
 /// After this long, viewer connections are closed even if set-ups keep arriving.
 const SHUTDOWN_MAX_TIME: Duration = Duration::from_millis(3000);
-/// Minimum turns of the readers before a round: the first detects input, the second reads it.
+/// Turns of the readers without any input before a round: the first detects input, the second reads it.
 const MIN_READ_TURNS: u32 = 2;
-/// Maximum turns of the readers before a round, taken while input keeps arriving.
-const MAX_READ_TURNS: u32 = 16;
+/// Maximum time of the readers before a round, taken while bytes keep arriving.
+const MAX_READ_TIME: Duration = Duration::from_millis(10);
 /// Maximum log lines of the core per second.
 const MAX_LOG_LINES: u32 = 40;
 
 type TimedInput = (Instant, Input);
 
-/// Unsent bytes of all peers together, and their limit.
+/// Sums over the sockets of all peers.
 #[derive(Clone)]
-struct UnsentTotal {
-    bytes: Rc<Cell<usize>>,
-    limit: usize,
+struct SocketTotals {
+    unsent: Rc<Cell<usize>>,
+    max_unsent: usize,
+    /// Bytes received since the start.
+    received: Rc<Cell<u64>>,
+}
+
+impl SocketTotals {
+    fn new(max_unsent: usize) -> Self {
+        SocketTotals { unsent: Rc::default(), max_unsent, received: Rc::default() }
+    }
 }
 
 /// The sending side of a connection: its unsent bytes, and how it is to be closed.
 struct ConnectionOutput {
     stream: RefCell<Option<Rc<TcpStream>>>,
     unsent: RefCell<Vec<u8>>,
-    unsent_total: UnsentTotal,
+    totals: SocketTotals,
     /// Bytes that the socket accepted so far.
     accepted: Cell<u64>,
     /// Reports of ends that are not accepted yet, with the position of their last byte.
@@ -98,11 +107,11 @@
 }
 
 impl ConnectionOutput {
-    fn new(stream: Option<Rc<TcpStream>>, unsent_total: UnsentTotal) -> Rc<Self> {
+    fn new(stream: Option<Rc<TcpStream>>, totals: SocketTotals) -> Rc<Self> {
         Rc::new(ConnectionOutput {
             stream: RefCell::new(stream),
             unsent: RefCell::default(),
-            unsent_total,
+            totals,
             accepted: Cell::new(0),
             unaccepted_ends: RefCell::default(),
             closing: Cell::new(false),
@@ -122,12 +131,12 @@
             self.record_accepted(from);
         }
         if from < bytes.len() {
-            let (rest, all) = (&bytes[from..], self.unsent_total.bytes.get());
-            if unsent.len() + rest.len() > MAX_UNSENT_BYTES || all + rest.len() > self.unsent_total.limit {
+            let (rest, all) = (&bytes[from..], self.totals.unsent.get());
+            if unsent.len() + rest.len() > MAX_UNSENT_BYTES || all + rest.len() > self.totals.max_unsent {
                 self.aborted.set(true);
             } else {
                 unsent.extend_from_slice(rest);
-                self.unsent_total.bytes.set(all + rest.len());
+                self.totals.unsent.set(all + rest.len());
             }
             self.notify.notify_one();
         }
@@ -163,13 +172,17 @@
             Ok(n) => {
                 consume(&mut unsent, n);
                 self.record_accepted(n);
-                self.unsent_total.bytes.set(self.unsent_total.bytes.get() - n);
+                self.totals.unsent.set(self.totals.unsent.get() - n);
                 true
             }
             Err(e) => e.kind() == io::ErrorKind::WouldBlock,
         }
     }
 
+    fn record_received(&self, bytes: usize) {
+        self.totals.received.set(self.totals.received.get() + bytes as u64);
+    }
+
     fn has_unsent(&self) -> bool {
         !self.unsent.borrow().is_empty()
     }
@@ -197,7 +210,7 @@
 
 impl Drop for ConnectionOutput {
     fn drop(&mut self) {
-        self.unsent_total.bytes.set(self.unsent_total.bytes.get() - self.unsent.borrow().len());
+        self.totals.unsent.set(self.totals.unsent.get() - self.unsent.borrow().len());
     }
 }
 
@@ -278,7 +291,10 @@
 
 /// The event that woke a connection's task.
 enum WakeReason {
-    Readable,
+    /// The stream can be read. The end of the peer's output may be known before the bytes ahead of it are read.
+    Readable {
+        peer_closed: bool,
+    },
     Writable,
     Notified,
 }
@@ -288,18 +304,20 @@
         biased;
         () = output.notify.notified() => WakeReason::Notified,
         _ = stream.writable(), if output.has_unsent() => WakeReason::Writable,
-        _ = stream.readable() => WakeReason::Readable,
+        ready = stream.ready(Interest::READABLE) => {
+            WakeReason::Readable { peer_closed: ready.is_ok_and(|ready| ready.is_read_closed()) }
+        }
     }
 }
 
 /// Serves one connection. `parse` removes complete messages from the buffer, passes them on, and returns
-/// whether to continue. With `read_to_end`, a connection that this side closes is read until the peer closes
+/// whether to continue; its second argument tells whether the peer has ended its output by now. With `read_to_end`, a connection that this side closes is read until the peer closes
 /// it too, for up to LINGER_TIMEOUT. Returns whether the peer ended the connection.
 async fn serve_connection<F>(
     stream: &TcpStream, output: &ConnectionOutput, read_to_end: bool, mut parse: F,
 ) -> bool
 where
-    F: AsyncFnMut(&mut Vec<u8>) -> bool,
+    F: AsyncFnMut(&mut Vec<u8>, bool) -> bool,
 {
     let mut buf = Vec::new();
     let mut input_closed = false;
@@ -320,7 +338,8 @@
                 while readable_before(stream, deadline).await && !output.aborted.get() {
                     match read(stream, &mut buf) {
                         ReadResult::Data(n) => {
-                            if !parse(&mut buf).await {
+                            output.record_received(n);
+                            if !parse(&mut buf, false).await {
                                 break;
                             }
                             turn.spend(n).await;
@@ -347,9 +366,10 @@
                     return true;
                 }
             }
-            WakeReason::Readable => match read(stream, &mut buf) {
+            WakeReason::Readable { peer_closed } => match read(stream, &mut buf) {
                 ReadResult::Data(n) => {
-                    input_closed = !parse(&mut buf).await;
+                    output.record_received(n);
+                    input_closed = !parse(&mut buf, peer_closed).await;
                     turn.spend(n).await;
                 }
                 ReadResult::Closed => return true,
@@ -380,8 +400,14 @@
 ) {
     let _ = input_tx.send((Instant::now(), Input::ViewerConnected { conn })).await;
     let mut decoder = LineDecoder::new(MAX_LINE);
-    let peer_ended = serve_connection(&stream, &output, false, async |buf: &mut Vec<u8>| {
+    let mut left = false;
+    let peer_ended = serve_connection(&stream, &output, false, async |buf: &mut Vec<u8>, peer_closed| {
         let arrived_at = Instant::now();
+        if peer_closed && !left {
+            // The core has to know before it gets the requests that are still unread.
+            left = true;
+            let _ = input_tx.send((arrived_at, Input::ViewerDisconnected { conn })).await;
+        }
         decoder.push(&std::mem::take(buf));
         loop {
             let message = match decoder.next_line() {
@@ -442,7 +468,7 @@
     *output.stream.borrow_mut() = Some(stream.clone());
     let _ = input_tx.send((Instant::now(), Input::LinkConnected { link })).await;
     let mut decoder = MessageDecoder::new(Version::V1);
-    serve_connection(&stream, &output, true, async |buf: &mut Vec<u8>| {
+    serve_connection(&stream, &output, true, async |buf: &mut Vec<u8>, _| {
         let arrived_at = Instant::now();
         decoder.push(&std::mem::take(buf));
         loop {
@@ -465,7 +491,7 @@
 }
 
 async fn accept_viewers(
-    listener: TcpListener, limit: usize, unsent_total: UnsentTotal, outputs: ViewerOutputs,
+    listener: TcpListener, limit: usize, totals: SocketTotals, outputs: ViewerOutputs,
     input_tx: mpsc::Sender<TimedInput>, lingering: Rc<Semaphore>,
 ) {
     let mut conn = 0;
@@ -482,7 +508,7 @@
         };
         let _ = stream.set_nodelay(true);
         conn += 1;
-        let output = ConnectionOutput::new(Some(stream.clone()), unsent_total.clone());
+        let output = ConnectionOutput::new(Some(stream.clone()), totals.clone());
         outputs.borrow_mut().insert(conn, output.clone());
         let (outputs, input_tx, lingering) = (outputs.clone(), input_tx.clone(), lingering.clone());
         spawn_local(async move {
@@ -505,7 +531,7 @@
     viewers: ViewerOutputs,
     links: HashMap<u64, Rc<ConnectionOutput>>,
     connect_timeout: Duration,
-    unsent_total: UnsentTotal,
+    totals: SocketTotals,
     input_tx: mpsc::Sender<TimedInput>,
     feed_address_tx: watch::Sender<SocketAddr>,
     config_path: PathBuf,
@@ -575,7 +601,7 @@
                 }
                 Effect::ConnectLink { link: number, address } => {
                     tracing::debug!(number, %address, "connecting to node");
-                    let output = ConnectionOutput::new(None, self.unsent_total.clone());
+                    let output = ConnectionOutput::new(None, self.totals.clone());
                     self.links.insert(number, output.clone());
                     let (input_tx, connect_timeout) = (self.input_tx.clone(), self.connect_timeout);
                     spawn_local(async move {
@@ -671,8 +697,9 @@
             _ => 0,
         };
         let mut bytes: usize = batch.iter().map(held).sum();
-        for turn in 0..MAX_READ_TURNS {
-            let before = batch.len();
+        let deadline = Instant::now() + MAX_READ_TIME;
+        let (mut idle_turns, mut progress) = (0, None);
+        loop {
             while batch.len() < MAX_BATCH
                 && bytes < self.max_batch_bytes
                 && let Ok(next) = input_rx.try_recv()
@@ -680,8 +707,10 @@
                 bytes += held(&next);
                 batch.push(next);
             }
-            let full = batch.len() >= MAX_BATCH || bytes >= self.max_batch_bytes;
-            if full || turn >= MIN_READ_TURNS && batch.len() == before {
+            let is_full = batch.len() >= MAX_BATCH || bytes >= self.max_batch_bytes;
+            let last_progress = progress.replace((batch.len(), self.totals.received.get()));
+            idle_turns = if progress == last_progress { idle_turns + 1 } else { 0 };
+            if is_full || idle_turns >= MIN_READ_TURNS || Instant::now() >= deadline {
                 return;
             }
             tokio::task::yield_now().await;
@@ -792,7 +821,7 @@
     let (input_tx, input_rx) = mpsc::channel(INPUT_QUEUE_LENGTH);
     let (feed_address_tx, feed_address) = watch::channel(config.changelog);
     let viewers = ViewerOutputs::default();
-    let unsent_total = UnsentTotal { bytes: Rc::default(), limit: config.max_memory / MEMORY_DIVISOR };
+    let totals = SocketTotals::new(config.max_memory / MEMORY_DIVISOR);
     // These tasks never end; without them the director would get no input.
     let mut tasks = JoinSet::new();
     tasks.spawn_local(change_log::follow_change_log(
@@ -802,14 +831,8 @@
         fastrand::Rng::with_seed(config.seed),
     ));
     let (limit, lingering) = (core.max_viewers(), Rc::new(Semaphore::new(MAX_LINGERING)));
-    let accepting = accept_viewers(
-        listener,
-        limit,
-        unsent_total.clone(),
-        viewers.clone(),
-        input_tx.clone(),
-        lingering.clone(),
-    );
+    let accepting =
+        accept_viewers(listener, limit, totals.clone(), viewers.clone(), input_tx.clone(), lingering.clone());
     tasks.spawn_local(accepting);
     tracing::info!(name = config.name, listen = %config.listen, sockets = config.max_sockets, "started");
     let shell = Shell {
@@ -826,7 +849,7 @@
         max_batch_bytes: config.max_memory / BATCH_MEMORY_DIVISOR,
         lingering,
         viewers_closed_at: None,
-        unsent_total,
+        totals,
     };
     shell.run(input_rx, signals, tasks).await
 }
--- a/crates/kelpdoor-platform/src/shell/tests.rs
+++ b/crates/kelpdoor-platform/src/shell/tests.rs
@@ -11,10 +11,6 @@
     );
 }
 
-fn unsent_total(limit: usize) -> UnsentTotal {
-    UnsentTotal { bytes: Rc::default(), limit }
-}
-
 async fn connected_pair() -> (Rc<TcpStream>, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let local = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("connected");
@@ -24,7 +20,7 @@
 #[tokio::test]
 async fn peer_that_does_not_read_is_cut_off_and_cannot_delay_a_close() {
     let (local, _remote) = connected_pair().await;
-    let total = unsent_total(1 << 20);
+    let total = SocketTotals::new(1 << 20);
     let output = ConnectionOutput::new(Some(local.clone()), total.clone());
     let chunk = vec![b'x'; 16 << 10];
     for _ in 0..10_000 {
@@ -36,20 +32,20 @@
     assert!(output.has_unsent() && !output.aborted.get());
     output.close();
     let end =
-        timeout(LINGER_TIMEOUT * 2, serve_connection(&local, &output, true, async |_: &mut Vec<u8>| true))
+        timeout(LINGER_TIMEOUT * 2, serve_connection(&local, &output, true, async |_: &mut Vec<u8>, _| true))
             .await;
     assert_eq!(end, Ok(false), "the close does not wait for a peer that does not read");
     (0..10).for_each(|_| output.write(&chunk));
-    assert!(output.aborted.get() && total.bytes.get() <= MAX_UNSENT_BYTES);
+    assert!(output.aborted.get() && total.unsent.get() <= MAX_UNSENT_BYTES);
     drop(output);
-    assert_eq!(total.bytes.get(), 0);
+    assert_eq!(total.unsent.get(), 0);
 }
 
 // Guards against an end that is forgotten as soon as it was written to a connection that cannot take it.
 #[tokio::test]
 async fn reported_end_is_returned_if_its_connection_does_not_accept_it() {
     let (local, remote) = connected_pair().await;
-    let output = ConnectionOutput::new(Some(local.clone()), unsent_total(1 << 20));
+    let output = ConnectionOutput::new(Some(local.clone()), SocketTotals::new(1 << 20));
     let end = |id| SessionEnd { sess: kelpdoor::ids::SessId(id), cause: 16 };
     output.write_end(b"taken at once", end(1));
     assert_eq!(output.take_unaccepted_ends(), []);
@@ -108,13 +104,13 @@
     let (local, remote) = connected_pair().await;
     let filled = fill_receive_buffer(&remote).await;
     assert!(filled >= 8 * TURN_BYTES, "the kernel buffers only {filled} bytes");
-    let output = ConnectionOutput::new(Some(local.clone()), unsent_total(1 << 20));
+    let output = ConnectionOutput::new(Some(local.clone()), SocketTotals::new(1 << 20));
     if closing {
         output.close();
     }
     let turns = Rc::new(Cell::new(0));
     let (mut last_turn, mut in_turn, mut most, mut received) = (0, 0, 0, 0);
-    let parse = async |buf: &mut Vec<u8>| {
+    let parse = async |buf: &mut Vec<u8>, _| {
         if last_turn != turns.get() {
             (last_turn, in_turn) = (turns.get(), 0);
         }
@@ -155,10 +151,10 @@
 async fn data_sent_before_the_peer_sees_the_close_is_read() {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let (local, mut remote) = connected_pair().await;
-    let output = ConnectionOutput::new(Some(local.clone()), unsent_total(1 << 20));
+    let output = ConnectionOutput::new(Some(local.clone()), SocketTotals::new(1 << 20));
     output.close();
     let received = RefCell::new(Vec::new());
-    let serving = serve_connection(&local, &output, true, async |buf: &mut Vec<u8>| {
+    let serving = serve_connection(&local, &output, true, async |buf: &mut Vec<u8>, _| {
         received.borrow_mut().append(buf);
         true
     });
@@ -174,7 +170,7 @@
 
 #[tokio::test]
 async fn unsent_bytes_of_all_peers_are_limited() {
-    let total = unsent_total(20 << 10);
+    let total = SocketTotals::new(20 << 10);
     let outputs = [ConnectionOutput::new(None, total.clone()), ConnectionOutput::new(None, total.clone())];
     outputs.iter().for_each(|o| o.write(&[0; 16 << 10]));
     assert_eq!(outputs.each_ref().map(|o| o.aborted.get()), [false, true]);
--- a/crates/kelpdoord/tests/ends.rs
+++ b/crates/kelpdoord/tests/ends.rs
@@ -160,6 +160,48 @@
     assert_eq!(setups, 0, "{setups} SETUPs");
 }
 
+// Guards against requests that are sent on although their client has left, because much before its close is unread.
+#[test]
+fn viewer_gone_with_much_unread_sends_no_setup() {
+    let ids = 0x1000..0x1100;
+    for departure in [Departure::Close, Departure::HalfClose] {
+        let mut harness = Harness::new(1);
+        let mut viewer = harness.viewer();
+        viewer.echo();
+        let blob = "x".repeat(1500);
+        let starts: String = ids.clone().map(|id| start_line_with_blob(id, "open", 4000, &blob)).collect();
+        // The harness sees the end of the connection first, so that what the director reads is complete.
+        let connection = harness.while_stopped(|_| {
+            viewer.send(&starts);
+            viewer.leave(departure, 0)
+        });
+        harness.barrier();
+        let setups = harness.setups.iter().filter(|x| ids.contains(&x.id)).count();
+        assert_eq!(setups, 0, "{departure:?}: {setups} SETUPs");
+        drop(connection);
+    }
+}
+
+// Guards against an end that is not read because its viewer left right after it.
+#[test]
+fn end_sent_just_before_the_close_of_its_connection_counts() {
+    let mut harness = Harness::new(1);
+    for departure in [Departure::Close, Departure::HalfClose] {
+        let id = 1 + departure as u64;
+        let mut viewer = harness.viewer();
+        viewer.start(id, "open");
+        let setup = harness.next_setup(id);
+        harness.accept_setup(&setup);
+        viewer.expect_started(id);
+        let connection = harness.while_stopped(|_| {
+            viewer.send(&finish_line(id));
+            viewer.leave(departure, id)
+        });
+        harness.next_teardown(id);
+        drop(connection);
+    }
+}
+
 // The process shuts down.
 
 #[test]
@@ -499,7 +541,7 @@
     viewer.expect_started(3);
     harness.close(setup.node, setup.conn, true);
     let up = harness.wait_for("another connection", |event| matches!(event.kind, NodeEventKind::Connected));
-    harness.end_session(&platform::Setup { node: up.node, conn: up.conn, id: 3 });
+    harness.end_session(&platform::Setup { node: up.node, conn: up.conn, id: 3, at: up.at });
     assert_eq!(viewer.expect_finish(3), 16);
 }
 
--- a/crates/kelpdoord/tests/floods.rs
+++ b/crates/kelpdoord/tests/floods.rs
@@ -3,14 +3,14 @@
 
 mod platform;
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{JoinHandle, spawn};
 use std::time::{Duration, Instant};
 
-use platform::{AUTO_ANSWERED, Harness, Viewer, finish_line, start_line};
+use platform::{AUTO_ANSWERED, Harness, Viewer, finish_line, start_line, start_line_with_blob};
 
 /// The director's memory limit in its configuration.
 const MEMORY_LIMIT_KB: u64 = 32 << 10;
@@ -131,6 +131,123 @@
     });
 }
 
+/// Descriptors of a director with places for hundreds of clients.
+const MANY_SOCKETS: u64 = 1024;
+/// Clients that are connected at once; they take almost all places of the director.
+const CLIENTS: usize = 480;
+/// Duration of each flood.
+const FLOOD_TIME: Duration = Duration::from_secs(4);
+
+/// Like [`warm_director`], with places for hundreds of clients.
+fn large_director() -> Harness {
+    let mut harness = Harness::with(1, MANY_SOCKETS, |_| {});
+    Harness::elapse(1500);
+    harness.barrier();
+    harness
+}
+
+/// One client among hundreds: what it still has to write on its connection.
+struct SlowClient {
+    stream: TcpStream,
+    written: usize,
+}
+
+/// Keeps hundreds of connections open. Each writes `text` in pieces, one for each turn of all of them, and then waits;
+/// one that the director closes is opened again.
+fn write_from_hundreds(port: u16, text: &[u8], piece: usize) {
+    let open = || {
+        let stream = connect(port);
+        stream.set_nonblocking(true).expect("set");
+        SlowClient { stream, written: 0 }
+    };
+    let mut clients: Vec<SlowClient> = (0..CLIENTS).map(|_| open()).collect();
+    let until = Instant::now() + FLOOD_TIME;
+    let mut received = [0; 4096];
+    while Instant::now() < until {
+        for client in &mut clients {
+            let rest = &text[client.written..];
+            match client.stream.write(&rest[..piece.min(rest.len())]) {
+                Ok(n) => client.written += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => *client = open(),
+            }
+            let closed = match client.stream.read(&mut received) {
+                Ok(n) => n == 0,
+                Err(e) => e.kind() != ErrorKind::WouldBlock,
+            };
+            if closed {
+                *client = open();
+            }
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// A START of the largest size.
+fn large_start(id: u64) -> String {
+    start_line_with_blob(id, "open", 4000, &"x".repeat(15 << 10))
+}
+
+/// A START with very many short fields, which no node is asked for.
+fn start_with_many_fields(id: u64) -> String {
+    let fields: String = (0..1200).map(|n| format!("\"f{n}\":\"{n}\",")).collect();
+    start_line(id, "none", 4000).replace("\"opts\":{", &format!("\"opts\":{{{fields}"))
+}
+
+// Guards against memory for input that grows with the number of clients: slow ones, and ones that stop half way.
+#[test]
+fn hundreds_of_slow_and_half_written_requests_stay_within_the_memory_limit() {
+    let line = large_start(1);
+    let almost_all = &line.as_bytes()[..line.len() - 1];
+    check_flood("half a large request", large_director(), |harness| {
+        write_from_hundreds(harness.port, almost_all, almost_all.len());
+    });
+    check_flood("slow writers", large_director(), |harness| {
+        write_from_hundreds(harness.port, almost_all, 32);
+    });
+}
+
+#[test]
+fn hundreds_of_requests_with_many_short_fields_stay_within_the_memory_limit() {
+    let line = start_with_many_fields(1);
+    assert!((14 << 10..16 << 10).contains(&line.len()), "{} bytes", line.len());
+    check_flood("many short fields", large_director(), |harness| {
+        write_from_hundreds(harness.port, line.as_bytes(), line.len());
+    });
+}
+
+// Guards against sums of limits beyond the memory limit: input, descriptions and output at the same time.
+#[test]
+fn hundreds_of_large_requests_stay_within_the_memory_limit() {
+    let lines: String = (1..=8).map(large_start).collect();
+    let almost_all = &lines.as_bytes()[..lines.len() - 1];
+    check_flood("large requests", large_director(), |harness| {
+        write_from_hundreds(harness.port, almost_all, almost_all.len());
+    });
+}
+
+// Guards against requests that are sent on long after their client has left, as much before its close is unread.
+#[test]
+fn requests_of_a_client_that_left_are_not_sent_on() {
+    // "No attempt begins over 0.1 s after its client left", and time limits are 50 ms longer on sockets.
+    const LATEST_SETUP: Duration = Duration::from_millis(150);
+    let ids = 2 * AUTO_ANSWERED - 20_000..2 * AUTO_ANSWERED;
+    let starts: String = ids.clone().map(|id| start_line(id, "open", 4000)).collect();
+    check_flood("requests of a client that left", warm_director(), |harness| {
+        let mut stream = connect(harness.port);
+        stream.write_all(starts.as_bytes()).expect("written");
+        drop(stream);
+        let left_at = Instant::now();
+        Harness::elapse(500);
+        harness.record_pending_events();
+        let of_client = harness.setups.iter().filter(|setup| ids.contains(&setup.id));
+        let delays = of_client.map(|setup| setup.at.saturating_duration_since(left_at));
+        let late = delays.max().unwrap_or_default();
+        println!("last SETUP {:.0} ms after the client left", late.as_secs_f64() * 1e3);
+        assert!(late <= LATEST_SETUP, "{late:?}");
+    });
+}
+
 /// Writes bytes on a connection again and again until its peer ends it; returns whether it did before `until`.
 fn write_noise(mut stream: TcpStream, noise: &[u8], until: Instant) -> bool {
     while Instant::now() < until {
--- a/crates/kelpdoord/tests/platform/mod.rs
+++ b/crates/kelpdoord/tests/platform/mod.rs
@@ -39,6 +39,7 @@
 
 #[derive(Debug)]
 pub struct NodeEvent {
+    pub at: Instant,
     pub node: usize,
     pub conn: usize,
     pub kind: NodeEventKind,
@@ -50,6 +51,7 @@
     pub node: usize,
     pub conn: usize,
     pub id: u64,
+    pub at: Instant,
 }
 
 struct Node {
@@ -371,7 +373,7 @@
         let Some(id) = session_id(&r.headers) else { return };
         match r.method {
             Method::Setup => {
-                let setup = Setup { node: event.node, conn: event.conn, id };
+                let setup = Setup { node: event.node, conn: event.conn, id, at: event.at };
                 self.setups.push(setup.clone());
                 self.new_setups.push(setup);
             }
@@ -500,6 +502,13 @@
         self.nodes.len() - 1
     }
 
+    /// Records what has reached the nodes so far.
+    pub fn record_pending_events(&mut self) {
+        while let Ok(event) = self.events.try_recv() {
+            self.record(&event);
+        }
+    }
+
     /// Runs a complete regular session as a barrier: the effects of everything before it have happened by its end. Its node
     /// answers automatically; the session is requested again while the director refuses it.
     pub fn barrier(&mut self) {
@@ -620,7 +629,7 @@
 }
 
 fn read_connection(node: usize, conn: usize, mut stream: TcpStream, events: &Sender<NodeEvent>) {
-    let _ = events.send(NodeEvent { node, conn, kind: NodeEventKind::Connected });
+    let _ = events.send(NodeEvent { at: Instant::now(), node, conn, kind: NodeEventKind::Connected });
     let (mut buf, mut chunk) = (Vec::new(), [0; 4096]);
     while let Ok(n) = stream.read(&mut chunk) {
         if n == 0 {
@@ -635,11 +644,16 @@
             {
                 let _ = stream.write_all(&setup_response(id, 200));
             }
-            let _ = events.send(NodeEvent { node, conn, kind: NodeEventKind::Received(message) });
+            let _ = events.send(NodeEvent {
+                at: Instant::now(),
+                node,
+                conn,
+                kind: NodeEventKind::Received(message),
+            });
         }
     }
     drop(stream);
-    let _ = events.send(NodeEvent { node, conn, kind: NodeEventKind::Closed });
+    let _ = events.send(NodeEvent { at: Instant::now(), node, conn, kind: NodeEventKind::Closed });
 }
 
 fn session_id(headers: &Headers) -> Option<u64> {
