--- a/crates/kelpdoor-platform/src/viewer.rs
+++ b/crates/kelpdoor-platform/src/viewer.rs
@@ -6,7 +6,7 @@
 
 use kelpdoor::ids::{SessId, TitleId};
 use serde::{Deserialize, Serialize};
-use serde_json::{Map, Value};
+use serde_json::Value;
 
 /// Maximum size of a line in bytes, including its line feed.
 pub const MAX_LINE: usize = 16 << 10;
@@ -82,12 +82,22 @@
     pub why: String,
 }
 
+/// The fields in use. Others are skipped without being stored, however many there are.
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Options {
+    class: Option<Value>,
+    left: Option<Value>,
+    key: Option<Value>,
+    extras: Option<Value>,
+}
+
 #[derive(Deserialize)]
 struct RawMessage {
     verb: String,
     tag: String,
     #[serde(default)]
-    opts: Map<String, Value>,
+    opts: Options,
     #[serde(default)]
     rc: Option<Value>,
     #[serde(default)]
@@ -132,13 +142,13 @@
         && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
 }
 
-fn parse_setup(opts: &Map<String, Value>, blob: Option<String>) -> Result<SetupRequest, String> {
-    let text = |key: &str| opts.get(key).and_then(Value::as_str);
-    let class = text("class").ok_or("missing class")?.to_owned();
-    let time_left_ms = opts.get("left").and_then(parse_number).ok_or("left is not a number")?;
-    let key = text("key").filter(|k| is_valid_name(k)).ok_or("key is not a valid title")?.to_owned();
+fn parse_setup(opts: &Options, blob: Option<String>) -> Result<SetupRequest, String> {
+    let text = |field: &Option<Value>| field.as_ref().and_then(Value::as_str).map(str::to_owned);
+    let class = text(&opts.class).ok_or("missing class")?;
+    let time_left_ms = opts.left.as_ref().and_then(parse_number).ok_or("left is not a number")?;
+    let key = text(&opts.key).filter(|k| is_valid_name(k)).ok_or("key is not a valid title")?;
     let (mut first_cell, mut cells, mut best_rung, mut at) = (None, None, None, None);
-    for pair in text("extras").unwrap_or("").split(';').filter(|p| !p.is_empty()) {
+    for pair in text(&opts.extras).unwrap_or_default().split(';').filter(|p| !p.is_empty()) {
         let (key, value) =
             pair.split_once(':').ok_or_else(|| format!("extras: {pair:?} is not a key:value pair"))?;
         match key {
