--- a/crates/kelpdoord/tests/floods.rs
+++ b/crates/kelpdoord/tests/floods.rs
@@ -5,8 +5,8 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{JoinHandle, spawn};
 use std::time::{Duration, Instant};
 
@@ -75,8 +75,12 @@
     harness
 }
 
+/// Floods run one after another, as they would slow each other down.
+static ONE_FLOOD: Mutex<()> = Mutex::new(());
+
 /// Floods the director and checks that it stays within its memory limit and answers another viewer in time.
 fn check_flood(name: &str, mut harness: Harness, flood: impl FnOnce(&mut Harness)) {
+    let _one_flood = ONE_FLOOD.lock().unwrap_or_else(PoisonError::into_inner);
     let probe = Probe::start(harness.port);
     Harness::elapse(200);
     flood(&mut harness);
@@ -226,6 +230,64 @@
     });
 }
 
+/// Sends lines on one connection as fast as the director takes them, and reads what it is sent. Connects again whenever
+/// the director closes the connection. `first` opens each connection, `line` makes each line from its number.
+fn flood_connection(port: u16, first: &str, line: impl Fn(u64) -> String) {
+    const LINES_AT_ONCE: u64 = 100;
+    let until = Instant::now() + FLOOD_TIME;
+    let mut lines = 0;
+    while Instant::now() < until {
+        let mut stream = connect(port);
+        let mut reading = stream.try_clone().expect("the same");
+        let reader = spawn(move || {
+            let mut received = [0; 64 << 10];
+            while reading.read(&mut received).is_ok_and(|n| n > 0) {}
+        });
+        // The director may close the connection at any moment.
+        let _ = stream.write_all(first.as_bytes());
+        while Instant::now() < until {
+            let text: String = (lines..lines + LINES_AT_ONCE).map(&line).collect();
+            lines += LINES_AT_ONCE;
+            if stream.write_all(text.as_bytes()).is_err() {
+                break;
+            }
+        }
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+        reader.join().expect("the reader ends");
+    }
+    println!("{lines} lines");
+}
+
+/// An id that the nodes answer, and that differs from those of the other viewer.
+fn flooding_id(n: u64) -> u64 {
+    2 * AUTO_ANSWERED - 1 - n
+}
+
+// Guards against one client at full speed that makes others wait or the memory grow: tests, unsound lines, and requests
+// under ever new names.
+#[test]
+fn client_that_sends_small_requests_at_full_speed_does_not_delay_others() {
+    let echo = "{\"verb\":\"ECHO\",\"tag\":\"00000000000000aa\",\"opts\":{},\"rc\":0}\n";
+    check_flood("echo requests", warm_director(), |harness| {
+        flood_connection(harness.port, "", |_| echo.to_owned());
+    });
+    // Its open set-up keeps the connection open.
+    let open = start_line(1, "open", 600_000);
+    check_flood("empty lines beside an open set-up", warm_director(), |harness| {
+        flood_connection(harness.port, &open, |_| "\n".to_owned());
+    });
+    check_flood("unknown groups", warm_director(), |harness| {
+        flood_connection(harness.port, "", |n| start_line(flooding_id(n), "none", 4000));
+    });
+    let new_name = |n: u64| {
+        let id = flooding_id(n);
+        start_line(id, "open", 4000).replace("7f3a9c21e0b4d655", &format!("title-{id:x}")) + &finish_line(id)
+    };
+    check_flood("requests under new names", warm_director(), |harness| {
+        flood_connection(harness.port, "", new_name);
+    });
+}
+
 // Guards against requests that are sent on long after their client has left, as much before its close is unread.
 #[test]
 fn requests_of_a_client_that_left_are_not_sent_on() {
