Wait in a voter's test until the remaining voters know the version before two are shut down

Traced with a record of the replies, 1 of 30 runs beside each other: "version 2 is not known here, the newest is 1". Version 2 is decided by a majority of the three old voters, which may be the two that the test shuts down at once; the others then cannot know of it, and no majority of version 1 is left. That is allowed, so the test was wrong to expect a decision.

The test now waits until each of the other three knows version 2, and fails if one does not. 60 of 60 runs passed, 30 at a time.

--- a/crates/kelpdoor-keeper/tests/voter.rs
+++ b/crates/kelpdoor-keeper/tests/voter.rs
@@ -89,6 +89,21 @@
     }
 }
 
+/// Waits until a voter knows the version with this number.
+async fn wait_until_known(at: SocketAddr, number: u64) {
+    const NEVER_REACHED: u64 = 1000;
+    let mut client = Client::new(at).await;
+    let mut last = String::new();
+    for _ in 0..1000 {
+        match client.propose(NEVER_REACHED, DOCUMENT).await {
+            VoterResponse::NotTaken { why } if why.ends_with(&format!("the newest is {number}")) => return,
+            other => last = format!("{other:?}"),
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    panic!("version {number} is not known: {last}");
+}
+
 async fn start_three_voters(dir: &Path) -> (Vec<SocketAddr>, Vec<RunningVoter>) {
     // Another process may take an address that was free a moment ago; then other addresses are tried.
     for _ in 0..10 {
@@ -215,7 +230,11 @@
     let next = DOCUMENT
         .replace("[\"127.0.0.1:1\", \"127.0.0.1:2\", \"127.0.0.1:3\"]", &format!("[{}]", all.join(", ")));
     assert_eq!(agree(at[0], 1, &next).await, 2);
-    // With two of the five voters shut down, the other three decide.
+    // With two of the five voters shut down, the other three decide. Version 2 was decided by a majority of the three old
+    // ones, which may be the two that are shut down, so the others have to know it first.
+    for v in &voters[2..] {
+        wait_until_known(v.address, 2).await;
+    }
     for v in &mut voters[..2] {
         v.shut_down().await;
         v.ended().await.unwrap();
