Log the state, the time and the end of each attempt on the change log

All 26 attempts ended in the state AwaitingAnswer after 1,600 to 1,601 ms, one in flight; none reached an open stream.

--- a/crates/kelpdoor-platform/src/shell/change_log.rs
+++ b/crates/kelpdoor-platform/src/shell/change_log.rs
@@ -31,10 +31,18 @@
 /// Maximum bytes of the change log without a complete event.
 const MAX_EVENT_BYTES: usize = 8 << 20;
 
-/// Reads one stream of the change log until it ends, falls silent or fails; returns the reason. Sets `followed`
-/// once the stream is open.
+/// State of an attempt to read the change log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AttemptState {
+    Connecting,
+    AwaitingAnswer,
+    Open,
+}
+
+/// Reads one stream of the change log until it ends, falls silent or fails; returns the reason. Keeps `state`
+/// up to date.
 async fn read_change_stream(
-    address: SocketAddr, last: &mut u64, unreadable: &mut Option<u64>, followed: &Cell<bool>,
+    address: SocketAddr, last: &mut u64, unreadable: &mut Option<u64>, state: &Cell<AttemptState>,
     input_tx: &mpsc::Sender<TimedInput>,
 ) -> String {
     let stream = match timeout(FEED_CONNECT_TIMEOUT, TcpStream::connect(address)).await {
@@ -42,6 +50,7 @@
         Ok(Err(e)) => return e.to_string(),
         Err(_) => return "connection timed out".into(),
     };
+    state.set(AttemptState::AwaitingAnswer);
     let (mut request_sender, connection) =
         match hyper::client::conn::http1::handshake(TokioIo::new(stream)).await {
             Ok(parts) => parts,
@@ -66,7 +75,7 @@
             Ok(Err(e)) => return e.to_string(),
             Err(_) => return "response timed out".into(),
         };
-        followed.set(true);
+        state.set(AttemptState::Open);
         let _ = input_tx.send((Instant::now(), Input::ChangeLogFollowed(true))).await;
         read_events(response.into_body(), last, unreadable, input_tx).await
     }
@@ -135,18 +144,20 @@
     mut feed_address: watch::Receiver<SocketAddr>, mut last: u64, input_tx: mpsc::Sender<TimedInput>,
     mut rng: fastrand::Rng,
 ) {
-    let (mut wait, mut unreadable, followed) = (FEED_MIN_BACKOFF, None, Cell::new(false));
+    let (mut wait, mut unreadable) = (FEED_MIN_BACKOFF, None);
+    let state = Cell::new(AttemptState::Connecting);
     loop {
-        if followed.replace(false) {
+        if state.replace(AttemptState::Connecting) == AttemptState::Open {
             let _ = input_tx.send((Instant::now(), Input::ChangeLogFollowed(false))).await;
         }
         let address = *feed_address.borrow_and_update();
         let (began, before) = (Instant::now(), last);
         let why = tokio::select! {
-            why = read_change_stream(address, &mut last, &mut unreadable, &followed, &input_tx) => why,
+            why = read_change_stream(address, &mut last, &mut unreadable, &state, &input_tx) => why,
             _ = feed_address.changed() => continue,
         };
-        tracing::warn!(%address, last, "change log: {why}; reconnecting");
+        let (state, milliseconds) = (state.get(), began.elapsed().as_millis());
+        tracing::warn!(%address, last, ?state, milliseconds, in_flight = 1, "change log: {why}; reconnecting");
         wait = if last > before || began.elapsed() > FEED_IDLE_TIMEOUT * 2 {
             FEED_MIN_BACKOFF
         } else {
