Choose another port in a test when another socket took the one that was free

A test of the program finds a free port, and the program binds it a moment later. Beside other tests the port was taken in between: 2 of some 110 starts in one run of the suite ended with 'Address already in use' (change_log.rs, floods.rs). The harness now starts the program at another port in that case, five times at most; any other reason still fails the test.

--- a/crates/kelpdoord/tests/platform/mod.rs
+++ b/crates/kelpdoord/tests/platform/mod.rs
@@ -282,14 +282,10 @@
             all.iter().enumerate().map(|(n, node)| host_entry(n, node.address, "up")).collect();
         change_log.publish(&hosts);
         let first: Value = serde_json::from_str(&lock(&change_log.state.0).events[0]).expect("JSON");
-        let port =
-            TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|l| l.local_addr()).expect("a port").port();
-        let config = json!({"name": "n0", "listen": format!("127.0.0.1:{port}"), "seed": "7", "settings": settings,
+        let mut config = json!({"name": "n0", "seed": "7", "settings": settings,
             "limits": {"cores": 1.0, "memory_mb": 32, "sockets": sockets}, "changelog": change_log.address.to_string(),
             "known": {"seq": 1, "results": [first]}});
-        let file = std::env::temp_dir().join(format!("kelpdoord-{}-{port}.json", std::process::id()));
-        std::fs::write(&file, config.to_string()).expect("the file is written");
-        let (child, log) = spawn_daemon(&file);
+        let (port, file, (child, log)) = start_at_free_port(&mut config);
         Harness {
             nodes: all,
             events,
@@ -312,7 +308,8 @@
     pub fn restart(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        (self.child, self.log) = spawn_daemon(&self.file);
+        (self.child, self.log) =
+            spawn_daemon(&self.file).unwrap_or_else(|log| panic!("it does not start: {log}"));
     }
 
     pub fn log(&self) -> String {
@@ -565,8 +562,28 @@
     }
 }
 
-/// Starts the program and waits until it logs that it started. Returns the process and its log so far.
-fn spawn_daemon(file: &PathBuf) -> (Child, Arc<Mutex<String>>) {
+/// Starts the program at a port that is free. Another process or test may take the port before the program does: then
+/// another one is chosen. Returns the port and the configuration file too.
+fn start_at_free_port(config: &mut Value) -> (u16, PathBuf, (Child, Arc<Mutex<String>>)) {
+    const MAX_TRIES: usize = 5;
+    for _ in 0..MAX_TRIES {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|l| l.local_addr());
+        let port = listener.expect("a port").port();
+        config["listen"] = json!(format!("127.0.0.1:{port}"));
+        let file = std::env::temp_dir().join(format!("kelpdoord-{}-{port}.json", std::process::id()));
+        std::fs::write(&file, config.to_string()).expect("the file is written");
+        match spawn_daemon(&file) {
+            Ok(running) => return (port, file, running),
+            Err(log) => assert!(log.contains("Address already in use"), "it does not start: {log}"),
+        }
+        let _ = std::fs::remove_file(&file);
+    }
+    panic!("{MAX_TRIES} ports in a row were taken before the program bound them");
+}
+
+/// Starts the program and waits until it logs that it started. Returns the process and its log so far, or the whole log if
+/// it does not start.
+fn spawn_daemon(file: &PathBuf) -> Result<(Child, Arc<Mutex<String>>), String> {
     let mut child = Command::new(program())
         .args(["platform", "--log-filter", "debug"])
         .env("PROXY_CONFIG", file)
@@ -590,10 +607,12 @@
             log.push('\n');
         }
     });
-    started
-        .recv_timeout(WAIT_TIMEOUT)
-        .unwrap_or_else(|_| panic!("the program does not start: {}", lock(&log)));
-    (child, log)
+    if started.recv_timeout(WAIT_TIMEOUT).is_err() {
+        let _ = child.kill();
+        let _ = child.wait();
+        return Err(lock(&log).clone());
+    }
+    Ok((child, log))
 }
 
 /// Starts a node whose listen backlog is full: the kernel drops connection requests and retransmits them later.
