Hear a change log of any slowness: attempts beside each other in place of a time-out

Cause: the limit of silence on an open stream (1.6 s) limited the answer too. Each expiry dropped the attempt and the next one had the same limit. Evidence: with 26 of 26 attempts ended in AwaitingAnswer after 1,600 to 1,602 ms. Connecting (0.7 s), a late first byte and pauses between bytes had the same fault, and a reload dropped the attempt that had waited.

Change: an attempt that exceeds a limit is kept and another begins beside it; the first that tells something new, or stays alive for 4 s, closes the others. The first attempt is kept until there is an answer, so any answer time is heard; places by number bound the others (7 in flight, 9 after reloads) and let none that is silent for good hold off the next. The plan is a core without I/O (attempts.rs). A new address is followed before the old one is let go. An event's position moves once the core has it.

Why it works: no limit ends an attempt that may be the first to succeed. Limits only begin further ones, at most 42 a minute, 10 after two minutes; a fleet of 200 on a service that works off a queue is heard in the time it needs for one round.

44 descriptors are reserved in place of 36; the tests that count links or viewers to the last one take the figure from the code.

--- a/crates/kelpdoor-platform/src/core.rs
+++ b/crates/kelpdoor-platform/src/core.rs
@@ -62,8 +62,8 @@
 const SESSION_BYTES: usize = 640;
 /// Maximum links per node; further SETUPs share them.
 const MAX_LINKS_PER_NODE: usize = 6;
-/// File descriptors for the process itself, the change log and connections that are about to close.
-const RESERVED_SOCKETS: usize = 36;
+/// File descriptors for the process itself, attempts to read the change log, and connections that are about to close.
+pub const RESERVED_SOCKETS: usize = 44;
 /// s; a spare link that is idle for this long is closed.
 const SPARE_LINK_IDLE: f64 = 2.0;
 /// s; the same for a link that carried no SETUP, once there is a newer one or the process behind it is known to be
--- a/crates/kelpdoor-platform/src/lib.rs
+++ b/crates/kelpdoor-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`SessionCore`] is the core without I/O; [`run`] owns the sockets, timers and signals around it and makes
 //! no decisions. `docs/platform.md` describes the operation.
 
+pub mod attempts;
 pub mod changes;
 pub mod core;
 pub mod incarnations;
--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -3,6 +3,7 @@
 //! socket takes it.
 
 mod change_log;
+mod change_stream;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -28,6 +29,7 @@
 use crate::lines::{LineDecoder, LineTooLong};
 use crate::startup::StartupConfig;
 use crate::viewer::{self, MAX_LINE};
+use change_log::ChangeLogStatus;
 
 /// Maximum inputs queued for the core, of up to 16 KiB each. Beyond it the readers wait, which slows their
 /// peers down.
@@ -533,7 +535,8 @@
     connect_timeout: Duration,
     totals: SocketTotals,
     input_tx: mpsc::Sender<TimedInput>,
-    feed_address_tx: watch::Sender<SocketAddr>,
+    change_log_address_tx: watch::Sender<SocketAddr>,
+    change_log_status: watch::Receiver<ChangeLogStatus>,
     config_path: PathBuf,
     /// Start of the current second of log output, and its lines so far.
     log_lines: (Instant, u32),
@@ -653,7 +656,8 @@
         match StartupConfig::reread_changelog(&self.config_path) {
             Ok(address) => {
                 tracing::info!(%address, "configuration reloaded");
-                self.feed_address_tx.send_replace(address);
+                self.change_log_address_tx
+                    .send_if_modified(|current| std::mem::replace(current, address) != address);
             }
             Err(e) => tracing::error!("{e}; keeping the current configuration"),
         }
@@ -744,6 +748,7 @@
                 last_status = Instant::now();
                 if tracing::enabled!(tracing::Level::DEBUG) {
                     tracing::debug!("status: {}", self.core.status_line());
+                    tracing::debug!("change log: {}", *self.change_log_status.borrow());
                 }
             }
             if let Some(since) = terminated_at
@@ -819,16 +824,18 @@
     let (now, _) = clock.now();
     let core = SessionCore::new(&config, now);
     let (input_tx, input_rx) = mpsc::channel(INPUT_QUEUE_LENGTH);
-    let (feed_address_tx, feed_address) = watch::channel(config.changelog);
+    let (change_log_address_tx, change_log_address) = watch::channel(config.changelog);
+    let (change_log_status_tx, change_log_status) = watch::channel(ChangeLogStatus::default());
     let viewers = ViewerOutputs::default();
     let totals = SocketTotals::new(config.max_memory / MEMORY_DIVISOR);
     // These tasks never end; without them the director would get no input.
     let mut tasks = JoinSet::new();
     tasks.spawn_local(change_log::follow_change_log(
-        feed_address,
+        change_log_address,
         config.last_known_change,
         input_tx.clone(),
         fastrand::Rng::with_seed(config.seed),
+        change_log_status_tx,
     ));
     let (limit, lingering) = (core.max_viewers(), Rc::new(Semaphore::new(MAX_LINGERING)));
     let accepting =
@@ -842,7 +849,8 @@
         links: HashMap::new(),
         connect_timeout: Duration::from_secs_f64(config.names.connect_timeout.max(0.05)),
         input_tx,
-        feed_address_tx,
+        change_log_address_tx,
+        change_log_status,
         config_path: config.config_path,
         log_lines: (Instant::now(), 0),
         last_setup: (0, Instant::now()),
--- a/crates/kelpdoor-platform/src/shell/change_log.rs
+++ b/crates/kelpdoor-platform/src/shell/change_log.rs
@@ -1,172 +1,263 @@
-//! Reads the change log: server-sent events over HTTP/1.1, from the last number received.
+//! Follows the change log: carries out what the [`AttemptPlanner`] plans, and hands each event to the core once, in order.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use eventsource_stream::Eventsource;
-use futures_util::{StreamExt, stream};
-use http_body_util::{BodyExt, Empty};
-use hyper::body::{Bytes, Incoming};
-use hyper::{Request, StatusCode, header};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use kelpdoor_parts::CATCH_UP_TIME;
 use tokio::sync::{mpsc, watch};
-use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until};
 
 use super::TimedInput;
-use crate::changes::parse_event;
+use super::change_stream::{AttemptError, Report, StreamContext, read_change_stream};
+use crate::attempts::{Action, Activity, AttemptId, AttemptPlanner, AttemptState};
+use crate::changes::FleetChange;
 use crate::core::Input;
 
-/// The change log sends something every second; a stream that is silent for longer is reopened.
-const FEED_IDLE_TIMEOUT: Duration = Duration::from_millis(1600);
-/// Timeout for connecting to the change log.
-const FEED_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
-/// Initial backoff before the change log is requested again.
-const FEED_MIN_BACKOFF: Duration = Duration::from_millis(20);
-/// Maximum backoff before the change log is requested again.
-const FEED_MAX_BACKOFF: Duration = Duration::from_millis(500);
-/// Maximum bytes of the change log without a complete event.
-const MAX_EVENT_BYTES: usize = 8 << 20;
-
-/// State of an attempt to read the change log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AttemptState {
-    Connecting,
-    AwaitingAnswer,
-    Open,
-}
+/// Maximum reports of attempts that wait to be handled; further attempts wait, and their peers with them.
+const REPORT_QUEUE_LENGTH: usize = 4;
+/// A wake-up that is later than this is a pause of the process: what lies in the sockets is read before limits apply.
+const MAX_WAKE_DELAY: Duration = Duration::from_millis(100);
 
-/// Reads one stream of the change log until it ends, falls silent or fails; returns the reason. Keeps `state`
-/// up to date.
-async fn read_change_stream(
-    address: SocketAddr, last: &mut u64, unreadable: &mut Option<u64>, state: &Cell<AttemptState>,
-    input_tx: &mpsc::Sender<TimedInput>,
-) -> String {
-    let stream = match timeout(FEED_CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return e.to_string(),
-        Err(_) => return "connection timed out".into(),
-    };
-    state.set(AttemptState::AwaitingAnswer);
-    let (mut request_sender, connection) =
-        match hyper::client::conn::http1::handshake(TokioIo::new(stream)).await {
-            Ok(parts) => parts,
-            Err(e) => return e.to_string(),
-        };
-    let driver = spawn_local(async move {
-        let _ = connection.await;
-    });
-    let why = async {
-        let request = Request::get("/changes")
-            .header(header::HOST, address.to_string())
-            .header(header::ACCEPT, "text/event-stream")
-            .header("Last-Event-ID", last.to_string())
-            .body(Empty::<Bytes>::new());
-        let request = match request {
-            Ok(request) => request,
-            Err(e) => return e.to_string(),
-        };
-        let response = match timeout(FEED_IDLE_TIMEOUT, request_sender.send_request(request)).await {
-            Ok(Ok(response)) if response.status() == StatusCode::OK => response,
-            Ok(Ok(response)) => return format!("status {}", response.status()),
-            Ok(Err(e)) => return e.to_string(),
-            Err(_) => return "response timed out".into(),
-        };
-        state.set(AttemptState::Open);
-        let _ = input_tx.send((Instant::now(), Input::ChangeLogFollowed(true))).await;
-        read_events(response.into_body(), last, unreadable, input_tx).await
-    }
-    .await;
-    driver.abort();
-    why
+/// What is known about the change log, for operators.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ChangeLogStatus {
+    /// Number of the last event that was handed to the core.
+    last_event: u64,
+    /// When the last byte arrived from it.
+    last_heard_at: Option<Instant>,
+    /// The attempts in flight, each with its state and the time since which that lasts.
+    attempts: Vec<(AttemptId, AttemptState, Instant)>,
 }
 
-async fn read_events(
-    body: Incoming, last: &mut u64, unreadable: &mut Option<u64>, input_tx: &mpsc::Sender<TimedInput>,
-) -> String {
-    let bytes = Rc::new(Cell::new(0));
-    let counted_bytes = bytes.clone();
-    let data = stream::unfold(body, move |mut body| {
-        let counted_bytes = counted_bytes.clone();
-        async move {
-            loop {
-                let frame = match timeout(FEED_IDLE_TIMEOUT, body.frame()).await {
-                    Err(_) => return Some((Err("no data within the idle timeout".to_owned()), body)),
-                    Ok(None) => return None,
-                    Ok(Some(Err(e))) => return Some((Err(e.to_string()), body)),
-                    Ok(Some(Ok(frame))) => frame,
-                };
-                if let Ok(data) = frame.into_data() {
-                    counted_bytes.set(counted_bytes.get() + data.len());
-                    let too_long = counted_bytes.get() > MAX_EVENT_BYTES;
-                    return Some((
-                        if too_long { Err("event exceeds the size limit".to_owned()) } else { Ok(data) },
-                        body,
-                    ));
-                }
-            }
+impl fmt::Display for ChangeLogStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "last event {}, ", self.last_event)?;
+        match self.last_heard_at {
+            Some(at) => write!(f, "heard {:.1} s ago, ", at.elapsed().as_secs_f64())?,
+            None => f.write_str("never heard, ")?,
         }
-    });
-    let mut events = std::pin::pin!(data.eventsource());
-    loop {
-        let event = match events.next().await {
-            None => return "the stream ended".into(),
-            Some(Err(e)) => return e.to_string(),
-            Some(Ok(event)) => event,
-        };
-        bytes.set(0);
-        match parse_event(&event.data) {
-            // A duplicate.
-            Ok(change) if change.number <= *last => {}
-            Ok(change) => {
-                *last = change.number;
-                let _ = input_tx.send((Instant::now(), Input::Change(change))).await;
-            }
-            Err(e) => {
-                let number = event.id.parse().ok();
-                if number.is_some() && *unreadable == number {
-                    // The same event was unreadable twice, so another attempt would not help: skips it.
-                    *last = (*last).max(number.unwrap_or(0));
-                }
-                *unreadable = number;
-                return format!("unreadable event: {e}");
-            }
+        write!(f, "{} attempts in flight", self.attempts.len())?;
+        for (AttemptId(id), state, since) in &self.attempts {
+            write!(f, "; {id} {state:?} for {:.1} s", since.elapsed().as_secs_f64())?;
         }
+        Ok(())
     }
 }
 
-/// Follows the change log, at its current address, from the last number received. Each backoff is jittered
-/// down to half, as all directors lose the change log at the same moment.
+/// Ends its task when dropped.
+struct RunningAttempt {
+    began_at: Instant,
+    activity: Rc<RefCell<Activity>>,
+    _task: JoinSet<()>,
+}
+
+/// Follows the change log from the last event received.
+pub(super) struct ChangeLogFollower {
+    /// The planner's times count from here.
+    started_at: Instant,
+    planner: AttemptPlanner,
+    running: BTreeMap<AttemptId, RunningAttempt>,
+    address: SocketAddr,
+    /// Number of the last event that was handed to the core.
+    last_event: u64,
+    /// Number of the event that could not be read at the last try.
+    unreadable: Option<u64>,
+    is_following: bool,
+    last_heard_at: Option<Instant>,
+    /// Bytes of incomplete events, of all attempts.
+    buffered_bytes: Rc<Cell<usize>>,
+    report_tx: mpsc::Sender<(AttemptId, Report)>,
+    input_tx: mpsc::Sender<TimedInput>,
+    status_tx: watch::Sender<ChangeLogStatus>,
+}
+
+/// Runs until the task is dropped. Follows `address`, which may change, from the event after `last_event` on.
 pub(super) async fn follow_change_log(
-    mut feed_address: watch::Receiver<SocketAddr>, mut last: u64, input_tx: mpsc::Sender<TimedInput>,
-    mut rng: fastrand::Rng,
+    mut address_rx: watch::Receiver<SocketAddr>, last_event: u64, input_tx: mpsc::Sender<TimedInput>,
+    rng: fastrand::Rng, status_tx: watch::Sender<ChangeLogStatus>,
 ) {
-    let (mut wait, mut unreadable) = (FEED_MIN_BACKOFF, None);
-    let state = Cell::new(AttemptState::Connecting);
+    let (report_tx, mut report_rx) = mpsc::channel(REPORT_QUEUE_LENGTH);
+    let mut follower = ChangeLogFollower {
+        started_at: Instant::now(),
+        planner: AttemptPlanner::new(rng),
+        running: BTreeMap::new(),
+        address: *address_rx.borrow_and_update(),
+        last_event,
+        unreadable: None,
+        is_following: false,
+        last_heard_at: None,
+        buffered_bytes: Rc::default(),
+        report_tx,
+        input_tx,
+        status_tx,
+    };
     loop {
-        if state.replace(AttemptState::Connecting) == AttemptState::Open {
-            let _ = input_tx.send((Instant::now(), Input::ChangeLogFollowed(false))).await;
+        let wake_at = follower.poll().await;
+        // Each branch may be dropped: it takes nothing that it does not return.
+        tokio::select! {
+            biased;
+            Some((id, report)) = report_rx.recv() => follower.handle_report(id, report).await,
+            Ok(()) = address_rx.changed() => follower.follow_address(*address_rx.borrow_and_update()),
+            () = sleep_until(wake_at.into()) => {}
         }
-        let address = *feed_address.borrow_and_update();
-        let (began, before) = (Instant::now(), last);
-        let why = tokio::select! {
-            why = read_change_stream(address, &mut last, &mut unreadable, &state, &input_tx) => why,
-            _ = feed_address.changed() => continue,
-        };
-        let (state, milliseconds) = (state.get(), began.elapsed().as_millis());
-        tracing::warn!(%address, last, ?state, milliseconds, in_flight = 1, "change log: {why}; reconnecting");
-        wait = if last > before || began.elapsed() > FEED_IDLE_TIMEOUT * 2 {
-            FEED_MIN_BACKOFF
-        } else {
-            wait * 2
+        if wake_at.elapsed() > MAX_WAKE_DELAY {
+            sleep(CATCH_UP_TIME).await;
+        }
+        while let Ok((id, report)) = report_rx.try_recv() {
+            follower.handle_report(id, report).await;
+        }
+    }
+}
+
+impl ChangeLogFollower {
+    fn now(&self) -> f64 {
+        self.started_at.elapsed().as_secs_f64()
+    }
+
+    fn instant(&self, seconds: f64) -> Instant {
+        self.started_at + Duration::from_secs_f64(seconds.max(0.0))
+    }
+
+    /// Carries out what is due, and returns when the next call is.
+    async fn poll(&mut self) -> Instant {
+        for (&id, attempt) in &self.running {
+            let activity = *attempt.activity.borrow();
+            self.planner.set_activity(id, activity);
+            let heard_at = activity.last_byte_at().map(|at| self.instant(at));
+            self.last_heard_at = self.last_heard_at.max(heard_at);
+        }
+        let actions = self.planner.poll(self.now());
+        self.apply(actions);
+        self.report_following().await;
+        self.publish_status();
+        let now = self.now();
+        self.instant(self.planner.next_poll_at(now))
+    }
+
+    fn apply(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Begin(id) => self.begin(id),
+                Action::Close(id) => self.close(id),
+            }
+        }
+    }
+
+    fn begin(&mut self, id: AttemptId) {
+        let in_flight = self.planner.in_flight();
+        tracing::debug!(attempt = id.0, address = %self.address, last = self.last_event, in_flight, "change log: attempt begins");
+        if in_flight > 1 {
+            tracing::warn!(
+                in_flight,
+                "change log: slow or silent; beginning another attempt beside the others"
+            );
+        }
+        let activity = Rc::<RefCell<Activity>>::default();
+        let context = StreamContext {
+            address: self.address,
+            last_event: self.last_event,
+            started_at: self.started_at,
+            activity: activity.clone(),
+            buffered_bytes: self.buffered_bytes.clone(),
         };
-        wait = wait.min(FEED_MAX_BACKOFF);
-        tokio::select! {
-            () = sleep(wait.mul_f64(0.5 + 0.5 * rng.f64())) => {}
-            _ = feed_address.changed() => feed_address.mark_changed(),
+        let mut task = JoinSet::new();
+        let report_tx = self.report_tx.clone();
+        task.spawn_local(async move {
+            let error = read_change_stream(context, id, &report_tx).await;
+            let _ = report_tx.send((id, Report::Ended(error))).await;
+        });
+        self.running.insert(id, RunningAttempt { began_at: Instant::now(), activity, _task: task });
+    }
+
+    /// Closes an attempt that is no longer needed. The planner has forgotten it.
+    fn close(&mut self, id: AttemptId) {
+        if let Some(attempt) = self.running.remove(&id) {
+            let (milliseconds, in_flight) =
+                (attempt.began_at.elapsed().as_millis(), self.planner.in_flight());
+            tracing::info!(
+                attempt = id.0,
+                milliseconds,
+                in_flight,
+                "change log: attempt closed in favour of others"
+            );
+        }
+    }
+
+    async fn handle_report(&mut self, id: AttemptId, report: Report) {
+        let now = self.now();
+        match report {
+            Report::Connected => self.planner.connected(id, now),
+            Report::Answered => self.planner.answered(id, now),
+            Report::Event(change) => self.hand_over(id, change).await,
+            Report::Ended(error) => self.end(id, &error),
+        }
+    }
+
+    /// Hands an event to the core, unless it has it already. The position moves only once the core has the event.
+    async fn hand_over(&mut self, id: AttemptId, change: FleetChange) {
+        if change.number <= self.last_event {
+            return;
         }
+        let Ok(permit) = self.input_tx.reserve().await else { return };
+        self.last_event = change.number;
+        permit.send((Instant::now(), Input::Change(change)));
+        let actions = self.planner.new_event_delivered(id);
+        self.apply(actions);
+    }
+
+    fn end(&mut self, id: AttemptId, error: &AttemptError) {
+        let Some(attempt) = self.running.remove(&id) else { return };
+        let (now, in_flight) = (self.now(), self.planner.in_flight());
+        let (state, since) = self.planner.state(id).unwrap_or((AttemptState::Connecting, now));
+        let (milliseconds, in_state) = (attempt.began_at.elapsed().as_millis(), ((now - since) * 1e3) as u64);
+        let (address, last) = (self.address, self.last_event);
+        tracing::warn!(attempt = id.0, %address, last, ?state, milliseconds, in_state, in_flight, "change log: {error}; reconnecting");
+        if let AttemptError::Unreadable { number, .. } = error {
+            self.skip_if_unreadable_twice(*number);
+        }
+        self.planner.ended(id, now);
+    }
+
+    /// An event that was unreadable twice would be so again.
+    fn skip_if_unreadable_twice(&mut self, number: Option<u64>) {
+        if number.is_some() && self.unreadable == number {
+            self.last_event = self.last_event.max(number.unwrap_or(0));
+        }
+        self.unreadable = number;
+    }
+
+    fn follow_address(&mut self, address: SocketAddr) {
+        if address == self.address {
+            return;
+        }
+        self.address = address;
+        let actions = self.planner.address_changed(self.now());
+        self.apply(actions);
+    }
+
+    /// Tells the core whether the change log is being followed, if that has changed.
+    async fn report_following(&mut self) {
+        let is_following = self.planner.is_following(self.now());
+        if is_following != self.is_following
+            && let Ok(permit) = self.input_tx.reserve().await
+        {
+            self.is_following = is_following;
+            permit.send((Instant::now(), Input::ChangeLogFollowed(is_following)));
+        }
+    }
+
+    fn publish_status(&self) {
+        let state =
+            |id: &AttemptId| self.planner.state(*id).map(|(state, since)| (*id, state, self.instant(since)));
+        self.status_tx.send_replace(ChangeLogStatus {
+            last_event: self.last_event,
+            last_heard_at: self.last_heard_at,
+            attempts: self.running.keys().filter_map(state).collect(),
+        });
     }
 }
--- a/crates/kelpdoor-platform/tests/session_core.rs
+++ b/crates/kelpdoor-platform/tests/session_core.rs
@@ -4,7 +4,7 @@
 
 use common::{Scenario, finish, link_failure, start};
 use expect_test::expect;
-use kelpdoor_platform::core::{ConnectFailure, Input};
+use kelpdoor_platform::core::{ConnectFailure, Input, RESERVED_SOCKETS};
 
 #[test]
 fn session_is_set_up_and_ended_by_its_node() {
@@ -346,7 +346,7 @@
 #[test]
 fn late_answer_to_a_cancelled_setup_is_released() {
     // One link in total, so that another SETUP keeps it open.
-    let mut s = Scenario::new(1, 38);
+    let mut s = Scenario::new(1, RESERVED_SOCKETS + 2);
     s.connect_viewer(1);
     s.request_setup(1, 5);
     s.request_setup(1, 6);
@@ -972,7 +972,7 @@
 #[test]
 fn spare_link_is_closed_before_the_only_link_to_a_node_with_sessions() {
     // Three links in total. Each node holds its own title, and a session is active at the first.
-    let mut s = Scenario::new(4, 41);
+    let mut s = Scenario::new(4, RESERVED_SOCKETS + 5);
     s.connect_viewer(1);
     for node in 1..=3 {
         s.send_line(1, &start(node, "lecture", &format!("home:{node};copies:1;top:4"), "v=0"));
--- a/crates/kelpdoord/tests/ends.rs
+++ b/crates/kelpdoord/tests/ends.rs
@@ -3,6 +3,7 @@
 
 mod platform;
 
+use kelpdoor_platform::core::RESERVED_SOCKETS;
 use nix::sys::signal::Signal;
 use platform::{
     AUTO_ANSWERED, ChangeLog, Departure, Harness, NodeEventKind, Viewer, finish_line, format_tag,
@@ -624,8 +625,10 @@
 
 #[test]
 fn start_on_a_connection_about_to_be_evicted_is_answered() {
-    let mut harness = Harness::with(1, 64, |_| {});
-    let viewer_count = 14;
+    const SOCKETS: usize = 64;
+    let mut harness = Harness::with(1, SOCKETS as u64, |_| {});
+    // As many as the director keeps.
+    let viewer_count = (SOCKETS - RESERVED_SOCKETS) / 2;
     let mut idle: Vec<Viewer> = (0..viewer_count).map(|_| harness.viewer()).collect();
     idle.iter_mut().for_each(Viewer::echo);
     let mut more = harness.while_stopped(|harness| {
--- a/crates/kelpdoord/tests/platform/mod.rs
+++ b/crates/kelpdoord/tests/platform/mod.rs
@@ -58,15 +58,47 @@
     address: SocketAddr,
     /// Accepted connections; `None` once the test has closed one.
     conns: Arc<Mutex<Vec<Option<TcpStream>>>>,
-    /// Set while the node is unreachable: a listener with a full backlog that nobody accepts from, and what fills it.
-    blocked: Option<(TcpListener, Vec<TcpStream>)>,
+    /// Set while the node is unreachable.
+    blocked: Option<BlockedListener>,
+}
+
+/// How slowly a change log answers a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pacing {
+    /// From the request to the headers of the answer.
+    pub headers: Duration,
+    /// From the headers to the first byte of the stream.
+    pub first_byte: Duration,
+    /// Before each piece of headers and stream.
+    pub gap: Duration,
+    /// Bytes of such a piece.
+    pub piece: usize,
+}
+
+impl Pacing {
+    /// Writes at this pace; returns whether the connection is still open.
+    fn write(&self, stream: &mut TcpStream, bytes: &[u8]) -> bool {
+        if self.gap.is_zero() {
+            return stream.write_all(bytes).is_ok();
+        }
+        bytes.chunks(self.piece).all(|piece| {
+            std::thread::sleep(self.gap);
+            stream.write_all(piece).is_ok()
+        })
+    }
 }
 
 #[derive(Default)]
 struct ChangeLogState {
+    pacing: Pacing,
+    /// Number of requests, counted from the first, that are never answered.
+    ignored_requests: usize,
     events: Vec<String>,
-    /// The last event id in the request of each stream opened so far.
+    /// The last event id in each request so far.
     requests: Vec<u64>,
+    /// Number of connections on which a request arrived and that neither side has closed.
+    open_connections: usize,
+    max_open_connections: usize,
     /// Number of streams, counted from the first, that send nothing more.
     silent_streams: usize,
     /// Every stream is closed.
@@ -81,20 +113,62 @@
 pub struct ChangeLog {
     pub address: SocketAddr,
     state: Arc<(Mutex<ChangeLogState>, Condvar)>,
+    /// Set while it accepts no connection.
+    blocked: Arc<Mutex<Option<BlockedListener>>>,
 }
 
 impl ChangeLog {
     pub fn new() -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-        let change_log = ChangeLog { address: listener.local_addr().expect("bound"), state: Arc::default() };
-        let server = change_log.clone();
+        let change_log = ChangeLog {
+            address: listener.local_addr().expect("bound"),
+            state: Arc::default(),
+            blocked: Arc::default(),
+        };
+        change_log.accept_connections(listener);
+        change_log
+    }
+
+    /// A change log that accepts no connection before [`unblock`](Self::unblock).
+    pub fn blocked() -> Self {
+        let (listener, waiting) = start_blocked_listener();
+        ChangeLog {
+            address: listener.local_addr().expect("bound"),
+            state: Arc::default(),
+            blocked: Arc::new(Mutex::new(Some((listener, waiting)))),
+        }
+    }
+
+    pub fn unblock(&self) {
+        let (listener, waiting) = lock(&self.blocked).take().expect("it was blocked");
+        drop(waiting);
+        self.accept_connections(listener);
+    }
+
+    fn accept_connections(&self, listener: TcpListener) {
+        let server = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let server = server.clone();
                 std::thread::spawn(move || server.serve_stream(stream));
             }
         });
-        change_log
+    }
+
+    /// Answers requests that arrive from now on at this pace.
+    pub fn set_pacing(&self, pacing: Pacing) {
+        self.update(|s| s.pacing = pacing);
+    }
+
+    /// Never answers the first `count` requests.
+    pub fn ignore_requests(&self, count: usize) {
+        self.update(|s| s.ignored_requests = count);
+    }
+
+    /// Requests so far, and the most connections with one that were open at a time.
+    pub fn request_counts(&self) -> (usize, usize) {
+        let state = lock(&self.state.0);
+        (state.requests.len(), state.max_open_connections)
     }
 
     fn update(&self, f: impl FnOnce(&mut ChangeLogState)) {
@@ -102,7 +176,24 @@
         self.state.1.notify_all();
     }
 
-    fn serve_stream(&self, mut stream: TcpStream) -> Option<()> {
+    fn serve_stream(&self, stream: TcpStream) {
+        let closing = stream.try_clone();
+        if let Some(last_event_id) = Self::read_request(&stream) {
+            let mut number = 0;
+            self.update(|s| {
+                s.requests.push(last_event_id);
+                number = s.requests.len();
+                s.open_connections += 1;
+                s.max_open_connections = s.max_open_connections.max(s.open_connections);
+            });
+            self.answer(stream, number, last_event_id);
+            self.update(|s| s.open_connections -= 1);
+        }
+        let _ = closing.map(|stream| stream.shutdown(Shutdown::Both));
+    }
+
+    /// Reads a request and returns its last event id.
+    fn read_request(stream: &TcpStream) -> Option<u64> {
         let mut head = String::new();
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         while !head.ends_with("\r\n\r\n") {
@@ -110,16 +201,37 @@
                 return None;
             }
         }
-        let last_event_id = head
-            .lines()
-            .find_map(|l| l.to_ascii_lowercase().strip_prefix("last-event-id:")?.trim().parse().ok());
-        let mut from: u64 = last_event_id?;
-        let mut headers_sent = false;
-        let mut number = 0;
-        self.update(|s| {
-            s.requests.push(from);
-            number = s.requests.len();
-        });
+        head.lines().find_map(|l| l.to_ascii_lowercase().strip_prefix("last-event-id:")?.trim().parse().ok())
+    }
+
+    /// Waits for `time`, or until the peer closes the connection; returns whether it is still open.
+    fn wait_while_open(stream: &TcpStream, time: Duration) -> bool {
+        if time.is_zero() {
+            return true;
+        }
+        let _ = stream.set_read_timeout(Some(time));
+        let closed = matches!((&mut &*stream).read(&mut [0]), Ok(0));
+        !closed
+    }
+
+    /// Answers the `number`th request with the events after `from`, until the connection or its turn ends.
+    fn answer(&self, mut stream: TcpStream, number: usize, mut from: u64) -> Option<()> {
+        let (pacing, is_ignored) = {
+            let s = lock(&self.state.0);
+            (s.pacing, number <= s.ignored_requests)
+        };
+        if is_ignored {
+            while Self::wait_while_open(&stream, WAIT_TIMEOUT) {}
+            return None;
+        }
+        if !Self::wait_while_open(&stream, pacing.headers) {
+            return None;
+        }
+        let headers = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+        let is_open = pacing.write(&mut stream, headers) && Self::wait_while_open(&stream, pacing.first_byte);
+        if !is_open {
+            return None;
+        }
         loop {
             let mut text = Vec::new();
             {
@@ -127,12 +239,6 @@
                 if s.down {
                     return None;
                 }
-                if !headers_sent {
-                    text.extend_from_slice(
-                        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n",
-                    );
-                    headers_sent = true;
-                }
                 if number <= s.ended_streams {
                     text.extend_from_slice(&s.final_bytes);
                     let _ = stream.write_all(&text);
@@ -146,7 +252,7 @@
                     text.extend_from_slice(b": still here\n");
                 }
             }
-            if stream.write_all(&text).is_err() {
+            if !pacing.write(&mut stream, &text) {
                 return None;
             }
             let s = lock(&self.state.0);
@@ -316,6 +422,15 @@
         lock(&self.log).clone()
     }
 
+    /// Waits until the log contains a text.
+    pub fn wait_for_log(&self, text: &str) {
+        let start = Instant::now();
+        while !self.log().contains(text) {
+            assert!(start.elapsed() < WAIT_TIMEOUT, "no {text:?} in the log\n{}", self.log());
+            Self::elapse(10);
+        }
+    }
+
     fn pid(&self) -> Pid {
         Pid::from_raw(i32::try_from(self.child.id()).expect("a process id"))
     }
@@ -617,6 +732,15 @@
 
 /// Starts a node whose listen backlog is full: the kernel drops connection requests and retransmits them later.
 fn start_blocked_node() -> Node {
+    let blocked = start_blocked_listener();
+    let address = blocked.0.local_addr().expect("bound");
+    Node { address, conns: Arc::default(), blocked: Some(blocked) }
+}
+
+/// A listener with a full backlog that nobody accepts from, and the connections that fill it.
+type BlockedListener = (TcpListener, Vec<TcpStream>);
+
+fn start_blocked_listener() -> BlockedListener {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
     socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a port");
     socket.listen(0).expect("listens");
@@ -627,7 +751,7 @@
         waiting.push(stream);
         assert!(waiting.len() < 8, "the backlog never fills up");
     }
-    Node { address, conns: Arc::default(), blocked: Some((listener, waiting)) }
+    (listener, waiting)
 }
 
 fn accept_connections(
