Test that no event of the change log is lost when its reader is dropped

The test of a moved address fails on a scratch copy of (event 3 alone in place of 2 and 3) and passes now, as do those of an ended stream and of two attempts.

--- a/crates/kelpdoor-platform/src/shell/change_log.rs
+++ b/crates/kelpdoor-platform/src/shell/change_log.rs
@@ -261,3 +261,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
