Wait for a voter that is slow to accept or to welcome, and try another beside it

Change: the first connection is kept until it is welcomed or fails; after 0.5 s others are tried beside it, one at a time and each for 2 s, so one that is silent for good holds nothing off. The first response may take twice the time of the welcome. Silence on an open connection is limited to 2 s as before. Requests are dropped once a connection has taken 0.5 s to open, as before.

--- a/crates/kelpdoor-keeper/src/lib.rs
+++ b/crates/kelpdoor-keeper/src/lib.rs
@@ -6,6 +6,7 @@
 //! holds records of changes, each with its length and checksums. An incomplete record at the end is dropped, because no
 //! response was sent for it. Any other corruption is reported, and nothing is loaded.
 
+mod hedged;
 mod log;
 mod serve;
 mod sockets;
--- a/crates/kelpdoor-keeper/src/voter_connections.rs
+++ b/crates/kelpdoor-keeper/src/voter_connections.rs
@@ -1,5 +1,7 @@
 //! Client connections to voters, used by directors and by other voters. A connection that breaks or on which nothing is
 //! received is replaced. Requests that find no connection are dropped: the caller repeats them.
+//!
+//! A voter that is slow to accept or to welcome is waited for, while further connections are tried beside the first one.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -8,9 +10,12 @@
 use kelpdoor_agreement::{ClientRequest, MAX_LINE, VoterId, VoterResponse};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+
+use crate::hedged::open_hedged;
 
 /// Maximum number of requests queued for one connection; further ones are dropped.
 const MAX_QUEUED_REQUESTS: usize = 256;
@@ -18,8 +23,10 @@
 const MIN_RECONNECT_DELAY: f64 = 0.05;
 /// Longest delay before a voter is connected again, in seconds.
 const MAX_RECONNECT_DELAY: f64 = 1.0;
-/// Time limit for connecting; then the attempt is repeated.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which another connection is tried beside one that is not welcomed yet. Requests are dropped from then on.
+const HEDGE_DELAY: Duration = Duration::from_millis(500);
+/// Time limit of the connections that are tried beside the first one.
+const HEDGE_TIMEOUT: Duration = Duration::from_millis(2000);
 /// Time without a request after which a ping checks whether the voter still answers.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without received data after which the connection is closed: it is half-open, or broken in one direction. Also the
@@ -112,10 +119,11 @@
     let mut last_reason = String::new();
     loop {
         let started = Instant::now();
-        let reason = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Err(_) => "connection attempt timed out".to_owned(),
-            Ok(Err(e)) => e.to_string(),
-            Ok(Ok(stream)) => match run_connection(stream, &fleet, voter, &mut requests, &events).await {
+        let opening = open_hedged(HEDGE_DELAY, HEDGE_TIMEOUT, || open_connection(address, &fleet, voter));
+        let Some(opened) = drop_requests_while_slow(opening, &mut requests).await else { return };
+        let reason = match opened {
+            Err(reason) => reason,
+            Ok(connection) => match run_connection(connection, voter, &mut requests, &events).await {
                 Some(reason) => reason,
                 None => return,
             },
@@ -148,54 +156,98 @@
     stream.write_all(&text).await.map_err(|e| e.to_string())
 }
 
+/// Waits for a connection, and drops the requests that arrive after [`HEDGE_DELAY`]. Returns `None` if the sender of
+/// `requests` is dropped.
+async fn drop_requests_while_slow<T>(
+    opening: impl Future<Output = T>, requests: &mut mpsc::Receiver<ClientRequest>,
+) -> Option<T> {
+    let mut opening = std::pin::pin!(opening);
+    let slow_at = Instant::now() + HEDGE_DELAY;
+    if let Ok(opened) = timeout_at(slow_at, &mut opening).await {
+        return Some(opened);
+    }
+    loop {
+        tokio::select! {
+            opened = &mut opening => return Some(opened),
+            request = requests.recv() => drop(request?),
+        }
+    }
+}
+
+/// A connection on which the voter has sent its welcome.
+struct OpenConnection {
+    reader: BufReader<OwnedReadHalf>,
+    write: OwnedWriteHalf,
+    /// Time that it took to open.
+    opening_time: Duration,
+}
+
+/// Connects to the voter, and waits for its welcome without a time limit.
+async fn open_connection(address: SocketAddr, fleet: &str, voter: VoterId) -> Result<OpenConnection, String> {
+    let started = Instant::now();
+    let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let _ = stream.set_nodelay(true);
+    let (read, mut write) = stream.into_split();
+    write_request(&mut write, &ClientRequest::Hello { fleet: fleet.to_owned() }).await?;
+    let mut reader = BufReader::new(read);
+    let mut line = Vec::new();
+    let n = read_line(&mut reader, &mut line).await;
+    match parse_response(n, &line)? {
+        VoterResponse::Welcome { me } if me != voter => {
+            Err(format!("the voter at this address has number {}, not {}", me.0, voter.0))
+        }
+        VoterResponse::Welcome { .. } => {
+            Ok(OpenConnection { reader, write, opening_time: started.elapsed() })
+        }
+        _ => Err("the voter sent a response before its welcome".to_owned()),
+    }
+}
+
+fn parse_response(length: std::io::Result<usize>, line: &[u8]) -> Result<VoterResponse, String> {
+    match length {
+        Ok(0) => return Err("closed by the voter".to_owned()),
+        Err(e) => return Err(e.to_string()),
+        Ok(_) if !line.ends_with(b"\n") => return Err("line too long or truncated".to_owned()),
+        Ok(_) => {}
+    }
+    match serde_json::from_slice(line) {
+        Err(e) => Err(format!("not a voter response: {e}")),
+        Ok(VoterResponse::Fault(reason)) => Err(reason),
+        Ok(response) => Ok(response),
+    }
+}
+
 /// Serves one connection and returns why it ended; `None` if the sender of `requests` or the receiver of `events` is
 /// dropped.
 async fn run_connection(
-    stream: TcpStream, fleet: &str, voter: VoterId, requests: &mut mpsc::Receiver<ClientRequest>,
+    connection: OpenConnection, voter: VoterId, requests: &mut mpsc::Receiver<ClientRequest>,
     events: &mpsc::Sender<(VoterId, ConnectionEvent)>,
 ) -> Option<String> {
-    let _ = stream.set_nodelay(true);
-    let (read, mut write) = stream.into_split();
-    let hello = ClientRequest::Hello { fleet: fleet.to_owned() };
-    if let Err(reason) = write_request(&mut write, &hello).await {
-        return Some(reason);
-    }
+    let OpenConnection { mut reader, mut write, opening_time } = connection;
     let send_event = async |event| events.send((voter, event)).await.ok();
-    let mut reader = BufReader::new(read);
+    send_event(ConnectionEvent::Connected).await?;
     let mut line = Vec::new();
-    let mut welcomed = false;
     let mut last_received = Instant::now();
-    let mut last_sent = Instant::now();
+    let mut last_sent = last_received;
+    // The first response may take as long as the welcome did. The ones after it follow each other like the pings.
+    let mut receive_timeout = RECEIVE_TIMEOUT.max(opening_time * 2);
     loop {
-        let next_check_at = (last_sent + PING_INTERVAL).min(last_received + RECEIVE_TIMEOUT);
+        let next_check_at = (last_sent + PING_INTERVAL).min(last_received + receive_timeout);
         tokio::select! {
             // Cancellation-safe: a partial line stays in `line`.
             n = read_line(&mut reader, &mut line) => {
-                match n {
-                    Ok(0) => return Some("closed by the voter".to_owned()),
-                    Err(e) => return Some(e.to_string()),
-                    Ok(_) if !line.ends_with(b"\n") => return Some("line too long or truncated".to_owned()),
-                    Ok(_) => {}
-                }
-                let response = serde_json::from_slice::<VoterResponse>(&line);
+                let response = match parse_response(n, &line) {
+                    Ok(response) => response,
+                    Err(reason) => return Some(reason),
+                };
                 line.clear();
                 last_received = Instant::now();
-                match response {
-                    Err(e) => return Some(format!("not a voter response: {e}")),
-                    Ok(VoterResponse::Fault(reason)) => return Some(reason),
-                    Ok(VoterResponse::Welcome { me }) if me != voter => {
-                        return Some(format!("the voter at this address has number {}, not {}", me.0, voter.0));
-                    }
-                    Ok(VoterResponse::Welcome { .. }) => {
-                        welcomed = true;
-                        send_event(ConnectionEvent::Connected).await?;
-                    }
-                    Ok(VoterResponse::Pong) => {}
-                    Ok(_) if !welcomed => return Some("the voter sent a response before its welcome".to_owned()),
-                    Ok(response) => send_event(ConnectionEvent::Response(response)).await?,
+                receive_timeout = RECEIVE_TIMEOUT;
+                if !matches!(response, VoterResponse::Pong | VoterResponse::Welcome { .. }) {
+                    send_event(ConnectionEvent::Response(response)).await?;
                 }
             }
-            request = requests.recv(), if welcomed => {
+            request = requests.recv() => {
                 let request = request?;
                 match timeout(RECEIVE_TIMEOUT, write_request(&mut write, &request)).await {
                     Err(_) => return Some("the voter does not read".to_owned()),
@@ -204,8 +256,8 @@
                 }
             }
             () = sleep_until(next_check_at) => {
-                if last_received.elapsed() >= RECEIVE_TIMEOUT {
-                    return Some(format!("nothing received for {} s", RECEIVE_TIMEOUT.as_secs_f64()));
+                if last_received.elapsed() >= receive_timeout {
+                    return Some(format!("nothing received for {} s", receive_timeout.as_secs_f64()));
                 }
                 last_sent = Instant::now();
                 match timeout(RECEIVE_TIMEOUT, write_request(&mut write, &ClientRequest::Ping)).await {
@@ -225,3 +277,6 @@
     let remaining = (MAX_LINE - line.len().min(MAX_LINE)) as u64;
     reader.take(remaining).read_until(b'\n', line).await
 }
+
+#[cfg(test)]
+mod tests;
