--- a/crates/kelpdoor-platform/src/shell.rs
+++ b/crates/kelpdoor-platform/src/shell.rs
@@ -4,32 +4,33 @@
 
 mod change_log;
 mod change_stream;
+mod connection;
+mod output;
 
-use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::panic::AssertUnwindSafe;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::FutureExt;
 use kelpdoor_clock::SlewedClock;
 use kelpdoor_parts::{CATCH_UP_TIME, was_paused};
 use kelpdoor_rtsp::{Message, MessageDecoder, Version};
-use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Notify, Semaphore, mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::{JoinSet, LocalSet, spawn_local};
-use tokio::time::{sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::core::{ConnectFailure, Effect, Input, MEMORY_DIVISOR, SessionCore, SessionEnd};
 use crate::lines::{LineDecoder, LineTooLong};
 use crate::startup::StartupConfig;
 use crate::viewer::{self, MAX_LINE};
 use change_log::ChangeLogStatus;
+use connection::{LINGER_TIMEOUT, catch_panic, linger, serve_connection};
+use output::{ConnectionOutput, SocketTotals};
 
 /// Maximum inputs queued for the core, of up to 16 KiB each. Beyond it the readers wait, which slows their
 /// peers down.
@@ -39,19 +40,6 @@
 const MAX_BATCH: usize = 1024;
 /// The inputs of one round may use the memory limit divided by this.
 const BATCH_MEMORY_DIVISOR: usize = 16;
-/// Bytes read from a socket at a time.
-const READ_SIZE: usize = 8 << 10;
-/// Bytes that a connection's task reads in one turn; then all others get theirs.
-const TURN_BYTES: usize = READ_SIZE;
-/// Bytes that are discarded before [`DISCARD_PAUSE`], so that peers that are turned away use little of the processor.
-const DISCARD_BURST: usize = 64 << 10;
-/// Pause after [`DISCARD_BURST`], during which the peer is slowed down.
-const DISCARD_PAUSE: Duration = Duration::from_millis(1);
-/// Maximum unsent bytes per peer; a peer that does not read is cut off beyond it.
-const MAX_UNSENT_BYTES: usize = 128 << 10;
-/// Time that a peer gets to read its last answer before the connection is closed, as a close with unread
-/// input resets the connection and the answer is lost.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Maximum lingering connections; further ones close at once.
 const MAX_LINGERING: usize = 12;
 /// Connections accepted beyond the limit on viewers, so that a new one can replace an idle one.
@@ -79,323 +67,6 @@
 
 type TimedInput = (Instant, Input);
 
-/// Sums over the sockets of all peers.
-#[derive(Clone)]
-struct SocketTotals {
-    unsent: Rc<Cell<usize>>,
-    max_unsent: usize,
-    /// Bytes received since the start.
-    received: Rc<Cell<u64>>,
-}
-
-impl SocketTotals {
-    fn new(max_unsent: usize) -> Self {
-        SocketTotals { unsent: Rc::default(), max_unsent, received: Rc::default() }
-    }
-}
-
-/// The sending side of a connection: its unsent bytes, and how it is to be closed.
-struct ConnectionOutput {
-    stream: RefCell<Option<Rc<TcpStream>>>,
-    unsent: RefCell<Vec<u8>>,
-    totals: SocketTotals,
-    /// Bytes that the socket accepted so far.
-    accepted: Cell<u64>,
-    /// Reports of ends that are not accepted yet, with the position of their last byte.
-    unaccepted_ends: RefCell<VecDeque<(u64, SessionEnd)>>,
-    closing: Cell<bool>,
-    aborted: Cell<bool>,
-    notify: Notify,
-}
-
-impl ConnectionOutput {
-    fn new(stream: Option<Rc<TcpStream>>, totals: SocketTotals) -> Rc<Self> {
-        Rc::new(ConnectionOutput {
-            stream: RefCell::new(stream),
-            unsent: RefCell::default(),
-            totals,
-            accepted: Cell::new(0),
-            unaccepted_ends: RefCell::default(),
-            closing: Cell::new(false),
-            aborted: Cell::new(false),
-            notify: Notify::new(),
-        })
-    }
-
-    /// Writes what the socket takes now and keeps the rest, within the limits.
-    fn write(&self, bytes: &[u8]) {
-        let mut unsent = self.unsent.borrow_mut();
-        let mut from = 0;
-        if unsent.is_empty()
-            && let Some(stream) = &*self.stream.borrow()
-        {
-            from = stream.try_write(bytes).unwrap_or(0);
-            self.record_accepted(from);
-        }
-        if from < bytes.len() {
-            let (rest, all) = (&bytes[from..], self.totals.unsent.get());
-            if unsent.len() + rest.len() > MAX_UNSENT_BYTES || all + rest.len() > self.totals.max_unsent {
-                self.aborted.set(true);
-            } else {
-                unsent.extend_from_slice(rest);
-                self.totals.unsent.set(all + rest.len());
-            }
-            self.notify.notify_one();
-        }
-    }
-
-    /// Writes the report of a session's end, and keeps the end until the socket has accepted all of it.
-    fn write_end(&self, bytes: &[u8], end: SessionEnd) {
-        let position = self.accepted.get() + (self.unsent.borrow().len() + bytes.len()) as u64;
-        self.write(bytes);
-        if self.accepted.get() < position {
-            self.unaccepted_ends.borrow_mut().push_back((position, end));
-        }
-    }
-
-    fn record_accepted(&self, bytes: usize) {
-        let accepted = self.accepted.get() + bytes as u64;
-        self.accepted.set(accepted);
-        let mut ends = self.unaccepted_ends.borrow_mut();
-        while ends.front().is_some_and(|(position, _)| *position <= accepted) {
-            ends.pop_front();
-        }
-    }
-
-    /// The ends whose reports the socket has not accepted.
-    fn take_unaccepted_ends(&self) -> Vec<SessionEnd> {
-        self.unaccepted_ends.take().into_iter().map(|(_, end)| end).collect()
-    }
-
-    /// Writes pending bytes; returns whether the connection is still usable.
-    fn flush(&self, stream: &TcpStream) -> bool {
-        let mut unsent = self.unsent.borrow_mut();
-        match stream.try_write(&unsent) {
-            Ok(n) => {
-                consume(&mut unsent, n);
-                self.record_accepted(n);
-                self.totals.unsent.set(self.totals.unsent.get() - n);
-                true
-            }
-            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
-        }
-    }
-
-    fn record_received(&self, bytes: usize) {
-        self.totals.received.set(self.totals.received.get() + bytes as u64);
-    }
-
-    fn has_unsent(&self) -> bool {
-        !self.unsent.borrow().is_empty()
-    }
-
-    fn close(&self) {
-        self.closing.set(true);
-        self.notify.notify_one();
-    }
-
-    /// Closes the connection and discards unsent bytes.
-    fn abort(&self) {
-        if let Some(stream) = &*self.stream.borrow() {
-            let _ = stream.set_zero_linger();
-        }
-        self.aborted.set(true);
-        self.close();
-    }
-
-    async fn closed(&self) {
-        while !self.closing.get() {
-            self.notify.notified().await;
-        }
-    }
-}
-
-impl Drop for ConnectionOutput {
-    fn drop(&mut self) {
-        self.totals.unsent.set(self.totals.unsent.get() - self.unsent.borrow().len());
-    }
-}
-
-enum ReadResult {
-    Data(usize),
-    Closed,
-    WouldBlock,
-}
-
-fn read(stream: &TcpStream, buf: &mut Vec<u8>) -> ReadResult {
-    thread_local! {
-        static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_SIZE]);
-    }
-    SCRATCH.with_borrow_mut(|scratch| match stream.try_read(scratch) {
-        Ok(0) => ReadResult::Closed,
-        Ok(n) => {
-            buf.extend_from_slice(&scratch[..n]);
-            ReadResult::Data(n)
-        }
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock => ReadResult::WouldBlock,
-        Err(_) => ReadResult::Closed,
-    })
-}
-
-/// Removes the first `n` bytes, and frees the memory once nothing is left.
-fn consume(buf: &mut Vec<u8>, n: usize) {
-    if n == buf.len() {
-        *buf = Vec::new();
-    } else {
-        buf.drain(..n);
-    }
-}
-
-/// What a connection's task may read before the others get a turn. `readable().await` followed by `try_read` takes no
-/// part in Tokio's cooperative scheduling: while the peer keeps sending, a loop of the two never gives way, and no timer
-/// around it fires.
-struct TurnBudget {
-    left: usize,
-}
-
-impl TurnBudget {
-    fn new() -> Self {
-        TurnBudget { left: TURN_BYTES }
-    }
-
-    /// Counts bytes that were read, and gives way to the other tasks once the budget is used up.
-    async fn spend(&mut self, bytes: usize) {
-        self.left = self.left.saturating_sub(bytes);
-        if self.left == 0 {
-            tokio::task::yield_now().await;
-            self.left = TURN_BYTES;
-        }
-    }
-}
-
-/// Waits until the stream can be read; returns false at the deadline, whether or not it can be read.
-async fn readable_before(stream: &TcpStream, deadline: Instant) -> bool {
-    Instant::now() < deadline && matches!(timeout_at(deadline.into(), stream.readable()).await, Ok(Ok(())))
-}
-
-/// Reads and discards what the peer still sends, until it ends the connection or the deadline passes.
-async fn discard_input(stream: &TcpStream, deadline: Instant) {
-    let mut buf = Vec::new();
-    let mut burst = 0;
-    while readable_before(stream, deadline).await {
-        buf.clear();
-        match read(stream, &mut buf) {
-            ReadResult::Data(n) => burst += n,
-            ReadResult::Closed => return,
-            ReadResult::WouldBlock => {}
-        }
-        if burst >= DISCARD_BURST {
-            sleep(DISCARD_PAUSE).await;
-            burst = 0;
-        }
-    }
-}
-
-/// The event that woke a connection's task.
-enum WakeReason {
-    /// The stream can be read. The end of the peer's output may be known before the bytes ahead of it are read.
-    Readable {
-        peer_closed: bool,
-    },
-    Writable,
-    Notified,
-}
-
-async fn wait_for_event(stream: &TcpStream, output: &ConnectionOutput) -> WakeReason {
-    tokio::select! {
-        biased;
-        () = output.notify.notified() => WakeReason::Notified,
-        _ = stream.writable(), if output.has_unsent() => WakeReason::Writable,
-        ready = stream.ready(Interest::READABLE) => {
-            WakeReason::Readable { peer_closed: ready.is_ok_and(|ready| ready.is_read_closed()) }
-        }
-    }
-}
-
-/// Serves one connection. `parse` removes complete messages from the buffer, passes them on, and returns
-/// whether to continue; its second argument tells whether the peer has ended its output by now. With `read_to_end`, a connection that this side closes is read until the peer closes
-/// it too, for up to LINGER_TIMEOUT. Returns whether the peer ended the connection.
-async fn serve_connection<F>(
-    stream: &TcpStream, output: &ConnectionOutput, read_to_end: bool, mut parse: F,
-) -> bool
-where
-    F: AsyncFnMut(&mut Vec<u8>, bool) -> bool,
-{
-    let mut buf = Vec::new();
-    let mut input_closed = false;
-    let mut turn = TurnBudget::new();
-    loop {
-        if output.aborted.get() {
-            return true;
-        }
-        if output.closing.get() {
-            // Limits the time that a peer that does not read can hold its connection.
-            let flushed = async {
-                while output.has_unsent() && stream.writable().await.is_ok() && output.flush(stream) {}
-            };
-            let _ = timeout(LINGER_TIMEOUT, flushed).await;
-            if read_to_end && !input_closed && !output.has_unsent() {
-                let _ = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write);
-                let deadline = Instant::now() + LINGER_TIMEOUT;
-                while readable_before(stream, deadline).await && !output.aborted.get() {
-                    match read(stream, &mut buf) {
-                        ReadResult::Data(n) => {
-                            output.record_received(n);
-                            if !parse(&mut buf, false).await {
-                                break;
-                            }
-                            turn.spend(n).await;
-                        }
-                        ReadResult::Closed => break,
-                        ReadResult::WouldBlock => {}
-                    }
-                }
-            }
-            return false;
-        }
-        let reason = if input_closed {
-            tokio::select! {
-                () = output.notify.notified() => WakeReason::Notified,
-                _ = stream.writable(), if output.has_unsent() => WakeReason::Writable,
-            }
-        } else {
-            wait_for_event(stream, output).await
-        };
-        match reason {
-            WakeReason::Notified => {}
-            WakeReason::Writable => {
-                if !output.flush(stream) {
-                    return true;
-                }
-            }
-            WakeReason::Readable { peer_closed } => match read(stream, &mut buf) {
-                ReadResult::Data(n) => {
-                    output.record_received(n);
-                    input_closed = !parse(&mut buf, peer_closed).await;
-                    turn.spend(n).await;
-                }
-                ReadResult::Closed => return true,
-                ReadResult::WouldBlock => {}
-            },
-        }
-    }
-}
-
-/// Runs a connection's task; a panic in it closes that connection only.
-async fn catch_panic(task: impl Future<Output = ()>) {
-    if AssertUnwindSafe(task).catch_unwind().await.is_err() {
-        tracing::error!("connection task panicked; closing the connection");
-    }
-}
-
-/// Lets the peer read its last answer, and discards what it still sends.
-async fn linger(stream: Rc<TcpStream>, lingering: Rc<Semaphore>) {
-    let Ok(_held) = lingering.try_acquire() else { return };
-    let socket = socket2::SockRef::from(&*stream);
-    let _ = socket.shutdown(std::net::Shutdown::Write);
-    discard_input(&stream, Instant::now() + LINGER_TIMEOUT).await;
-}
-
 async fn run_viewer(
     conn: u64, stream: Rc<TcpStream>, output: Rc<ConnectionOutput>, input_tx: mpsc::Sender<TimedInput>,
     lingering: Rc<Semaphore>,
--- a/crates/kelpdoor-platform/src/shell/tests.rs
+++ b/crates/kelpdoor-platform/src/shell/tests.rs
@@ -1,3 +1,7 @@
+use std::cell::Cell;
+
+use super::connection::*;
+use super::output::*;
 use super::*;
 
 #[test]
