Log an attempt on the change log under its own address

Cause: the line on the end of an attempt had the current address, so after a reload the end of the old stream read as a failure of the new change log. Change: each attempt keeps the address it was begun with. A log line only: no test reads it.

--- a/crates/kelpdoor-platform/src/shell/change_log.rs
+++ b/crates/kelpdoor-platform/src/shell/change_log.rs
@@ -51,6 +51,7 @@
 
 /// Ends its task when dropped.
 struct RunningAttempt {
+    address: SocketAddr,
     began_at: Instant,
     activity: Rc<RefCell<Activity>>,
     _task: JoinSet<()>,
@@ -171,7 +172,9 @@
             let error = read_change_stream(context, id, &report_tx).await;
             let _ = report_tx.send((id, Report::Ended(error))).await;
         });
-        self.running.insert(id, RunningAttempt { began_at: Instant::now(), activity, _task: task });
+        let running =
+            RunningAttempt { address: self.address, began_at: Instant::now(), activity, _task: task };
+        self.running.insert(id, running);
     }
 
     /// Closes an attempt that is no longer needed. The planner has forgotten it.
@@ -215,7 +218,7 @@
         let (now, in_flight) = (self.now(), self.planner.in_flight());
         let (state, since) = self.planner.state(id).unwrap_or((AttemptState::Connecting, now));
         let (milliseconds, in_state) = (attempt.began_at.elapsed().as_millis(), ((now - since) * 1e3) as u64);
-        let (address, last) = (self.address, self.last_event);
+        let (address, last) = (attempt.address, self.last_event);
         tracing::warn!(attempt = id.0, %address, last, ?state, milliseconds, in_state, in_flight, "change log: {error}; reconnecting");
         if let AttemptError::Unreadable { number, .. } = error {
             self.skip_if_unreadable_twice(*number);
