Test a change log slower than any limit in the code, and reloads to a slow one

The longest limit is 8 s, and the tests on real connections went up to 5 s. Added: headers and first byte after 10 s, 10 s beside a first request that is never answered, and a drain that the new address tells 0 to 10 s after a reload. The bounds follow from the plan: the answer time, and four attempts of 2 s at most beside a dead one, as one of four in a row is kept for that long.

--- a/crates/kelpdoord/tests/change_log.rs
+++ b/crates/kelpdoord/tests/change_log.rs
@@ -76,7 +76,7 @@
 // Guards against a limit on the answer that a slow change log never meets (review/9).
 #[test]
 fn drain_is_kept_when_the_headers_of_the_change_log_come_late() {
-    assert_each(&[0, 700, 1500, 1700, 1800, 3000, 5000], |delay| {
+    assert_each(&[0, 700, 1500, 1700, 1800, 3000, 5000, 10_000], |delay| {
         assert_drain_is_kept(Pacing { headers: delay, ..Pacing::default() }, delay);
     });
 }
@@ -84,7 +84,7 @@
 // Guards against a limit of silence that applies before a stream has begun to send.
 #[test]
 fn drain_is_kept_when_the_first_byte_of_the_change_log_comes_late() {
-    assert_each(&[0, 700, 1500, 1700, 1800, 3000, 5000], |delay| {
+    assert_each(&[0, 700, 1500, 1700, 1800, 3000, 5000, 10_000], |delay| {
         assert_drain_is_kept(Pacing { first_byte: delay, ..Pacing::default() }, delay);
     });
 }
@@ -167,6 +167,51 @@
     });
 }
 
+// Guards against further attempts that are all dropped before an answer that takes longer than any limit.
+#[test]
+fn drain_is_kept_when_the_first_request_is_never_answered_and_others_after_ten_seconds() {
+    const HEADERS: Duration = Duration::from_secs(10);
+    /// Of four attempts in a row one is kept for longer than the answer takes.
+    const MAX_ATTEMPTS_BEFORE: u32 = 4;
+    const MAX_ATTEMPT_INTERVAL: Duration = Duration::from_millis(2000);
+    let change_log = ChangeLog::new();
+    change_log.ignore_requests(1);
+    change_log.set_pacing(Pacing { headers: HEADERS, ..Pacing::default() });
+    let mut harness = Harness::start(1, 256, &[], &settings(1), change_log);
+    harness.barrier();
+    let draining = harness.host_entry(0, "draining");
+    harness.change_log.publish(&[draining]);
+    time_until_refused(&mut harness, MAX_ATTEMPT_INTERVAL * MAX_ATTEMPTS_BEFORE + HEADERS + DRAIN_TIME);
+    let (_, most_open) = harness.change_log.request_counts();
+    assert!(most_open <= MAX_IN_FLIGHT, "{most_open} open connections");
+}
+
+// Guards against a new address whose answer is waited for under a limit that it never meets.
+#[test]
+fn drain_that_the_new_change_log_tells_late_after_a_reload_is_kept() {
+    assert_each(&[0, 1800, 3000, 10_000], |headers| {
+        let mut harness = Harness::new(1);
+        harness.change_log.wait_for_requests(1);
+        harness.barrier();
+        let new = ChangeLog::new();
+        let line = harness.host_entry(0, "up");
+        new.publish(&[line]);
+        let draining = harness.host_entry(0, "draining");
+        new.publish(&[draining]);
+        new.set_pacing(Pacing { headers, ..Pacing::default() });
+        harness.move_change_log(&new);
+        harness.signal(Signal::SIGHUP);
+        time_until_refused(&mut harness, headers + DRAIN_TIME);
+        let (requests, most_open) = new.request_counts();
+        let most = 1 + headers.as_millis() / MIN_ATTEMPT_INTERVAL.as_millis();
+        assert!(
+            requests as u128 <= most && most_open <= MAX_IN_FLIGHT,
+            "{requests} requests, {most_open} open"
+        );
+        assert_exits(&mut harness);
+    });
+}
+
 // Guards against a silent stream whose replacement is as slow as the limit of silence.
 #[test]
 fn drain_is_kept_when_the_stream_falls_silent_and_the_next_answer_is_late() {
